--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/FleetViewChange.java
@@ -0,0 +1,34 @@
+package org.magnolialead.api;
+
+import java.util.List;
+
+/**
+ * Difference between two versions of the fleet view.
+ *
+ * @param fromVersion version that the change starts from; ignored if complete
+ * @param toVersion version after the change
+ * @param complete whether the change replaces the whole view
+ * @param configuration new configuration, or {@code null} if it did not change
+ * @param groups groups that changed
+ * @param daemons daemons that changed
+ * @param removedDaemons names of daemons that are gone
+ */
+public record FleetViewChange(long fromVersion, long toVersion, boolean complete, FleetConfiguration configuration,
+		List<GroupView> groups, List<DaemonView> daemons, List<String> removedDaemons) {
+
+	public FleetViewChange {
+		groups = List.copyOf(groups);
+		daemons = List.copyOf(daemons);
+		removedDaemons = List.copyOf(removedDaemons);
+	}
+
+	/**
+	 * Returns a change that changes nothing.
+	 * @param version the version on both sides
+	 * @return the empty change
+	 */
+	public static FleetViewChange none(long version) {
+		return new FleetViewChange(version, version, false, null, List.of(), List.of(), List.of());
+	}
+
+}
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/GroupView.java
@@ -0,0 +1,61 @@
+package org.magnolialead.api;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What all daemons know of a database group.
+ *
+ * @param group name of the group
+ * @param version view version at which this record last changed
+ * @param term term of the primary; 0 before the first primary is confirmed
+ * @param primary name of the primary, or an empty string if none is confirmed
+ * @param reservedTerm highest term reserved for a promotion; at least {@code term}
+ * @param candidate member of the reserved promotion, or an empty string
+ * @param owner name of the owning daemon, or an empty string if none is assigned
+ * @param ownerEpoch number of assignments of an owner so far
+ * @param members members by name
+ */
+public record GroupView(String group, long version, long term, String primary, long reservedTerm, String candidate,
+		String owner, long ownerEpoch, Map<String, MemberDescription> members) {
+
+	public GroupView {
+		Objects.requireNonNull(group, "group must not be null");
+		Objects.requireNonNull(primary, "primary must not be null");
+		Objects.requireNonNull(candidate, "candidate must not be null");
+		Objects.requireNonNull(owner, "owner must not be null");
+		members = Map.copyOf(members);
+		if (reservedTerm < term) {
+			throw new IllegalArgumentException(
+					"reservedTerm %d must not be less than term %d".formatted(reservedTerm, term));
+		}
+	}
+
+	/**
+	 * Returns a member.
+	 * @param member name of the member
+	 * @return its description, or empty if it never announced itself
+	 */
+	public Optional<MemberDescription> member(String member) {
+		return Optional.ofNullable(this.members.get(member));
+	}
+
+	/**
+	 * Returns the number of members that form a majority.
+	 * @return the size of a majority
+	 */
+	public int majority() {
+		return this.members.size() / 2 + 1;
+	}
+
+	/**
+	 * Returns all members.
+	 * @return the descriptions in no particular order
+	 */
+	public Collection<MemberDescription> allMembers() {
+		return this.members.values();
+	}
+
+}
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/LogPosition.java
@@ -0,0 +1,50 @@
+package org.magnolialead.api;
+
+/**
+ * Position in the log of a database group. Positions are ordered by the term of the
+ * record and then by its index.
+ *
+ * @param term term of the primary that wrote the record; 0 for an empty log
+ * @param index index of the record; 0 for an empty log
+ */
+public record LogPosition(long term, long index) implements Comparable<LogPosition> {
+
+	/**
+	 * Position before the first record.
+	 */
+	public static final LogPosition NONE = new LogPosition(0, 0);
+
+	public LogPosition {
+		if (term < 0 || index < 0) {
+			throw new IllegalArgumentException(
+					"term and index must not be negative, found %d and %d".formatted(term, index));
+		}
+	}
+
+	/**
+	 * Tells whether a log that ends here contains an acknowledged record at another
+	 * position.
+	 * @param other the other position
+	 * @return {@code true} if this position is equal to or after the other
+	 */
+	public boolean includes(LogPosition other) {
+		return compareTo(other) >= 0;
+	}
+
+	/**
+	 * Returns the later of two positions.
+	 * @param first one position
+	 * @param second another position
+	 * @return the later one
+	 */
+	public static LogPosition later(LogPosition first, LogPosition second) {
+		return first.includes(second) ? first : second;
+	}
+
+	@Override
+	public int compareTo(LogPosition other) {
+		int byTerm = Long.compare(this.term, other.term);
+		return (byTerm != 0) ? byTerm : Long.compare(this.index, other.index);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/MemberRole.java
@@ -0,0 +1,13 @@
+package org.magnolialead.api;
+
+/**
+ * Role of a database member in its group.
+ */
+public enum MemberRole {
+
+	/** Accepts writes. */
+	PRIMARY,
+	/** Follows the primary. */
+	REPLICA
+
+}
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/MemberStatus.java
@@ -0,0 +1,22 @@
+package org.magnolialead.api;
+
+import java.util.Objects;
+
+/**
+ * Answer of a database member to a status request.
+ *
+ * @param group name of its database group
+ * @param member name of the member
+ * @param role its role
+ * @param term term that it takes part in
+ * @param position position of the last record in its log
+ */
+public record MemberStatus(String group, String member, MemberRole role, long term, LogPosition position) {
+
+	public MemberStatus {
+		Objects.requireNonNull(group, "group must not be null");
+		Objects.requireNonNull(member, "member must not be null");
+		Objects.requireNonNull(role, "role must not be null");
+		Objects.requireNonNull(position, "position must not be null");
+	}
+}
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/ConsensusMessage.java
@@ -0,0 +1,133 @@
+package org.magnolialead.api.message;
+
+import java.util.List;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonSubTypes.Type;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/**
+ * Message between control daemons that replicate the control log. Messages are sent
+ * without waiting for an answer; answers are messages of their own.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({ @Type(value = ConsensusMessage.VoteRequest.class, name = "vote"),
+		@Type(value = ConsensusMessage.VoteAnswer.class, name = "voted"),
+		@Type(value = ConsensusMessage.AppendRequest.class, name = "append"),
+		@Type(value = ConsensusMessage.AppendAnswer.class, name = "appended"),
+		@Type(value = ConsensusMessage.SnapshotRequest.class, name = "snapshot"),
+		@Type(value = ConsensusMessage.SnapshotAnswer.class, name = "installed") })
+public sealed interface ConsensusMessage {
+
+	/**
+	 * Returns who sent the message.
+	 * @return the sender
+	 */
+	ControlIdentity from();
+
+	/**
+	 * Returns the cluster that the sender belongs to.
+	 * @return the cluster identifier, or an empty string for a member without a cluster
+	 */
+	String cluster();
+
+	/**
+	 * Returns the term of the sender.
+	 * @return the term
+	 */
+	long term();
+
+	/**
+	 * Asks for a vote, or whether a vote would be given.
+	 *
+	 * @param from the sender
+	 * @param cluster the cluster
+	 * @param term term of the election
+	 * @param preVote whether the vote is only a trial that changes no state
+	 * @param lastTerm term of the sender's last log entry
+	 * @param lastIndex index of the sender's last log entry
+	 */
+	record VoteRequest(ControlIdentity from, String cluster, long term, boolean preVote, long lastTerm,
+			long lastIndex) implements ConsensusMessage {
+	}
+
+	/**
+	 * Answers a vote request.
+	 *
+	 * @param from the sender
+	 * @param cluster the cluster
+	 * @param term term of the sender
+	 * @param requestTerm term of the request that is answered
+	 * @param preVote whether the vote is only a trial
+	 * @param granted whether the vote is given
+	 */
+	record VoteAnswer(ControlIdentity from, String cluster, long term, long requestTerm, boolean preVote,
+			boolean granted) implements ConsensusMessage {
+	}
+
+	/**
+	 * Replicates entries; without entries it is a heartbeat.
+	 *
+	 * @param from the leader
+	 * @param cluster the cluster
+	 * @param term term of the leader
+	 * @param previousTerm term of the entry before the first one sent
+	 * @param previousIndex index of the entry before the first one sent
+	 * @param entries entries to append
+	 * @param commitIndex commit index of the leader
+	 * @param round number that the answer repeats, increasing with each message
+	 */
+	record AppendRequest(ControlIdentity from, String cluster, long term, long previousTerm, long previousIndex,
+			List<LogEntry> entries, long commitIndex, long round) implements ConsensusMessage {
+	}
+
+	/**
+	 * Answers an append request after its entries are synced.
+	 *
+	 * @param from the sender
+	 * @param cluster the cluster
+	 * @param term term of the sender
+	 * @param accepted whether the previous entry matched
+	 * @param matchIndex last index known to match the leader's log if accepted, otherwise
+	 * an index from which the leader may try again
+	 * @param round number of the request
+	 */
+	record AppendAnswer(ControlIdentity from, String cluster, long term, boolean accepted, long matchIndex,
+			long round) implements ConsensusMessage {
+	}
+
+	/**
+	 * Sends a part of a snapshot to a member whose log is too far behind.
+	 *
+	 * @param from the leader
+	 * @param cluster the cluster
+	 * @param term term of the leader
+	 * @param lastTerm term of the last entry in the snapshot
+	 * @param lastIndex index of the last entry in the snapshot
+	 * @param voters voting members as of the snapshot
+	 * @param offset offset of the part in bytes
+	 * @param data the part
+	 * @param last whether this is the last part
+	 * @param round number that the answer repeats
+	 */
+	record SnapshotRequest(ControlIdentity from, String cluster, long term, long lastTerm, long lastIndex,
+			List<ControlIdentity> voters, long offset, byte[] data, boolean last,
+			long round) implements ConsensusMessage {
+	}
+
+	/**
+	 * Answers a part of a snapshot.
+	 *
+	 * @param from the sender
+	 * @param cluster the cluster
+	 * @param term term of the sender
+	 * @param lastIndex index of the last entry in the snapshot
+	 * @param nextOffset offset of the part that is wanted next in bytes
+	 * @param installed whether the snapshot is complete and synced
+	 * @param round number of the request
+	 */
+	record SnapshotAnswer(ControlIdentity from, String cluster, long term, long lastIndex, long nextOffset,
+			boolean installed, long round) implements ConsensusMessage {
+	}
+
+}
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/ControlIdentity.java
@@ -0,0 +1,30 @@
+package org.magnolialead.api.message;
+
+import java.util.Objects;
+
+/**
+ * Identity of a control member. A member whose data folder was lost has a new incarnation
+ * and is another member to its peers.
+ *
+ * @param name name of the control daemon in its settings
+ * @param incarnation random identifier kept in the data folder
+ * @param address peer address in the form {@code host:port}
+ */
+public record ControlIdentity(String name, String incarnation, String address) {
+
+	public ControlIdentity {
+		Objects.requireNonNull(name, "name must not be null");
+		Objects.requireNonNull(incarnation, "incarnation must not be null");
+		Objects.requireNonNull(address, "address must not be null");
+	}
+
+	/**
+	 * Tells whether both are the same member with the same data folder.
+	 * @param other the other identity
+	 * @return {@code true} if name and incarnation are equal
+	 */
+	public boolean isSameMember(ControlIdentity other) {
+		return this.name.equals(other.name) && this.incarnation.equals(other.incarnation);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/ErrorAnswer.java
@@ -0,0 +1,14 @@
+package org.magnolialead.api.message;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.Step;
+
+/**
+ * Answer to a peer request that could not be handled.
+ *
+ * @param error the error code
+ * @param step the step at which it arose
+ * @param message what went wrong
+ */
+public record ErrorAnswer(ErrorCode error, Step step, String message) {
+}
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/MessageKind.java
@@ -0,0 +1,88 @@
+package org.magnolialead.api.message;
+
+/**
+ * Kinds of messages of the peer protocol with their codes on the wire.
+ */
+public enum MessageKind {
+
+	/** Caller's request to the owner of a group. */
+	EXECUTE_REQUEST(1, ExecuteRequest.class),
+	/** Answer to a caller's request. */
+	EXECUTE_ANSWER(2, ExecuteAnswer.class),
+	/** Heartbeat of an entry daemon. */
+	HEARTBEAT_REQUEST(3, HeartbeatRequest.class),
+	/** Answer to a heartbeat. */
+	HEARTBEAT_ANSWER(4, HeartbeatAnswer.class),
+	/** Command for the control leader. */
+	SUBMIT_REQUEST(5, SubmitCommandRequest.class),
+	/** Answer to a command. */
+	SUBMIT_ANSWER(6, SubmitCommandAnswer.class),
+	/** Message of the replicated log, without a direct answer. */
+	CONSENSUS(7, ConsensusMessage.class),
+	/** Query for the state of a control daemon. */
+	VIEW_QUERY(8, ViewQuery.class),
+	/** State of a control daemon. */
+	VIEW_ANSWER(9, ViewAnswer.class),
+	/** Request to start a new cluster. */
+	INITIALIZE_REQUEST(10, InitializeRequest.class),
+	/** Answer to the request to start a new cluster. */
+	INITIALIZE_ANSWER(11, InitializeAnswer.class),
+	/** Answer to a request that could not be handled. */
+	ERROR_ANSWER(12, ErrorAnswer.class);
+
+	private final int code;
+
+	private final Class<?> type;
+
+	MessageKind(int code, Class<?> type) {
+		this.code = code;
+		this.type = type;
+	}
+
+	/**
+	 * Returns the code on the wire.
+	 * @return the code from 1 to 255
+	 */
+	public int code() {
+		return this.code;
+	}
+
+	/**
+	 * Returns the type of the message.
+	 * @return the record, or the interface of a family of records
+	 */
+	public Class<?> type() {
+		return this.type;
+	}
+
+	/**
+	 * Returns the kind of a message.
+	 * @param message the message
+	 * @return its kind
+	 * @throws IllegalArgumentException if the object is no message of the peer protocol
+	 */
+	public static MessageKind of(Object message) {
+		for (MessageKind kind : values()) {
+			if (kind.type.isInstance(message)) {
+				return kind;
+			}
+		}
+		throw new IllegalArgumentException("not a peer message: " + message.getClass().getName());
+	}
+
+	/**
+	 * Returns the kind with a code.
+	 * @param code the code
+	 * @return the kind
+	 * @throws IllegalArgumentException if no kind has this code
+	 */
+	public static MessageKind ofCode(int code) {
+		for (MessageKind kind : values()) {
+			if (kind.code == code) {
+				return kind;
+			}
+		}
+		throw new IllegalArgumentException("unknown message code " + code);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages that magnolialead's own processes exchange over the peer protocol.
+ */
+package org.magnolialead.api.message;
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Types shared by all modules: identifiers, profiles, log positions, errors and messages.
+ */
+package org.magnolialead.api;
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Control role: the replicated command log and the controllers that act on its state.
+ */
+package org.magnolialead.daemon.control;
