--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/Entry.java
@@ -0,0 +1,54 @@
+package org.magnolialead.engine.owner;
+
+/**
+ * Waiting item of a scheduler.
+ *
+ * @param <W> type of the caller's work
+ */
+final class Entry<W> {
+
+	private final WorkItem<W> item;
+
+	private final long order;
+
+	private final long sequence;
+
+	private Lane<W> lane;
+
+	Entry(WorkItem<W> item, long order, long sequence) {
+		this.item = item;
+		this.order = order;
+		this.sequence = sequence;
+	}
+
+	WorkItem<W> item() {
+		return this.item;
+	}
+
+	long order() {
+		return this.order;
+	}
+
+	long sequence() {
+		return this.sequence;
+	}
+
+	Lane<W> lane() {
+		return this.lane;
+	}
+
+	void lane(Lane<W> changed) {
+		this.lane = changed;
+	}
+
+	boolean precedes(Entry<W> other) {
+		long difference = this.order - other.order;
+		return (difference != 0) ? difference < 0 : this.sequence < other.sequence;
+	}
+
+	static int compareByDeadline(Entry<?> first, Entry<?> second) {
+		long difference = first.item.deadline() - second.item.deadline();
+		return (difference != 0) ? Long.signum(difference) : Long.compare(first.sequence, second.sequence);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/MemberChoice.java
@@ -0,0 +1,18 @@
+package org.magnolialead.engine.owner;
+
+import java.util.List;
+
+/**
+ * Chooses the database members that may serve a work item.
+ */
+@FunctionalInterface
+public interface MemberChoice {
+
+	/**
+	 * Returns the members that may serve the item now.
+	 * @param now present time in nanoseconds of the monotonic clock
+	 * @return names of the members, best first; empty if none may serve it at present
+	 */
+	List<String> eligible(long now);
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/MemberPositions.java
@@ -0,0 +1,208 @@
+package org.magnolialead.engine.owner;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.ToIntFunction;
+
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.MemberRole;
+import org.magnolialead.api.MemberStatus;
+import org.magnolialead.api.Profile;
+
+/**
+ * Positions of a group's members and the age of their data. Readers see immutable
+ * snapshots; thread-safe.
+ * <p>
+ * The age of a member's data follows from samples of the confirmed primary: a member at
+ * or beyond the position of a sample holds all writes made before the sample's request
+ * was sent. Samples of earlier terms stay valid after a change of primary: they were
+ * taken while their primary was the confirmed one, the owner acknowledges no write of a
+ * later term before that term is confirmed, and a log whose last record has a later term
+ * includes every acknowledged write of the earlier terms. Hence a member that has not yet
+ * reached the first sample of the new primary keeps the age of the last old sample it
+ * holds, and that age grows. Answers of a replaced primary give no samples.
+ */
+public final class MemberPositions {
+
+	/**
+	 * Time without a good answer after which a member receives no new work, in
+	 * nanoseconds. Members are polled at least every 100 ms, so ten polls have failed.
+	 */
+	public static final long ANSWER_LIMIT_NANOSECONDS = 1_000_000_000L;
+
+	private final ReadPolicy policy;
+
+	private final AtomicReference<Snapshot> snapshot = new AtomicReference<>(
+			new Snapshot(Map.of(), PrimaryTimeline.EMPTY));
+
+	/**
+	 * Creates an empty table.
+	 * @param policy which members serve reads
+	 */
+	public MemberPositions(ReadPolicy policy) {
+		this.policy = Objects.requireNonNull(policy, "policy must not be null");
+	}
+
+	/**
+	 * Records the answer to a status request. An answer to a request that was sent before
+	 * the one already known is ignored.
+	 * @param status the answer
+	 * @param sentAt time at which the request was sent
+	 * @param answeredAt time at which the answer arrived
+	 * @param view present view of the group
+	 */
+	public void statusAnswered(MemberStatus status, long sentAt, long answeredAt, GroupView view) {
+		this.snapshot.updateAndGet((present) -> present.with(status, sentAt, answeredAt, view));
+	}
+
+	/**
+	 * Returns the present snapshot.
+	 * @return the snapshot
+	 */
+	public Snapshot snapshot() {
+		return this.snapshot.get();
+	}
+
+	/**
+	 * Returns the last known position of a member.
+	 * @param member name of the member
+	 * @return the position, or empty if the member has never answered
+	 */
+	public Optional<LogPosition> position(String member) {
+		return Optional.ofNullable(snapshot().members().get(member)).map((known) -> known.status().position());
+	}
+
+	/**
+	 * Returns the age of a member's data: all writes made longer ago are in its log.
+	 * @param member name of the member
+	 * @param now present time in nanoseconds of the monotonic clock
+	 * @return the age in nanoseconds, or {@link Long#MAX_VALUE} if it is not known
+	 */
+	public long ageNanoseconds(String member, long now) {
+		return snapshot().ageNanoseconds(member, now);
+	}
+
+	/**
+	 * Returns the confirmed primary if it may receive work.
+	 * @param view present view of the group
+	 * @param now present time in nanoseconds of the monotonic clock
+	 * @return its name, or empty if it is leaving, silent or not known as primary of the
+	 * confirmed term
+	 */
+	public Optional<String> primary(GroupView view, long now) {
+		return Optional.of(view.primary()).filter((name) -> snapshot().isPrimary(name, view, now));
+	}
+
+	/**
+	 * Returns the members that may serve a read.
+	 * @param profile profile of the request
+	 * @param required position that the read must include
+	 * @param floorKnown whether the required position is known; if not, only the primary
+	 * may serve the read
+	 * @param view present view of the group
+	 * @param now present time in nanoseconds of the monotonic clock
+	 * @param running number of statements that a member is running
+	 * @return names of the members: replicas with the fewest running statements first and
+	 * the primary last
+	 */
+	public List<String> eligibleForRead(Profile profile, LogPosition required, boolean floorKnown, GroupView view,
+			long now, ToIntFunction<String> running) {
+		Snapshot present = snapshot();
+		List<String> eligible = new ArrayList<>();
+		if (floorKnown && this.policy.permitsReplica(profile)) {
+			for (MemberDescription member : view.allMembers()) {
+				if (present.isFreshReplica(member.member(), profile, required, view, now)) {
+					eligible.add(member.member());
+				}
+			}
+			eligible.sort(Comparator.comparingInt(running).thenComparing(Comparator.naturalOrder()));
+		}
+		if (present.isPrimary(view.primary(), view, now)) {
+			eligible.add(view.primary());
+		}
+		return eligible;
+	}
+
+	/**
+	 * Last good answer of a member.
+	 *
+	 * @param status the answer
+	 * @param sentAt time at which the request was sent
+	 * @param answeredAt time at which the answer arrived
+	 */
+	public record KnownMember(MemberStatus status, long sentAt, long answeredAt) {
+
+		boolean answeredRecently(long now) {
+			return now - this.answeredAt < ANSWER_LIMIT_NANOSECONDS;
+		}
+
+	}
+
+	/**
+	 * State of all members at one time.
+	 *
+	 * @param members members that have answered, by name
+	 * @param timeline samples of the primary
+	 */
+	public record Snapshot(Map<String, KnownMember> members, PrimaryTimeline timeline) {
+
+		Snapshot with(MemberStatus status, long sentAt, long answeredAt, GroupView view) {
+			KnownMember known = this.members.get(status.member());
+			if (known != null && sentAt - known.sentAt() < 0) {
+				return this;
+			}
+			Map<String, KnownMember> next = new HashMap<>(this.members);
+			next.keySet().retainAll(view.members().keySet());
+			next.put(status.member(), new KnownMember(status, sentAt, answeredAt));
+			PrimaryTimeline nextTimeline = isConfirmedPrimary(status, view)
+					? this.timeline.with(sentAt, status.position()) : this.timeline;
+			return new Snapshot(Map.copyOf(next), nextTimeline);
+		}
+
+		long ageNanoseconds(String member, long now) {
+			KnownMember known = this.members.get(member);
+			return (known != null) ? this.timeline.ageNanoseconds(known.status().position(), now) : Long.MAX_VALUE;
+		}
+
+		boolean isPrimary(String member, GroupView view, long now) {
+			KnownMember known = this.members.get(member);
+			return known != null && isConfirmedPrimary(known.status(), view)
+					&& mayReceiveWork(member, known, view, now);
+		}
+
+		// A member that reports the role of a primary without being the confirmed one is
+		// not a
+		// replica: it may hold writes that were never acknowledged.
+		boolean isFreshReplica(String member, Profile profile, LogPosition required, GroupView view, long now) {
+			KnownMember known = this.members.get(member);
+			if (known == null || known.status().role() != MemberRole.REPLICA || member.equals(view.primary())) {
+				return false;
+			}
+			if (!mayReceiveWork(member, known, view, now) || !known.status().position().includes(required)) {
+				return false;
+			}
+			long limit = profile.maximumAgeMilliseconds() * 1_000_000L;
+			return !profile.freshness().boundsAge() || ageNanoseconds(member, now) <= limit;
+		}
+
+		private static boolean mayReceiveWork(String member, KnownMember known, GroupView view, long now) {
+			boolean present = view.member(member).filter((description) -> !description.leaving()).isPresent();
+			return present && known.answeredRecently(now);
+		}
+
+		private static boolean isConfirmedPrimary(MemberStatus status, GroupView view) {
+			return status.role() == MemberRole.PRIMARY && status.term() == view.term()
+					&& status.member().equals(view.primary());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/OnceDecision.java
@@ -0,0 +1,116 @@
+package org.magnolialead.engine.owner;
+
+import java.util.Objects;
+
+import org.magnolialead.api.command.RequestRecord;
+
+/**
+ * What to do with a request that must run at most once.
+ */
+public sealed interface OnceDecision {
+
+	/**
+	 * Decides on a request that has just arrived, before control is asked.
+	 * @param local record of the owner
+	 * @param digest digest of the request
+	 * @return {@link Run} if BeginRequest must be submitted; otherwise the final decision
+	 */
+	static OnceDecision onArrival(LocalRecord local, String digest) {
+		if (local.state() == LocalState.ABSENT) {
+			return new Run();
+		}
+		if (!local.digest().equals(digest)) {
+			return new KeyReused();
+		}
+		return (local.state() == LocalState.UNKNOWN) ? new Unknown() : new Join();
+	}
+
+	/**
+	 * Decides on a request whose BeginRequest was accepted by control. The answer of
+	 * control to a command that was submitted twice, because its first answer was lost,
+	 * does not say that the record is new; the owner then knows from its own record that
+	 * the statement was never sent.
+	 * @param record record in the control state
+	 * @param local record of the owner; BEGINNING if this request submitted the command
+	 * @param digest digest of the request
+	 * @param ownerEpoch epoch of this owner
+	 * @return the decision; {@link Run} permits exactly one execution
+	 */
+	static OnceDecision onRecord(RequestRecord record, LocalRecord local, String digest, long ownerEpoch) {
+		if (!record.digest().equals(digest)) {
+			return new KeyReused();
+		}
+		if (record.finished()) {
+			return new Repeat((record.answer() != null) ? record.answer() : new byte[0]);
+		}
+		if (record.ownerEpoch() != ownerEpoch) {
+			return new Unknown();
+		}
+		return switch (local.state()) {
+			case BEGINNING -> new Run();
+			case SENT -> new Join();
+			case ABSENT -> record.newlyBegun() ? new Run() : new Unknown();
+			case UNKNOWN -> new Unknown();
+		};
+	}
+
+	/** The request has not been sent; it may be sent now, once. */
+	record Run() implements OnceDecision {
+	}
+
+	/** The request is in progress; wait for its answer. */
+	record Join() implements OnceDecision {
+	}
+
+	/**
+	 * The request was executed.
+	 *
+	 * @param answer stored answer, or an empty array if none was kept
+	 */
+	record Repeat(byte[] answer) implements OnceDecision {
+
+		public Repeat {
+			Objects.requireNonNull(answer, "answer must not be null");
+		}
+	}
+
+	/** An earlier attempt may have been executed; the request is never run again. */
+	record Unknown() implements OnceDecision {
+	}
+
+	/** The key was used for another request. */
+	record KeyReused() implements OnceDecision {
+	}
+
+	/** What the owner itself knows of a key. */
+	enum LocalState {
+
+		/** Nothing. */
+		ABSENT,
+		/** The intent was submitted to control and the statement has not been sent. */
+		BEGINNING,
+		/** The statement was sent and its outcome is open. */
+		SENT,
+		/** The outcome is lost. */
+		UNKNOWN
+
+	}
+
+	/**
+	 * Record of the owner about a key.
+	 *
+	 * @param state what is known
+	 * @param digest digest of the request
+	 */
+	record LocalRecord(LocalState state, String digest) {
+
+		/** Record of a key that the owner does not know. */
+		public static final LocalRecord ABSENT = new LocalRecord(LocalState.ABSENT, "");
+
+		public LocalRecord {
+			Objects.requireNonNull(state, "state must not be null");
+			Objects.requireNonNull(digest, "digest must not be null");
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/RetryBudget.java
@@ -0,0 +1,82 @@
+package org.magnolialead.engine.owner;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Token bucket that limits retries to a share of the requests, so that retries cannot
+ * multiply an overload. Thread-safe and lock-free.
+ */
+public final class RetryBudget {
+
+	/** Part of a retry, in thousandths, that each request earns. */
+	public static final long THOUSANDTHS_PER_REQUEST = 100;
+
+	/** Retries per second that are allowed however few requests there are. */
+	public static final long MINIMUM_RETRIES_PER_SECOND = 1;
+
+	/** Greatest number of retries that can be saved up. */
+	public static final long MAXIMUM_SAVED_RETRIES = 100;
+
+	private static final long THOUSANDTHS_PER_RETRY = 1_000;
+
+	private static final long NANOSECONDS_PER_SECOND = 1_000_000_000L;
+
+	private static final long NANOSECONDS_PER_THOUSANDTH = NANOSECONDS_PER_SECOND
+			/ (MINIMUM_RETRIES_PER_SECOND * THOUSANDTHS_PER_RETRY);
+
+	// One reference holds both values, because two separate atomics would let a retry be
+	// refused between the update of the time and that of the tokens.
+	private final AtomicReference<Bucket> bucket;
+
+	/**
+	 * Creates a budget that holds one retry.
+	 * @param now present time in nanoseconds of the monotonic clock
+	 */
+	public RetryBudget(long now) {
+		this.bucket = new AtomicReference<>(new Bucket(THOUSANDTHS_PER_RETRY, now));
+	}
+
+	/**
+	 * Counts a first attempt of a request.
+	 * @param now present time in nanoseconds of the monotonic clock
+	 */
+	public void requestStarted(long now) {
+		this.bucket.updateAndGet((present) -> present.filled(now).plus(THOUSANDTHS_PER_REQUEST));
+	}
+
+	/**
+	 * Takes one retry if the budget permits it.
+	 * @param now present time in nanoseconds of the monotonic clock
+	 * @return {@code true} if the request may be tried again
+	 */
+	public boolean tryRetry(long now) {
+		while (true) {
+			Bucket present = this.bucket.get();
+			Bucket filled = present.filled(now);
+			if (filled.thousandths() < THOUSANDTHS_PER_RETRY) {
+				return false;
+			}
+			if (this.bucket.compareAndSet(present, filled.plus(-THOUSANDTHS_PER_RETRY))) {
+				return true;
+			}
+		}
+	}
+
+	private record Bucket(long thousandths, long filledAt) {
+
+		Bucket filled(long now) {
+			long earned = (now - this.filledAt) / NANOSECONDS_PER_THOUSANDTH;
+			if (earned <= 0) {
+				return this;
+			}
+			return new Bucket(this.thousandths, this.filledAt + earned * NANOSECONDS_PER_THOUSANDTH).plus(earned);
+		}
+
+		Bucket plus(long change) {
+			long limit = MAXIMUM_SAVED_RETRIES * THOUSANDTHS_PER_RETRY;
+			return new Bucket(Math.min(limit, this.thousandths + change), this.filledAt);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/SchedulingPolicy.java
@@ -0,0 +1,123 @@
+package org.magnolialead.engine.owner;
+
+import java.util.List;
+
+import org.magnolialead.api.Rank;
+
+/**
+ * Order in which waiting work is served.
+ */
+public enum SchedulingPolicy {
+
+	/**
+	 * Strict ranks with floors, by deadline within a rank, with early refusal.
+	 */
+	RANK_FLOORS {
+
+		@Override
+		long orderOf(WorkItem<?> item) {
+			return item.deadline();
+		}
+
+		@Override
+		boolean refusesEarly() {
+			return true;
+		}
+
+		@Override
+		int queueLength(int ofRank, int ofAllRanks) {
+			return ofRank;
+		}
+
+		@Override
+		int queueLimit(SchedulerSettings settings) {
+			return settings.queueLimit();
+		}
+
+		@Override
+		<W> Lane<W> next(List<Lane<W>> candidates) {
+			Lane<W> best = null;
+			for (Lane<W> lane : candidates) {
+				if (best == null || precedes(lane, best)) {
+					best = lane;
+				}
+			}
+			return best;
+		}
+
+		private static boolean precedes(Lane<?> first, Lane<?> second) {
+			if (first.belowFloor() != second.belowFloor()) {
+				return first.belowFloor();
+			}
+			if (first.rank() != second.rank()) {
+				return first.rank().isMoreUrgentThan(second.rank());
+			}
+			return first.headOrder() - second.headOrder() < 0;
+		}
+
+	},
+
+	/**
+	 * First come, first served, whatever the rank; the baseline of experiments.
+	 */
+	FIRST_COME {
+
+		@Override
+		long orderOf(WorkItem<?> item) {
+			return item.arrival();
+		}
+
+		@Override
+		boolean refusesEarly() {
+			return false;
+		}
+
+		@Override
+		int queueLength(int ofRank, int ofAllRanks) {
+			return ofAllRanks;
+		}
+
+		@Override
+		int queueLimit(SchedulerSettings settings) {
+			return settings.queueLimit() * Rank.values().length;
+		}
+
+		@Override
+		<W> Lane<W> next(List<Lane<W>> candidates) {
+			Lane<W> best = null;
+			for (Lane<W> lane : candidates) {
+				if (best == null || lane.headOrder() - best.headOrder() < 0) {
+					best = lane;
+				}
+			}
+			return best;
+		}
+
+	};
+
+	/**
+	 * Returns the value by which items of a lane are ordered.
+	 * @param item the item
+	 * @return a time; the earliest goes first
+	 */
+	abstract long orderOf(WorkItem<?> item);
+
+	/**
+	 * Tells whether work that cannot finish in time is refused on arrival.
+	 * @return {@code true} if it is refused
+	 */
+	abstract boolean refusesEarly();
+
+	abstract int queueLength(int ofRank, int ofAllRanks);
+
+	abstract int queueLimit(SchedulerSettings settings);
+
+	/**
+	 * Chooses the lane to serve next.
+	 * @param <W> type of the caller's work
+	 * @param candidates lanes with work that a free slot may serve
+	 * @return the lane, or {@code null} if there are none
+	 */
+	abstract <W> Lane<W> next(List<Lane<W>> candidates);
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/ServiceTime.java
@@ -0,0 +1,64 @@
+package org.magnolialead.engine.owner;
+
+import java.util.Arrays;
+
+/**
+ * Service time of statements of one rank at one member, learned from recent statements.
+ * Order statistics ignore single outliers, such as a statement that ran into a failing
+ * member.
+ */
+final class ServiceTime {
+
+	/** Estimate before the first statement; low, so that nothing is refused untried. */
+	static final long START_NANOSECONDS = 1_000_000L;
+
+	/**
+	 * Time after which an estimate no longer lets work be dropped, in nanoseconds.
+	 * Otherwise a phase of slow statements could stop all work and never be unlearned.
+	 */
+	static final long VALIDITY_NANOSECONDS = 1_000_000_000L;
+
+	private static final int SAMPLES = 15;
+
+	private static final int LOW_INDEX_DIVISOR = 5;
+
+	private final long[] samples = new long[SAMPLES];
+
+	private int count;
+
+	private long median = START_NANOSECONDS;
+
+	private long low;
+
+	private long learnedAt;
+
+	void learn(long nanoseconds, long now) {
+		this.samples[this.count % SAMPLES] = Math.max(0, nanoseconds);
+		this.count++;
+		this.learnedAt = now;
+		int filled = Math.min(this.count, SAMPLES);
+		long[] sorted = Arrays.copyOf(this.samples, filled);
+		Arrays.sort(sorted);
+		this.median = sorted[filled / 2];
+		this.low = sorted[filled / LOW_INDEX_DIVISOR];
+	}
+
+	boolean isKnown() {
+		return this.count > 0;
+	}
+
+	long median() {
+		return this.median;
+	}
+
+	/**
+	 * Returns the time that nearly every statement needs.
+	 * @param now present time in nanoseconds of the monotonic clock
+	 * @return the time in nanoseconds; 0 if it was not learned recently
+	 */
+	long certain(long now) {
+		boolean valid = this.count >= SAMPLES && now - this.learnedAt < VALIDITY_NANOSECONDS;
+		return valid ? this.low : 0;
+	}
+
+}
