Add the replicated control state and its rules

The control daemons need a deterministic state that refuses bad commands instead of failing. Rank floors are summed in rank order, because the iteration order of Map.copyOf differs between processes and could round the sum differently.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/FleetConfiguration.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/FleetConfiguration.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 
 /**
  * Configuration of the whole fleet that operators change at run time.
@@ -28,12 +29,17 @@
 	public FleetConfiguration {
 		profiles = Map.copyOf(profiles);
 		rankFloors = Map.copyOf(rankFloors);
-		double floorSum = rankFloors.values().stream().mapToDouble(Double::doubleValue).sum();
+		// Sums in the order of the ranks: the iteration order of the map differs between
+		// processes, and a sum rounded differently would be accepted by some only.
+		double floorSum = 0;
+		for (Rank rank : Rank.values()) {
+			floorSum += rankFloors.getOrDefault(rank, 0.0);
+		}
 		boolean negative = rankFloors.values().stream().anyMatch((floor) -> floor < 0 || floor.isNaN());
 		if (negative || floorSum > MAXIMUM_FLOOR_SUM) {
 			throw new IllegalArgumentException(
 					"rank floors must not be negative and their sum must be at most %s, found %s"
-						.formatted(MAXIMUM_FLOOR_SUM, rankFloors));
+						.formatted(MAXIMUM_FLOOR_SUM, new TreeMap<>(rankFloors)));
 		}
 		if (queueLimit < 1) {
 			throw new IllegalArgumentException("queueLimit must be positive, found " + queueLimit);
--- a/magnolialead-api/src/main/java/org/magnolialead/api/GroupView.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/GroupView.java
@@ -16,10 +16,12 @@
  * @param candidate member of the reserved promotion, or an empty string
  * @param owner name of the owning daemon, or an empty string if none is assigned
  * @param ownerEpoch number of assignments of an owner so far
+ * @param releaseRequested whether control asks the owner to finish its work and to
+ * release the group, so that it can move to another daemon
  * @param members members by name
  */
 public record GroupView(String group, long version, long term, String primary, long reservedTerm, String candidate,
-		String owner, long ownerEpoch, Map<String, MemberDescription> members) {
+		String owner, long ownerEpoch, boolean releaseRequested, Map<String, MemberDescription> members) {
 
 	public GroupView {
 		Objects.requireNonNull(group, "group must not be null");
@@ -33,6 +35,23 @@
 		}
 	}
 
+	/**
+	 * Creates a view of a group whose owner is not asked to release it.
+	 * @param group name of the group
+	 * @param version view version at which this record last changed
+	 * @param term term of the primary
+	 * @param primary name of the primary, or an empty string
+	 * @param reservedTerm highest term reserved for a promotion
+	 * @param candidate member of the reserved promotion, or an empty string
+	 * @param owner name of the owning daemon, or an empty string
+	 * @param ownerEpoch number of assignments of an owner so far
+	 * @param members members by name
+	 */
+	public GroupView(String group, long version, long term, String primary, long reservedTerm, String candidate,
+			String owner, long ownerEpoch, Map<String, MemberDescription> members) {
+		this(group, version, term, primary, reservedTerm, candidate, owner, ownerEpoch, false, members);
+	}
+
 	/**
 	 * Returns a member.
 	 * @param member name of the member
--- a/magnolialead-api/src/main/java/org/magnolialead/api/command/ControlCommand.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/command/ControlCommand.java
@@ -23,6 +23,7 @@
 		@Type(value = ControlCommand.ForgetDaemon.class, name = "forget-daemon"),
 		@Type(value = ControlCommand.AssignOwner.class, name = "assign-owner"),
 		@Type(value = ControlCommand.ReleaseOwner.class, name = "release-owner"),
+		@Type(value = ControlCommand.RequestRelease.class, name = "request-release"),
 		@Type(value = ControlCommand.ReservePromotion.class, name = "reserve-promotion"),
 		@Type(value = ControlCommand.ConfirmPrimary.class, name = "confirm-primary"),
 		@Type(value = ControlCommand.BeginRequest.class, name = "begin-request"),
@@ -108,6 +109,15 @@
 	record ReleaseOwner(String group, long ownerEpoch) implements ControlCommand {
 	}
 
+	/**
+	 * Asks the owner of a group to finish its work and to release the group.
+	 *
+	 * @param group name of the group
+	 * @param ownerEpoch epoch of the owner that is asked
+	 */
+	record RequestRelease(String group, long ownerEpoch) implements ControlCommand {
+	}
+
 	/**
 	 * Reserves a term for the promotion of a member.
 	 *
@@ -163,7 +173,8 @@
 	/**
 	 * Removes records of non-repeatable requests whose deadline has passed.
 	 *
-	 * @param wallClockTime the leader's wall-clock time in milliseconds since 1970
+	 * @param wallClockTime time of the leader's ledger clock in milliseconds since 1970,
+	 * which starts at wall-clock time and is not affected by later clock steps
 	 */
 	record ForgetRequests(long wallClockTime) implements ControlCommand {
 	}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ConfigurationRules.java
@@ -0,0 +1,85 @@
+package org.magnolialead.engine.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.FleetConfiguration;
+import org.magnolialead.api.Profile;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand.ChangeConfiguration;
+
+/**
+ * Rules for changes of the configuration.
+ */
+final class ConfigurationRules {
+
+	/**
+	 * Greatest number of profiles, which bounds the size of a heartbeat answer.
+	 */
+	static final int MAXIMUM_PROFILES = 256;
+
+	private ConfigurationRules() {
+	}
+
+	static Applied change(ControlState state, ChangeConfiguration change) {
+		Names.check("request id", change.requestId());
+		CommandResult first = state.answers().find(change.requestId());
+		if (first != null) {
+			return new Applied(state, first);
+		}
+		Applied applied = decide(state, change);
+		RecordedAnswers answers = state.answers().with(change.requestId(), applied.result());
+		return new Applied(applied.state().withAnswers(answers), applied.result());
+	}
+
+	private static Applied decide(ControlState state, ChangeConfiguration change) {
+		FleetConfiguration present = state.configuration();
+		if (change.expectedVersion() != present.version()) {
+			return refused(state, ErrorCode.VERSION_CONFLICT,
+					"CONFLICT: the change was made against configuration version %d, but version %d is in force"
+						.formatted(change.expectedVersion(), present.version()));
+		}
+		try {
+			Map<String, Profile> profiles = profilesAfter(present, change);
+			FleetConfiguration next = new FleetConfiguration(present.version() + 1, profiles,
+					(change.rankFloors() != null) ? change.rankFloors() : present.rankFloors(),
+					(change.queueLimit() != null) ? change.queueLimit() : present.queueLimit());
+			return new Applied(state.withConfiguration(next), CommandResult.accepted(next.version()));
+		}
+		catch (IllegalArgumentException ex) {
+			return refused(state, ErrorCode.BAD_REQUEST, ex.getMessage());
+		}
+		catch (NullPointerException ex) {
+			return refused(state, ErrorCode.BAD_REQUEST, "change lacks a required value");
+		}
+	}
+
+	private static Map<String, Profile> profilesAfter(FleetConfiguration present, ChangeConfiguration change) {
+		Map<String, Profile> profiles = new HashMap<>(present.profiles());
+		for (String name : change.removeProfiles()) {
+			if (profiles.remove(name) == null) {
+				throw new IllegalArgumentException("no profile \"%s\" to remove".formatted(name));
+			}
+		}
+		// Sorted so that the first fault found is the same on all control daemons.
+		new TreeMap<>(change.putProfiles()).forEach((name, profile) -> {
+			if (!name.equals(profile.name())) {
+				throw new IllegalArgumentException(
+						"profile \"%s\" is listed under the name \"%s\"".formatted(profile.name(), name));
+			}
+			profiles.put(name, profile);
+		});
+		if (profiles.size() > MAXIMUM_PROFILES) {
+			throw new IllegalArgumentException(
+					"at most %d profiles are possible, found %d".formatted(MAXIMUM_PROFILES, profiles.size()));
+		}
+		return profiles;
+	}
+
+	private static Applied refused(ControlState state, ErrorCode error, String message) {
+		return new Applied(state, CommandResult.refused(error, message, state.configuration().version()));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/DaemonRules.java
@@ -0,0 +1,68 @@
+package org.magnolialead.engine.control;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.magnolialead.api.DaemonView;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.command.ControlCommand.ForgetDaemon;
+import org.magnolialead.api.command.ControlCommand.RegisterDaemon;
+
+/**
+ * Rules for entry daemons.
+ * <p>
+ * At most one incarnation of a name is registered. While an earlier incarnation is
+ * registered, a later one is refused, because the earlier process may be frozen with a
+ * lease that has not run out and still own groups. The leader forgets the earlier
+ * incarnation once its lease has surely run out, which releases its groups, and then
+ * registers the later one. An owner name in a group is therefore unambiguous.
+ */
+final class DaemonRules {
+
+	private DaemonRules() {
+	}
+
+	static Applied register(ControlState state, RegisterDaemon command) {
+		Names.check("daemon name", command.daemon());
+		Names.check("incarnation", command.incarnation());
+		Names.check("peer address", command.peerAddress());
+		Names.check("availability zone", command.availabilityZone());
+		DaemonView present = state.daemons().get(command.daemon());
+		if (present != null && !present.incarnation().equals(command.incarnation())) {
+			return Applied.refused(state, ErrorCode.STALE_COMMAND,
+					"incarnation %s of daemon %s cannot be registered before incarnation %s is forgotten"
+						.formatted(command.incarnation(), command.daemon(), present.incarnation()));
+		}
+		// A delayed heartbeat from before the shutdown must not end the draining.
+		boolean draining = command.draining() || (present != null && present.draining());
+		DaemonView next = new DaemonView(command.daemon(), (present != null) ? present.version() : 0,
+				command.incarnation(), command.peerAddress(), command.availabilityZone(), draining);
+		return Applied.accepted(next.equals(present) ? state : state.withDaemon(next));
+	}
+
+	static Applied forget(ControlState state, ForgetDaemon command) {
+		DaemonView present = state.daemons().get(command.daemon());
+		if (present == null) {
+			return Applied.accepted(state);
+		}
+		if (!present.incarnation().equals(command.incarnation())) {
+			return Applied.refused(state, ErrorCode.STALE_COMMAND, "daemon %s is registered with incarnation %s, not %s"
+				.formatted(command.daemon(), present.incarnation(), command.incarnation()));
+		}
+		List<GroupView> owned = new ArrayList<>();
+		state.groups().forEach((name, group) -> {
+			if (group.owner().equals(command.daemon())) {
+				owned.add(group);
+			}
+		});
+		owned.sort(Comparator.comparing(GroupView::group));
+		ControlState next = state;
+		for (GroupView group : owned) {
+			next = next.withGroup(GroupRules.released(group));
+		}
+		return Applied.accepted(next.withoutDaemon(command.daemon()));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/GroupRules.java
@@ -0,0 +1,209 @@
+package org.magnolialead.engine.control;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import org.magnolialead.api.DaemonView;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.command.ControlCommand.AnnounceMember;
+import org.magnolialead.api.command.ControlCommand.AssignOwner;
+import org.magnolialead.api.command.ControlCommand.ConfirmPrimary;
+import org.magnolialead.api.command.ControlCommand.ForgetMember;
+import org.magnolialead.api.command.ControlCommand.ReleaseOwner;
+import org.magnolialead.api.command.ControlCommand.RequestRelease;
+import org.magnolialead.api.command.ControlCommand.ReservePromotion;
+
+/**
+ * Rules for database groups: members, owner, term and primary.
+ */
+final class GroupRules {
+
+	/**
+	 * Greatest number of members of a group, which bounds the size of a view.
+	 */
+	static final int MAXIMUM_MEMBERS = 15;
+
+	private GroupRules() {
+	}
+
+	static Applied apply(ControlState state, ControlCommand command) {
+		if (command instanceof AnnounceMember announce) {
+			return announce(state, announce.member());
+		}
+		if (command instanceof ForgetMember forget) {
+			GroupView group = state.groups().get(forget.group());
+			return (group != null) ? forgetMember(state, group, forget) : unknownGroup(state, forget.group());
+		}
+		if (command instanceof AssignOwner assign) {
+			GroupView group = state.groups().get(assign.group());
+			return (group != null) ? assign(state, group, assign) : unknownGroup(state, assign.group());
+		}
+		if (command instanceof ReleaseOwner release) {
+			GroupView group = state.groups().get(release.group());
+			return (group != null) ? release(state, group, release) : unknownGroup(state, release.group());
+		}
+		if (command instanceof RequestRelease request) {
+			GroupView group = state.groups().get(request.group());
+			return (group != null) ? requestRelease(state, group, request) : unknownGroup(state, request.group());
+		}
+		if (command instanceof ReservePromotion reserve) {
+			GroupView group = state.groups().get(reserve.group());
+			return (group != null) ? reserve(state, group, reserve) : unknownGroup(state, reserve.group());
+		}
+		if (command instanceof ConfirmPrimary confirm) {
+			GroupView group = state.groups().get(confirm.group());
+			return (group != null) ? confirm(state, group, confirm) : unknownGroup(state, confirm.group());
+		}
+		return Applied.refused(state, ErrorCode.BAD_REQUEST, "unknown command");
+	}
+
+	static boolean isOwnedUnder(GroupView group, long ownerEpoch) {
+		return !group.owner().isEmpty() && group.ownerEpoch() == ownerEpoch;
+	}
+
+	static boolean hasReservedPromotion(GroupView group) {
+		return group.reservedTerm() > group.term();
+	}
+
+	static GroupView released(GroupView group) {
+		return owned(group, "", group.ownerEpoch(), false);
+	}
+
+	static Applied unknownGroup(ControlState state, String group) {
+		return Applied.refused(state, ErrorCode.UNKNOWN_GROUP, "no database group \"%s\"".formatted(group));
+	}
+
+	static Applied staleEpoch(ControlState state, GroupView group, long ownerEpoch) {
+		String present = group.owner().isEmpty() ? "no owner since epoch " : "owner epoch ";
+		return Applied.refused(state, ErrorCode.STALE_COMMAND, "group %s has %s%d, the command states epoch %d"
+			.formatted(group.group(), present, group.ownerEpoch(), ownerEpoch));
+	}
+
+	private static Applied announce(ControlState state, MemberDescription member) {
+		Names.check("group name", member.group());
+		Names.check("member name", member.member());
+		Names.check("member address", member.address());
+		Names.check("availability zone", member.availabilityZone());
+		GroupView group = state.groups().get(member.group());
+		if (group == null) {
+			group = new GroupView(member.group(), 0, 0, "", 0, "", "", 0, Map.of());
+		}
+		if (member.equals(group.members().get(member.member()))) {
+			return Applied.accepted(state);
+		}
+		Map<String, MemberDescription> members = new HashMap<>(group.members());
+		members.put(member.member(), member);
+		if (members.size() > MAXIMUM_MEMBERS) {
+			return Applied.refused(state, ErrorCode.BAD_REQUEST,
+					"group %s already has the limit of %d members".formatted(group.group(), MAXIMUM_MEMBERS));
+		}
+		return Applied.accepted(state.withGroup(withMembers(group, members)));
+	}
+
+	private static Applied forgetMember(ControlState state, GroupView group, ForgetMember command) {
+		if (command.member().equals(group.primary())) {
+			return Applied.refused(state, ErrorCode.STALE_COMMAND,
+					"member %s is the primary of group %s".formatted(command.member(), group.group()));
+		}
+		if (hasReservedPromotion(group)) {
+			return Applied.refused(state, ErrorCode.STALE_COMMAND,
+					"a promotion to term %d of group %s is not confirmed yet".formatted(group.reservedTerm(),
+							group.group()));
+		}
+		if (!group.members().containsKey(command.member())) {
+			return Applied.accepted(state);
+		}
+		Map<String, MemberDescription> members = new HashMap<>(group.members());
+		members.remove(command.member());
+		return Applied.accepted(state.withGroup(withMembers(group, members)));
+	}
+
+	private static Applied assign(ControlState state, GroupView group, AssignOwner command) {
+		if (!group.owner().isEmpty() || group.ownerEpoch() != command.expectedEpoch()) {
+			return staleEpoch(state, group, command.expectedEpoch());
+		}
+		DaemonView daemon = state.daemons().get(command.daemon());
+		if (daemon == null || daemon.draining()) {
+			return Applied.refused(state, ErrorCode.STALE_COMMAND, "daemon %s is %s".formatted(command.daemon(),
+					(daemon != null) ? "shutting down" : "not registered"));
+		}
+		return Applied.accepted(state.withGroup(owned(group, daemon.daemon(), group.ownerEpoch() + 1, false)));
+	}
+
+	private static Applied release(ControlState state, GroupView group, ReleaseOwner command) {
+		if (group.ownerEpoch() != command.ownerEpoch()) {
+			return staleEpoch(state, group, command.ownerEpoch());
+		}
+		return Applied.accepted(group.owner().isEmpty() ? state : state.withGroup(released(group)));
+	}
+
+	private static Applied requestRelease(ControlState state, GroupView group, RequestRelease command) {
+		if (!isOwnedUnder(group, command.ownerEpoch())) {
+			return staleEpoch(state, group, command.ownerEpoch());
+		}
+		return Applied.accepted(group.releaseRequested() ? state
+				: state.withGroup(owned(group, group.owner(), group.ownerEpoch(), true)));
+	}
+
+	private static Applied reserve(ControlState state, GroupView group, ReservePromotion command) {
+		if (!isOwnedUnder(group, command.ownerEpoch())) {
+			return staleEpoch(state, group, command.ownerEpoch());
+		}
+		if (command.expectedReservedTerm() != group.reservedTerm() || command.newTerm() <= group.reservedTerm()) {
+			return Applied.refused(state, ErrorCode.STALE_COMMAND,
+					"group %s has reserved term %d, the command expects %d and asks for %d".formatted(group.group(),
+							group.reservedTerm(), command.expectedReservedTerm(), command.newTerm()));
+		}
+		if (!group.members().containsKey(command.candidate())) {
+			return unknownMember(state, group, command.candidate());
+		}
+		return Applied.accepted(
+				state.withGroup(led(group, group.term(), group.primary(), command.newTerm(), command.candidate())));
+	}
+
+	private static Applied confirm(ControlState state, GroupView group, ConfirmPrimary command) {
+		if (!isOwnedUnder(group, command.ownerEpoch())) {
+			return staleEpoch(state, group, command.ownerEpoch());
+		}
+		if (!group.members().containsKey(command.primary())) {
+			return unknownMember(state, group, command.primary());
+		}
+		if (command.term() > 0 && command.term() == group.term() && command.primary().equals(group.primary())) {
+			return Applied.accepted(state);
+		}
+		boolean first = group.term() == 0 && command.term() > group.reservedTerm();
+		boolean reserved = hasReservedPromotion(group) && command.term() == group.reservedTerm()
+				&& command.primary().equals(group.candidate());
+		if (!first && !reserved) {
+			return Applied.refused(state, ErrorCode.STALE_COMMAND,
+					"group %s has term %d of primary \"%s\" and reserved term %d for \"%s\"; term %d of \"%s\" cannot be confirmed"
+						.formatted(group.group(), group.term(), group.primary(), group.reservedTerm(),
+								group.candidate(), command.term(), command.primary()));
+		}
+		return Applied.accepted(state.withGroup(led(group, command.term(), command.primary(), command.term(), "")));
+	}
+
+	private static Applied unknownMember(ControlState state, GroupView group, String member) {
+		return Applied.refused(state, ErrorCode.STALE_COMMAND,
+				"group %s has no member \"%s\"".formatted(group.group(), member));
+	}
+
+	private static GroupView withMembers(GroupView group, Map<String, MemberDescription> members) {
+		return new GroupView(group.group(), group.version(), group.term(), group.primary(), group.reservedTerm(),
+				group.candidate(), group.owner(), group.ownerEpoch(), group.releaseRequested(), members);
+	}
+
+	private static GroupView owned(GroupView group, String owner, long ownerEpoch, boolean releaseRequested) {
+		return new GroupView(group.group(), group.version(), group.term(), group.primary(), group.reservedTerm(),
+				group.candidate(), owner, ownerEpoch, releaseRequested, group.members());
+	}
+
+	private static GroupView led(GroupView group, long term, String primary, long reservedTerm, String candidate) {
+		return new GroupView(group.group(), group.version(), term, primary, reservedTerm, candidate, group.owner(),
+				group.ownerEpoch(), group.releaseRequested(), group.members());
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/LedgerRules.java
@@ -0,0 +1,92 @@
+package org.magnolialead.engine.control;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand.BeginRequest;
+import org.magnolialead.api.command.ControlCommand.FinishRequest;
+import org.magnolialead.api.command.RequestRecord;
+
+/**
+ * Rules for records of non-repeatable requests.
+ */
+final class LedgerRules {
+
+	/**
+	 * Greatest size of a kept answer in bytes.
+	 */
+	static final int MAXIMUM_ANSWER_LENGTH = 1024;
+
+	private LedgerRules() {
+	}
+
+	static Applied begin(ControlState state, BeginRequest command) {
+		Names.check("idempotency key", command.key());
+		Names.check("digest", command.digest());
+		GroupView group = state.groups().get(command.group());
+		if (group == null) {
+			return GroupRules.unknownGroup(state, command.group());
+		}
+		if (!GroupRules.isOwnedUnder(group, command.ownerEpoch())) {
+			return GroupRules.staleEpoch(state, group, command.ownerEpoch());
+		}
+		RequestRecord present = state.ledger().find(command.group(), command.key());
+		if (present != null) {
+			return repeated(state, command, present);
+		}
+		if (state.ledger().size() >= Ledger.LIMIT) {
+			return Applied.refused(state, ErrorCode.OVERLOADED,
+					"the limit of %d records of non-repeatable requests is reached".formatted(Ledger.LIMIT));
+		}
+		RequestRecord request = new RequestRecord(command.key(), command.digest(), command.ownerEpoch(), false, null,
+				command.forgetDeadline(), false);
+		return accepted(state.withLedger(state.ledger().with(command.group(), request)), request, true);
+	}
+
+	private static Applied repeated(ControlState state, BeginRequest command, RequestRecord present) {
+		if (!present.digest().equals(command.digest())) {
+			return Applied.refused(state, ErrorCode.INVALID_IDEMPOTENCY_KEY,
+					"idempotency key %s was used for another request".formatted(command.key()));
+		}
+		return accepted(state, present, false);
+	}
+
+	// Only the epoch that began a request knows whether it was sent, so no other epoch
+	// may
+	// finish it or free its key.
+	static Applied finish(ControlState state, FinishRequest command) {
+		if (state.groups().get(command.group()) == null) {
+			return GroupRules.unknownGroup(state, command.group());
+		}
+		RequestRecord present = state.ledger().find(command.group(), command.key());
+		if (present == null) {
+			return command.executed() ? stale(state, command, "has no record") : Applied.accepted(state);
+		}
+		if (present.ownerEpoch() != command.ownerEpoch()) {
+			return stale(state, command, "was begun under owner epoch " + present.ownerEpoch());
+		}
+		if (present.finished()) {
+			return command.executed() ? accepted(state, present, false) : stale(state, command, "was executed");
+		}
+		if (!command.executed()) {
+			return Applied.accepted(state.withLedger(state.ledger().without(command.group(), command.key())));
+		}
+		byte[] answer = (command.answer() != null && command.answer().length <= MAXIMUM_ANSWER_LENGTH)
+				? command.answer() : null;
+		RequestRecord finished = new RequestRecord(present.key(), present.digest(), present.ownerEpoch(), true, answer,
+				present.forgetDeadline(), false);
+		return accepted(state.withLedger(state.ledger().with(command.group(), finished)), finished, false);
+	}
+
+	private static Applied stale(ControlState state, FinishRequest command, String reason) {
+		return Applied.refused(state, ErrorCode.STALE_COMMAND, "request %s of owner epoch %d cannot be finished: it %s"
+			.formatted(command.key(), command.ownerEpoch(), reason));
+	}
+
+	private static Applied accepted(ControlState state, RequestRecord request, boolean newlyBegun) {
+		RequestRecord answer = new RequestRecord(request.key(), request.digest(), request.ownerEpoch(),
+				request.finished(), request.answer(), request.forgetDeadline(), newlyBegun);
+		return new Applied(state, new CommandResult(null, "", state.viewVersion(), answer));
+	}
+
+}
