Add leases, ownership rules and the control controller

Entry daemons need leases and owners that stay unambiguous while leaders change. The controller grants leases only after the first command of its leadership is applied, and suspends a daemon's lease while the command that forgets the daemon is in progress.

--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -0,0 +1,376 @@
+package org.magnolialead.daemon.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.magnolialead.api.DaemonView;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.FleetViewChange;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.command.ControlCommand.AnnounceMember;
+import org.magnolialead.api.command.ControlCommand.BeginRequest;
+import org.magnolialead.api.command.ControlCommand.ChangeConfiguration;
+import org.magnolialead.api.command.ControlCommand.ConfirmPrimary;
+import org.magnolialead.api.command.ControlCommand.FinishRequest;
+import org.magnolialead.api.command.ControlCommand.ForgetDaemon;
+import org.magnolialead.api.command.ControlCommand.ForgetMember;
+import org.magnolialead.api.command.ControlCommand.ForgetRequests;
+import org.magnolialead.api.command.ControlCommand.RegisterDaemon;
+import org.magnolialead.api.command.ControlCommand.ReleaseOwner;
+import org.magnolialead.api.command.ControlCommand.ReservePromotion;
+import org.magnolialead.api.message.HeartbeatAnswer;
+import org.magnolialead.api.message.HeartbeatRequest;
+import org.magnolialead.api.message.OwnedGroupReport;
+import org.magnolialead.api.message.SubmitCommandAnswer;
+import org.magnolialead.api.message.SubmitCommandRequest;
+import org.magnolialead.api.message.ViewAnswer;
+import org.magnolialead.engine.control.ControlState;
+
+/**
+ * Answers entry daemons and operators, and makes the decisions of the control leader.
+ * Safe for concurrent use.
+ */
+public final class ControlController implements AutoCloseable {
+
+	private static final System.Logger LOGGER = System.getLogger(ControlController.class.getName());
+
+	private static final long FORGET_REQUESTS_INTERVAL_NANOSECONDS = TimeUnit.MINUTES.toNanos(1);
+
+	/**
+	 * Commands that entry daemons and operators may send. All others state a decision of
+	 * the leader.
+	 */
+	private static final Set<Class<? extends ControlCommand>> PERMITTED_COMMANDS = Set.of(ChangeConfiguration.class,
+			ForgetMember.class, AnnounceMember.class, ReservePromotion.class, ConfirmPrimary.class, BeginRequest.class,
+			FinishRequest.class);
+
+	/**
+	 * First command of a leadership, which changes nothing.
+	 */
+	private static final ControlCommand FIRST_COMMAND = new ForgetRequests(0);
+
+	private final ControlSettings settings;
+
+	private final CommandLog log;
+
+	private final ControlStateMachine machine;
+
+	private final MonotonicClock clock;
+
+	private final WallClock wallClock;
+
+	private final ScheduledExecutorService executor;
+
+	private Leadership leadership;
+
+	/**
+	 * Creates a controller.
+	 * @param settings settings of the control role
+	 * @param log replicated log that applies its commands to the state machine
+	 * @param machine holder of the state
+	 * @param clock monotonic clock
+	 * @param wallClock wall clock, read only to start the ledger of a new cluster
+	 */
+	public ControlController(ControlSettings settings, CommandLog log, ControlStateMachine machine,
+			MonotonicClock clock, WallClock wallClock) {
+		this.settings = Objects.requireNonNull(settings, "settings must not be null");
+		this.log = Objects.requireNonNull(log, "log must not be null");
+		this.machine = Objects.requireNonNull(machine, "machine must not be null");
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		this.wallClock = Objects.requireNonNull(wallClock, "wallClock must not be null");
+		this.executor = Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, "control-controller");
+			thread.setDaemon(true);
+			return thread;
+		});
+	}
+
+	/**
+	 * Starts looking for due commands at regular intervals.
+	 */
+	public void start() {
+		this.executor.scheduleWithFixedDelay(this::tickSafely, 0, this.settings.tickMilliseconds(),
+				TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Stops looking for due commands.
+	 */
+	@Override
+	public void close() {
+		this.executor.shutdownNow();
+	}
+
+	/**
+	 * Answers a heartbeat of an entry daemon. Registers the daemon first if necessary.
+	 * @param request the heartbeat
+	 * @return the answer, with a lease only if this member has authority after the answer
+	 * was computed; never fails
+	 */
+	public CompletableFuture<HeartbeatAnswer> heartbeat(HeartbeatRequest request) {
+		Leadership current = currentLeadership();
+		if (current == null) {
+			return CompletableFuture.completedFuture(withoutLease(null));
+		}
+		if (current.isReady()) {
+			return answer(current, request).exceptionally((failure) -> withoutLease(null));
+		}
+		return current.ready()
+			.thenCompose((ledgerClock) -> answer(current, request))
+			.exceptionally((failure) -> withoutLease(null));
+	}
+
+	private CompletableFuture<HeartbeatAnswer> answer(Leadership current, HeartbeatRequest request) {
+		DaemonView registered = this.machine.state().daemons().get(request.daemon());
+		if (registered != null && !registered.incarnation().equals(request.incarnation())) {
+			return CompletableFuture.completedFuture(withoutLease(changeFor(this.machine.state(), request)));
+		}
+		if (registered != null && matches(registered, request)) {
+			return CompletableFuture.completedFuture(grant(current, request));
+		}
+		ControlCommand register = new RegisterDaemon(request.daemon(), request.incarnation(), request.peerAddress(),
+				request.availabilityZone(), request.draining());
+		if (!current.begin(register)) {
+			return CompletableFuture.completedFuture(withoutLease(null));
+		}
+		return submit(current, register).thenApply((result) -> grant(current, request));
+	}
+
+	private static boolean matches(DaemonView registered, HeartbeatRequest request) {
+		return registered.peerAddress().equals(request.peerAddress())
+				&& registered.availabilityZone().equals(request.availabilityZone())
+				&& (registered.draining() || !request.draining());
+	}
+
+	private HeartbeatAnswer grant(Leadership current, HeartbeatRequest request) {
+		long now = this.clock.nanoseconds();
+		if (!current.grant(request, now)) {
+			return withoutLease(null);
+		}
+		// Read after the grant: a daemon that is forgotten later was suspended before,
+		// and
+		// one that was forgotten earlier is no longer registered in this state.
+		ControlState state = this.machine.state();
+		DaemonView registered = state.daemons().get(request.daemon());
+		boolean isRegistered = registered != null && registered.incarnation().equals(request.incarnation());
+		// A daemon with a later view has heard from a later leader.
+		if (!isRegistered || request.viewVersion() > state.viewVersion()) {
+			return withoutLease(null);
+		}
+		current.report(state, request, now);
+		submitReleases(current, state, request);
+		submitAnnouncements(current, state, request);
+		FleetViewChange change = changeFor(state, request);
+		if (!hasAuthority(current)) {
+			return withoutLease(null);
+		}
+		return new HeartbeatAnswer(this.settings.leaseTiming().leaseMilliseconds(), leaderAddress(), change);
+	}
+
+	private static FleetViewChange changeFor(ControlState state, HeartbeatRequest request) {
+		return (request.viewVersion() < state.viewVersion()) ? state.changeSince(request.viewVersion()) : null;
+	}
+
+	private HeartbeatAnswer withoutLease(FleetViewChange change) {
+		return new HeartbeatAnswer(0, leaderAddress(), change);
+	}
+
+	private void submitReleases(Leadership current, ControlState state, HeartbeatRequest request) {
+		for (OwnedGroupReport report : request.ownedGroups()) {
+			boolean owned = state.group(report.group())
+				.filter((group) -> group.owner().equals(request.daemon()) && group.ownerEpoch() == report.ownerEpoch())
+				.isPresent();
+			if (report.released() && owned) {
+				submitOnce(current, new ReleaseOwner(report.group(), report.ownerEpoch()));
+			}
+		}
+	}
+
+	private void submitAnnouncements(Leadership current, ControlState state, HeartbeatRequest request) {
+		for (MemberDescription member : request.announcements()) {
+			boolean known = state.group(member.group())
+				.flatMap((group) -> group.member(member.member()))
+				.filter(member::equals)
+				.isPresent();
+			if (!known) {
+				submitOnce(current, new AnnounceMember(member));
+			}
+		}
+	}
+
+	private void submitOnce(Leadership current, ControlCommand command) {
+		if (current.begin(command)) {
+			submit(current, command).thenRun(this::tickSoon);
+		}
+	}
+
+	/**
+	 * Commits a command of an entry daemon or an operator.
+	 * @param request the command
+	 * @return the answer; never fails
+	 */
+	public CompletableFuture<SubmitCommandAnswer> submit(SubmitCommandRequest request) {
+		ControlCommand command = request.command();
+		if (command == null || !PERMITTED_COMMANDS.contains(command.getClass())) {
+			CommandResult refused = CommandResult.refused(ErrorCode.BAD_REQUEST,
+					"only the control leader may submit this command", this.machine.state().viewVersion());
+			return CompletableFuture.completedFuture(new SubmitCommandAnswer(refused, null, leaderAddress()));
+		}
+		Leadership current = currentLeadership();
+		if (current == null) {
+			return CompletableFuture
+				.completedFuture(new SubmitCommandAnswer(null, ErrorCode.NOT_LEADER, leaderAddress()));
+		}
+		return current.ready().handle((ledgerClock, failure) -> {
+			if (failure != null) {
+				throw notLeader();
+			}
+			return stamped(command, ledgerClock);
+		})
+			.thenCompose(this::submitToLog)
+			.handle((result, failure) -> new SubmitCommandAnswer(result, (failure != null) ? codeOf(failure) : null,
+					leaderAddress()));
+	}
+
+	private ControlCommand stamped(ControlCommand command, LedgerClock ledgerClock) {
+		if (command instanceof BeginRequest begin) {
+			long deadline = ledgerClock.milliseconds() + this.settings.requestRetentionMilliseconds();
+			return new BeginRequest(begin.group(), begin.ownerEpoch(), begin.key(), begin.digest(), deadline);
+		}
+		return command;
+	}
+
+	/**
+	 * Returns the state of this control daemon.
+	 * @return the state; the versions confirmed by daemons are empty unless this member
+	 * leads
+	 */
+	public ViewAnswer view() {
+		Leadership current = currentLeadership();
+		boolean leader = current != null && current.isReady();
+		Map<String, Long> versions = leader ? current.confirmedVersions(this.clock.nanoseconds()) : Map.of();
+		return new ViewAnswer(this.settings.name(), leader && hasAuthority(current), leaderAddress(), this.log.term(),
+				this.log.commitIndex(), this.log.appliedIndex(), this.log.voters(), this.machine.state().view(),
+				versions);
+	}
+
+	/**
+	 * Submits the commands that are due if this member leads.
+	 */
+	public void tick() {
+		Leadership current = currentLeadership();
+		if (current == null || !current.isReady()) {
+			return;
+		}
+		long now = this.clock.nanoseconds();
+		List<ControlCommand> due = current.due(this.machine.state(), now);
+		List<CompletableFuture<CommandResult>> results = new ArrayList<>();
+		for (ControlCommand command : due) {
+			ControlEvent.of(command).log(LOGGER, command);
+			results.add(submit(current, command));
+		}
+		if (due.stream().anyMatch(ForgetDaemon.class::isInstance)) {
+			// The groups that become free are assigned without waiting for the next tick.
+			CompletableFuture.allOf(results.toArray(CompletableFuture<?>[]::new)).thenRun(this::tickSoon);
+		}
+		if (current.isForgetRequestsDue(now, FORGET_REQUESTS_INTERVAL_NANOSECONDS)) {
+			submit(current, new ForgetRequests(current.ready().join().milliseconds()));
+		}
+	}
+
+	private void tickSafely() {
+		try {
+			tick();
+		}
+		catch (RuntimeException ex) {
+			ControlEvent.TICK_FAILED.log(LOGGER, ex);
+		}
+	}
+
+	private void tickSoon() {
+		try {
+			this.executor.execute(this::tickSafely);
+		}
+		catch (RejectedExecutionException ex) {
+			// The controller is closed.
+			return;
+		}
+	}
+
+	/**
+	 * Returns the present leadership, and begins one when this member has become leader.
+	 * @return the leadership, or {@code null} without authority
+	 */
+	private synchronized Leadership currentLeadership() {
+		if (!this.log.hasAuthority()) {
+			return null;
+		}
+		long term = this.log.term();
+		long since = this.log.leaderSince();
+		boolean usable = this.leadership != null && this.leadership.is(term, since)
+				&& !this.leadership.ready().isCompletedExceptionally();
+		if (!usable) {
+			CompletableFuture<LedgerClock> ready = submitToLog(FIRST_COMMAND).thenApply(
+					(result) -> new LedgerClock(this.machine.state().ledger().time(), this.wallClock, this.clock));
+			this.leadership = new Leadership(term, since, this.settings.leaseTiming(), ready);
+		}
+		return this.leadership;
+	}
+
+	private boolean hasAuthority(Leadership current) {
+		return current.is(this.log.term(), this.log.leaderSince()) && this.log.hasAuthority();
+	}
+
+	private CompletableFuture<CommandResult> submit(Leadership current, ControlCommand command) {
+		CompletableFuture<CommandResult> submitted = hasAuthority(current) ? submitToLog(command)
+				: CompletableFuture.failedFuture(notLeader());
+		return submitted.whenComplete((result, failure) -> {
+			if (failure == null || codeOf(failure) == ErrorCode.NOT_LEADER) {
+				current.end(command);
+			}
+			if (failure == null && !result.isAccepted()) {
+				ControlEvent.COMMAND_REFUSED.log(LOGGER, command + ": " + result.message());
+			}
+		});
+	}
+
+	private CompletableFuture<CommandResult> submitToLog(ControlCommand command) {
+		try {
+			return this.log.submit(command);
+		}
+		catch (RuntimeException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
+	private String leaderAddress() {
+		return this.log.leaderAddress().orElse("");
+	}
+
+	private static MagnolialeadException notLeader() {
+		return new MagnolialeadException(ErrorCode.NOT_LEADER, Step.CONTROL, "",
+				"this control daemon is not the leader");
+	}
+
+	private static ErrorCode codeOf(Throwable failure) {
+		Throwable cause = (failure instanceof CompletionException && failure.getCause() != null) ? failure.getCause()
+				: failure;
+		boolean notAppended = cause instanceof MagnolialeadException known && known.code() == ErrorCode.NOT_LEADER;
+		return notAppended ? ErrorCode.NOT_LEADER : ErrorCode.COMMAND_UNKNOWN;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlSettings.java
@@ -0,0 +1,42 @@
+package org.magnolialead.daemon.control;
+
+import java.util.Objects;
+
+import org.magnolialead.engine.control.LeaseTiming;
+
+/**
+ * Settings of the control role.
+ *
+ * @param name name of this control daemon
+ * @param leaseTiming timing of leases
+ * @param requestRetentionMilliseconds how long a non-repeatable request is remembered; a
+ * resend after this time is a new request
+ * @param tickMilliseconds interval between looks for due commands
+ */
+public record ControlSettings(String name, LeaseTiming leaseTiming, long requestRetentionMilliseconds,
+		long tickMilliseconds) {
+
+	private static final long ONE_DAY_MILLISECONDS = 86_400_000;
+
+	private static final long DEFAULT_TICK_MILLISECONDS = 100;
+
+	public ControlSettings {
+		Objects.requireNonNull(name, "name must not be null");
+		Objects.requireNonNull(leaseTiming, "leaseTiming must not be null");
+		if (requestRetentionMilliseconds < 1 || tickMilliseconds < 1) {
+			throw new IllegalArgumentException(
+					"requestRetentionMilliseconds and tickMilliseconds must be positive, found %d and %d"
+						.formatted(requestRetentionMilliseconds, tickMilliseconds));
+		}
+	}
+
+	/**
+	 * Returns the default settings.
+	 * @param name name of this control daemon
+	 * @return the settings
+	 */
+	public static ControlSettings defaults(String name) {
+		return new ControlSettings(name, LeaseTiming.DEFAULT, ONE_DAY_MILLISECONDS, DEFAULT_TICK_MILLISECONDS);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlStateMachine.java
@@ -0,0 +1,45 @@
+package org.magnolialead.daemon.control;
+
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.engine.control.Applied;
+import org.magnolialead.engine.control.ControlState;
+
+/**
+ * Keeps the control state of this member. Any thread may read the state while one thread
+ * applies commands.
+ */
+public final class ControlStateMachine implements ReplicatedStateMachine {
+
+	private final AtomicReference<ControlState> state = new AtomicReference<>(ControlState.initial());
+
+	private final ControlSnapshotCodec codec = new ControlSnapshotCodec();
+
+	/**
+	 * Returns the state after the last applied command.
+	 * @return the state
+	 */
+	public ControlState state() {
+		return this.state.get();
+	}
+
+	@Override
+	public CommandResult apply(ControlCommand command) {
+		Applied applied = this.state.get().apply(command);
+		this.state.set(applied.state());
+		return applied.result();
+	}
+
+	@Override
+	public byte[] snapshot() {
+		return this.codec.encode(this.state.get());
+	}
+
+	@Override
+	public void restore(byte[] snapshot) {
+		this.state.set(this.codec.decode(snapshot));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlSnapshot.java
@@ -0,0 +1,115 @@
+package org.magnolialead.engine.control;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.magnolialead.api.DaemonView;
+import org.magnolialead.api.FleetConfiguration;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.RequestRecord;
+
+/**
+ * Control state as plain lists, to be written to a snapshot.
+ *
+ * @param viewVersion version of the fleet view
+ * @param configuration configuration in force
+ * @param configurationChangedAt view version at which the configuration last changed
+ * @param answers recorded answers to configuration changes, oldest first
+ * @param nextAnswerSequence sequence number of the next answer
+ * @param groups database groups
+ * @param daemons registered daemons
+ * @param removedDaemons latest removals of daemons
+ * @param ledgerTime time of the ledger in milliseconds since 1970
+ * @param requests records of non-repeatable requests
+ */
+public record ControlSnapshot(long viewVersion, FleetConfiguration configuration, long configurationChangedAt,
+		List<Answer> answers, long nextAnswerSequence, List<GroupView> groups, List<DaemonView> daemons,
+		RemovedDaemons removedDaemons, long ledgerTime, List<Request> requests) {
+
+	/**
+	 * Copies a state.
+	 * @param state the state
+	 * @return the snapshot
+	 */
+	public static ControlSnapshot of(ControlState state) {
+		List<GroupView> groups = new ArrayList<>();
+		state.groups().forEach((name, group) -> groups.add(group));
+		List<DaemonView> daemons = new ArrayList<>();
+		state.daemons().forEach((name, daemon) -> daemons.add(daemon));
+		List<Request> requests = new ArrayList<>(state.ledger().size());
+		state.ledger()
+			.byGroup()
+			.forEach((group, records) -> records
+				.forEach((key, request) -> requests.add(new Request(group, key, request.digest(), request.ownerEpoch(),
+						request.finished(), request.answer(), request.forgetDeadline()))));
+		return new ControlSnapshot(state.viewVersion(), state.configuration(), state.configurationChangedAt(),
+				answersOf(state.answers()), state.answers().nextSequence(), groups, daemons, state.removedDaemons(),
+				state.ledger().time(), requests);
+	}
+
+	private static List<Answer> answersOf(RecordedAnswers recorded) {
+		List<Answer> answers = new ArrayList<>();
+		for (long sequence = Math.max(0, recorded.nextSequence() - RecordedAnswers.LIMIT); sequence < recorded
+			.nextSequence(); sequence++) {
+			String requestId = recorded.order().get(sequence);
+			answers.add(new Answer(requestId, recorded.find(requestId)));
+		}
+		return answers;
+	}
+
+	/**
+	 * Returns the state that was copied.
+	 * @return the state
+	 */
+	public ControlState toState() {
+		PersistentMap<String, GroupView> groupMap = PersistentMap.empty();
+		for (GroupView group : this.groups) {
+			groupMap = groupMap.with(group.group(), group);
+		}
+		PersistentMap<String, DaemonView> daemonMap = PersistentMap.empty();
+		for (DaemonView daemon : this.daemons) {
+			daemonMap = daemonMap.with(daemon.daemon(), daemon);
+		}
+		RecordedAnswers recorded = new RecordedAnswers(PersistentMap.empty(), PersistentMap.empty(),
+				this.nextAnswerSequence - this.answers.size());
+		for (Answer answer : this.answers) {
+			recorded = recorded.with(answer.requestId(), answer.result());
+		}
+		Ledger ledger = new Ledger(this.ledgerTime, 0, PersistentMap.empty());
+		for (Request request : this.requests) {
+			ledger = ledger.with(request.group(), request.toRecord());
+		}
+		return new ControlState(this.viewVersion, this.configuration, this.configurationChangedAt, recorded, groupMap,
+				daemonMap, this.removedDaemons, ledger);
+	}
+
+	/**
+	 * Recorded answer to a configuration change.
+	 *
+	 * @param requestId identifier of the change
+	 * @param result the answer
+	 */
+	public record Answer(String requestId, CommandResult result) {
+	}
+
+	/**
+	 * Record of a non-repeatable request.
+	 *
+	 * @param group name of the group
+	 * @param key idempotency key
+	 * @param digest digest of the request
+	 * @param ownerEpoch epoch of the owner that began it
+	 * @param finished whether its execution has ended
+	 * @param answer kept answer, or {@code null}
+	 * @param forgetDeadline ledger time in milliseconds after which it may be removed
+	 */
+	public record Request(String group, String key, String digest, long ownerEpoch, boolean finished, byte[] answer,
+			long forgetDeadline) {
+
+		RequestRecord toRecord() {
+			return new RequestRecord(this.key, this.digest, this.ownerEpoch, this.finished, this.answer,
+					this.forgetDeadline, false);
+		}
+	}
+}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlState.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlState.java
@@ -160,10 +160,7 @@
 		return Optional.ofNullable(this.ledger.find(group, key));
 	}
 
-	/**
-	 * Lists the names of daemons that were removed since a version and did not return. A
-	 * daemon that returned is listed as changed; a receiver removes after it adds.
-	 */
+	// A daemon that returned is not listed: a receiver removes after it adds.
 	private List<String> removedSince(long version) {
 		return this.removedDaemons.removals()
 			.stream()
@@ -173,10 +170,6 @@
 			.toList();
 	}
 
-	/**
-	 * Replaces a group, which receives the next view version. Each changed group has a
-	 * version of its own.
-	 */
 	ControlState withGroup(GroupView group) {
 		Invariants.check(this.groups.get(group.group()), group);
 		long version = this.viewVersion + 1;
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/LeaseTable.java
@@ -0,0 +1,128 @@
+package org.magnolialead.engine.control;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.magnolialead.api.DaemonView;
+
+/**
+ * Leases that one leader has granted during one leadership. Not safe for concurrent use.
+ * <p>
+ * The table is not replicated: an earlier leader may have granted a lease to any daemon
+ * until its authority ended, so every daemon counts as holding one until a full lease
+ * after this leadership began.
+ */
+public final class LeaseTable {
+
+	private final LeaseTiming timing;
+
+	private final long inheritedExpiry;
+
+	private final Map<Holder, Lease> leases = new HashMap<>();
+
+	private final Map<Holder, Integer> suspensions = new HashMap<>();
+
+	/**
+	 * Creates the table of a new leader.
+	 * @param timing timing of leases
+	 * @param leaderSince when the leadership began, in nanoseconds
+	 */
+	public LeaseTable(LeaseTiming timing, long leaderSince) {
+		this.timing = timing;
+		this.inheritedExpiry = timing.expiryOfLeaseGrantedAt(leaderSince);
+	}
+
+	/**
+	 * Grants a lease.
+	 * @param daemon name of the daemon
+	 * @param incarnation incarnation of the daemon
+	 * @param viewVersion view version that the daemon has confirmed
+	 * @param now present time in nanoseconds
+	 * @return whether the lease is granted; {@code false} while suspended
+	 */
+	public boolean grant(String daemon, String incarnation, long viewVersion, long now) {
+		Holder holder = new Holder(daemon, incarnation);
+		if (this.suspensions.containsKey(holder)) {
+			return false;
+		}
+		this.leases.put(holder, new Lease(this.timing.expiryOfLeaseGrantedAt(now), viewVersion));
+		return true;
+	}
+
+	/**
+	 * Grants no lease to an incarnation until {@link #resume} is called. Used while the
+	 * command that forgets the incarnation is in progress: a lease granted between the
+	 * decision and its commit would leave two daemons acting as owner.
+	 * @param daemon name of the daemon
+	 * @param incarnation incarnation of the daemon
+	 */
+	public void suspend(String daemon, String incarnation) {
+		this.suspensions.merge(new Holder(daemon, incarnation), 1, Integer::sum);
+	}
+
+	/**
+	 * Ends a suspension.
+	 * @param daemon name of the daemon
+	 * @param incarnation incarnation of the daemon
+	 */
+	public void resume(String daemon, String incarnation) {
+		this.suspensions.computeIfPresent(new Holder(daemon, incarnation),
+				(holder, count) -> (count > 1) ? count - 1 : null);
+	}
+
+	/**
+	 * Tells whether an incarnation certainly holds no lease, whoever granted it.
+	 * @param daemon name of the daemon
+	 * @param incarnation incarnation of the daemon
+	 * @param now present time in nanoseconds
+	 * @return {@code true} if every lease it may hold has run out
+	 */
+	public boolean hasSurelyExpired(String daemon, String incarnation, long now) {
+		Lease lease = this.leases.get(new Holder(daemon, incarnation));
+		return now - this.inheritedExpiry > 0 && (lease == null || now - lease.expiry() > 0);
+	}
+
+	/**
+	 * Tells whether this leader has heard from an incarnation and its lease may still
+	 * run.
+	 * @param daemon the registered daemon
+	 * @param now present time in nanoseconds
+	 * @return {@code true} if it may be given work
+	 */
+	public boolean isLive(DaemonView daemon, long now) {
+		Holder holder = new Holder(daemon.daemon(), daemon.incarnation());
+		Lease lease = this.leases.get(holder);
+		return lease != null && now - lease.expiry() <= 0 && !this.suspensions.containsKey(holder);
+	}
+
+	/**
+	 * Returns the view version that each daemon with a lease has confirmed.
+	 * @param now present time in nanoseconds
+	 * @return versions by name of the daemon; the lowest if two incarnations hold a lease
+	 */
+	public Map<String, Long> confirmedVersions(long now) {
+		Map<String, Long> versions = new TreeMap<>();
+		this.leases.forEach((holder, lease) -> {
+			if (now - lease.expiry() <= 0) {
+				versions.merge(holder.daemon(), lease.viewVersion(), Math::min);
+			}
+		});
+		return versions;
+	}
+
+	/**
+	 * Removes leases that have run out.
+	 * @param now present time in nanoseconds
+	 */
+	public void removeExpired(long now) {
+		this.leases.values().removeIf((lease) -> now - lease.expiry() > 0);
+	}
+
+	private record Holder(String daemon, String incarnation) {
+	}
+
+	private record Lease(long expiry, long viewVersion) {
+	}
+
+}
