--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
@@ -0,0 +1,709 @@
+package org.magnolialead.engine.consensus;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.message.ConsensusMessage;
+import org.magnolialead.api.message.ConsensusMessage.AppendAnswer;
+import org.magnolialead.api.message.ConsensusMessage.AppendRequest;
+import org.magnolialead.api.message.ConsensusMessage.SnapshotAnswer;
+import org.magnolialead.api.message.ConsensusMessage.SnapshotRequest;
+import org.magnolialead.api.message.ConsensusMessage.VoteAnswer;
+import org.magnolialead.api.message.ConsensusMessage.VoteRequest;
+import org.magnolialead.api.message.ControlIdentity;
+import org.magnolialead.api.message.LogEntry;
+
+/**
+ * One member of the replicated control log. It has no sockets, threads, clock or files:
+ * each input returns the actions that its driver carries out, in order. Not thread-safe.
+ *
+ * <p>
+ * Every method that changes state throws a {@link MagnolialeadException} of code
+ * {@code INVARIANT_VIOLATED} if an invariant of the log does not hold; the member must
+ * not be used any more after that.
+ */
+public final class ConsensusNode {
+
+	private final ConsensusSettings settings;
+
+	private final RandomGenerator random;
+
+	private final ReplicaLog log;
+
+	private final List<PendingAnswer> pendingAnswers = new ArrayList<>();
+
+	private final Set<MemberKey> grantedVotes = new HashSet<>();
+
+	private List<ConsensusAction> actions = new ArrayList<>();
+
+	private String cluster;
+
+	private Vote vote;
+
+	private Role role = Role.FOLLOWER;
+
+	private ControlIdentity leader;
+
+	/** Leader seen in the present term, kept when the leader is lost. */
+	private ControlIdentity leaderOfTerm;
+
+	private Leadership leadership;
+
+	private SnapshotAssembly assembly;
+
+	private long persistedIndex;
+
+	/** Highest index known to be committed, which may not be synced here yet. */
+	private long knownCommitIndex;
+
+	private long commitIndex;
+
+	private long lastHeard;
+
+	private long electionDeadline;
+
+	/**
+	 * Creates a member from its synced state.
+	 * @param settings the settings
+	 * @param stored the synced state
+	 * @param now present time in nanoseconds
+	 * @param random source of election timeouts
+	 */
+	public ConsensusNode(ConsensusSettings settings, StoredState stored, long now, RandomGenerator random) {
+		this.settings = Objects.requireNonNull(settings, "settings must not be null");
+		this.random = Objects.requireNonNull(random, "random must not be null");
+		this.cluster = stored.cluster();
+		this.vote = stored.vote();
+		this.log = new ReplicaLog(stored);
+		this.persistedIndex = this.log.lastIndex();
+		this.commitIndex = this.log.snapshotIndex();
+		this.knownCommitIndex = this.commitIndex;
+		// The member may have answered a leader just before it was restarted.
+		heardFromLeader(now);
+	}
+
+	/**
+	 * Handles the passing of time. To be called several times per heartbeat interval.
+	 * @param now present time in nanoseconds
+	 * @return the actions
+	 */
+	public List<ConsensusAction> tick(long now) {
+		stepDownIfOverdue(now);
+		if (this.role == Role.LEADER) {
+			lead(now);
+		}
+		else if (isVoter() && now - this.electionDeadline >= 0) {
+			startPreVote(now);
+		}
+		return takeActions();
+	}
+
+	/**
+	 * Handles a message. Messages of another cluster are ignored.
+	 * @param message the message
+	 * @param now present time in nanoseconds, read after the message arrived
+	 * @return the actions
+	 */
+	public List<ConsensusAction> receive(ConsensusMessage message, long now) {
+		stepDownIfOverdue(now);
+		if (isAccepted(message)) {
+			dispatch(message, now);
+			if (this.role == Role.LEADER) {
+				advanceCommitIndex();
+				changeMembership(now);
+			}
+		}
+		return takeActions();
+	}
+
+	/**
+	 * Appends commands to the log of the leader. They get consecutive indexes after
+	 * {@link #lastIndex()}.
+	 * @param commands encoded commands
+	 * @param now present time in nanoseconds
+	 * @return the actions
+	 * @throws MagnolialeadException of code {@code NOT_LEADER} if this member is not the
+	 * leader; nothing was appended
+	 */
+	public List<ConsensusAction> propose(List<byte[]> commands, long now) {
+		if (this.role != Role.LEADER || now - this.leadership.stepDownDeadline(now) >= 0) {
+			throw new MagnolialeadException(ErrorCode.NOT_LEADER, Step.CONTROL, leaderAddress().orElse(""),
+					"this control daemon is not the leader");
+		}
+		List<LogEntry> entries = new ArrayList<>();
+		for (byte[] command : commands) {
+			entries
+				.add(new LogEntry(term(), lastIndex() + entries.size() + 1, LogEntry.Kind.COMMAND, command, List.of()));
+		}
+		appendAsLeader(entries, now);
+		return takeActions();
+	}
+
+	/**
+	 * Handles that log entries are synced and releases the answers that waited for it.
+	 * @param upToIndex index of the last synced entry
+	 * @param entryTerm term of that entry
+	 * @param now present time in nanoseconds
+	 * @return the actions
+	 */
+	public List<ConsensusAction> persisted(long upToIndex, long entryTerm, long now) {
+		if (this.log.termAt(upToIndex) == entryTerm && upToIndex > this.persistedIndex) {
+			this.persistedIndex = upToIndex;
+			releaseAnswers();
+			if (this.role == Role.LEADER) {
+				advanceCommitIndex();
+				changeMembership(now);
+			}
+			applyCommitted();
+		}
+		return takeActions();
+	}
+
+	/**
+	 * Records that the driver has stored a snapshot of the applied state.
+	 * @param data encoded state
+	 * @param retainedEntries number of entries before the snapshot to keep for members
+	 * that are a little behind
+	 * @return the snapshot
+	 */
+	public ConsensusSnapshot snapshot(byte[] data, int retainedEntries) {
+		ConsensusSnapshot snapshot = new ConsensusSnapshot(this.commitIndex, this.log.termAt(this.commitIndex),
+				this.log.votersAt(this.commitIndex), data);
+		this.log.compact(snapshot, this.commitIndex + 1 - retainedEntries);
+		return snapshot;
+	}
+
+	/**
+	 * Returns the state that the files of this member hold once everything is synced.
+	 * @return the state
+	 */
+	public StoredState storedState() {
+		List<LogEntry> entries = (lastIndex() > this.log.baseIndex())
+				? this.log.range(this.log.baseIndex() + 1, lastIndex()) : List.of();
+		return new StoredState(this.cluster, this.vote, this.log.snapshot(), this.log.baseIndex(), this.log.baseTerm(),
+				entries);
+	}
+
+	/**
+	 * Returns the identifier of the cluster.
+	 * @return the identifier, or an empty string for a member of no cluster
+	 */
+	public String cluster() {
+		return this.cluster;
+	}
+
+	/**
+	 * Returns the term.
+	 * @return the term
+	 */
+	public long term() {
+		return this.vote.term();
+	}
+
+	/**
+	 * Tells whether this member is the leader, with or without authority.
+	 * @return {@code true} if it is the leader
+	 */
+	public boolean isLeader() {
+		return this.role == Role.LEADER;
+	}
+
+	/**
+	 * Returns when this member became leader.
+	 * @return the time in nanoseconds, or empty if it is not the leader
+	 */
+	public OptionalLong leaderSince() {
+		return isLeader() ? OptionalLong.of(this.leadership.since()) : OptionalLong.empty();
+	}
+
+	/**
+	 * Returns until when this member may act as leader. A leader has authority once it
+	 * has applied an entry of its own term, so that its state holds every committed
+	 * command.
+	 * @param now present time in nanoseconds
+	 * @return the time in nanoseconds, or empty if it has no authority
+	 */
+	public OptionalLong authorityDeadline(long now) {
+		if (!isLeader() || !hasCommittedOwnTerm()) {
+			return OptionalLong.empty();
+		}
+		return this.leadership.authorityDeadline(now);
+	}
+
+	/**
+	 * Returns the peer address of the leader.
+	 * @return the address, or empty if no leader is known
+	 */
+	public Optional<String> leaderAddress() {
+		return Optional.ofNullable(this.leader).map(this.settings::addressOf);
+	}
+
+	/**
+	 * Returns the index of the last entry.
+	 * @return the index, 0 if there is none
+	 */
+	public long lastIndex() {
+		return this.log.lastIndex();
+	}
+
+	/**
+	 * Returns the term of the last entry.
+	 * @return the term, 0 if there is none
+	 */
+	public long lastTerm() {
+		return this.log.lastTerm();
+	}
+
+	/**
+	 * Returns the index of the last committed entry that is synced here. All entries up
+	 * to it have been handed out to be applied.
+	 * @return the index, 0 if there is none
+	 */
+	public long commitIndex() {
+		return this.commitIndex;
+	}
+
+	/**
+	 * Returns the index of the last entry in the latest snapshot.
+	 * @return the index, 0 if there is none
+	 */
+	public long snapshotIndex() {
+		return this.log.snapshotIndex();
+	}
+
+	/**
+	 * Returns the voting members.
+	 * @return the voters
+	 */
+	public List<ControlIdentity> voters() {
+		return this.log.voters();
+	}
+
+	private List<ConsensusAction> takeActions() {
+		List<ConsensusAction> taken = this.actions;
+		this.actions = new ArrayList<>();
+		return taken;
+	}
+
+	private boolean isAccepted(ConsensusMessage message) {
+		if (message.from().isSameMember(this.settings.self()) || message.cluster().isEmpty()) {
+			return false;
+		}
+		if (!this.cluster.isEmpty()) {
+			return this.cluster.equals(message.cluster());
+		}
+		boolean fromLeader = message instanceof AppendRequest || message instanceof SnapshotRequest;
+		return fromLeader && this.settings.peers().containsKey(message.from().name());
+	}
+
+	private void dispatch(ConsensusMessage message, long now) {
+		if (message instanceof AppendRequest request) {
+			receive(request, now);
+		}
+		else if (message instanceof AppendAnswer answer) {
+			if (isAnswerToLeader(answer, now)) {
+				this.leadership.receive(answer, now, this.actions);
+			}
+		}
+		else if (message instanceof VoteRequest request) {
+			receive(request, now);
+		}
+		else if (message instanceof VoteAnswer answer) {
+			receive(answer, now);
+		}
+		else if (message instanceof SnapshotRequest request) {
+			receive(request, now);
+		}
+		else if (message instanceof SnapshotAnswer answer && isAnswerToLeader(answer, now)) {
+			this.leadership.receive(answer, now, this.actions);
+		}
+	}
+
+	private boolean isAnswerToLeader(ConsensusMessage answer, long now) {
+		if (answer.term() > term()) {
+			adopt(new Vote(answer.term(), null), now);
+		}
+		return isLeader() && answer.term() == term();
+	}
+
+	// Elections
+
+	private void startPreVote(long now) {
+		resetElectionDeadline(now);
+		this.leader = null;
+		this.role = Role.PRE_CANDIDATE;
+		requestVotes(term() + 1, true, now);
+	}
+
+	private void startElection(long now) {
+		adopt(new Vote(term() + 1, this.settings.self()), now);
+		this.role = Role.CANDIDATE;
+		requestVotes(term(), false, now);
+	}
+
+	private void requestVotes(long electionTerm, boolean preVote, long now) {
+		this.grantedVotes.clear();
+		VoteRequest request = new VoteRequest(this.settings.self(), this.cluster, electionTerm, preVote, lastTerm(),
+				lastIndex());
+		for (ControlIdentity voter : voters()) {
+			if (!voter.isSameMember(this.settings.self())) {
+				send(voter, request);
+			}
+		}
+		countVote(this.settings.self(), now);
+	}
+
+	private void countVote(ControlIdentity voter, long now) {
+		this.grantedVotes.add(MemberKey.of(voter));
+		long granted = voters().stream().filter((member) -> this.grantedVotes.contains(MemberKey.of(member))).count();
+		if (granted < voters().size() / 2 + 1) {
+			return;
+		}
+		if (this.role == Role.PRE_CANDIDATE) {
+			startElection(now);
+		}
+		else {
+			becomeLeader(now);
+		}
+	}
+
+	private void becomeLeader(long now) {
+		this.role = Role.LEADER;
+		this.leader = this.settings.self();
+		this.leaderOfTerm = this.leader;
+		this.leadership = new Leadership(this.settings, this.log, this.cluster, term(), now);
+		this.leadership.commitIndex(this.commitIndex);
+		this.actions.add(new ConsensusAction.BecomeLeader(term()));
+		LogEntry first = new LogEntry(term(), lastIndex() + 1, LogEntry.Kind.EMPTY, new byte[0], List.of());
+		appendAsLeader(List.of(first), now);
+		this.leadership.heartbeatIfDue(now, this.actions);
+	}
+
+	private void receive(VoteRequest request, long now) {
+		boolean refused = isBoundToLeader(now) || request.term() < term() || !isUpToDate(request);
+		if (request.preVote()) {
+			answerVote(request, !refused && request.term() > term());
+			return;
+		}
+		if (!isBoundToLeader(now) && request.term() > term()) {
+			adopt(new Vote(request.term(), refused ? null : request.from()), now);
+		}
+		else if (!refused && this.vote.candidate() == null) {
+			saveVote(new Vote(term(), request.from()));
+		}
+		boolean granted = !refused && request.term() == term() && this.vote.candidate() != null
+				&& this.vote.candidate().isSameMember(request.from());
+		if (granted) {
+			resetElectionDeadline(now);
+		}
+		answerVote(request, granted);
+	}
+
+	// Tells whether votes must be refused because a leader may count on this member.
+	private boolean isBoundToLeader(long now) {
+		return isLeader() || now - this.lastHeard < this.settings.minimumElectionTimeout();
+	}
+
+	private boolean isUpToDate(VoteRequest request) {
+		return request.lastTerm() > lastTerm()
+				|| (request.lastTerm() == lastTerm() && request.lastIndex() >= lastIndex());
+	}
+
+	private void answerVote(VoteRequest request, boolean granted) {
+		send(request.from(),
+				new VoteAnswer(this.settings.self(), this.cluster, term(), request.term(), request.preVote(), granted));
+	}
+
+	private void receive(VoteAnswer answer, long now) {
+		if (answer.term() > term() && !answer.granted()) {
+			adopt(new Vote(answer.term(), null), now);
+			return;
+		}
+		boolean expected = answer.preVote() ? this.role == Role.PRE_CANDIDATE && answer.requestTerm() == term() + 1
+				: this.role == Role.CANDIDATE && answer.requestTerm() == term();
+		if (expected && answer.granted()) {
+			countVote(answer.from(), now);
+		}
+	}
+
+	// Enters a higher term as a follower.
+	private void adopt(Vote newVote, long now) {
+		Invariants.require(newVote.term() > term(), "", "term would go from %d back to %d", term(), newVote.term());
+		stepDown(now);
+		this.role = Role.FOLLOWER;
+		this.leader = null;
+		this.leaderOfTerm = null;
+		this.pendingAnswers.clear();
+		this.assembly = null;
+		saveVote(newVote);
+	}
+
+	private void saveVote(Vote newVote) {
+		this.vote = newVote;
+		this.actions.add(new ConsensusAction.SaveVote(newVote));
+	}
+
+	private void stepDownIfOverdue(long now) {
+		if (isLeader() && now - this.leadership.stepDownDeadline(now) >= 0) {
+			stepDown(now);
+		}
+	}
+
+	private void stepDown(long now) {
+		if (isLeader()) {
+			this.role = Role.FOLLOWER;
+			this.leader = null;
+			this.leadership = null;
+			resetElectionDeadline(now);
+			this.actions.add(new ConsensusAction.StepDown(term()));
+		}
+	}
+
+	private void heardFromLeader(long now) {
+		this.lastHeard = now;
+		resetElectionDeadline(now);
+	}
+
+	private void resetElectionDeadline(long now) {
+		this.electionDeadline = now + this.random.nextLong(this.settings.minimumElectionTimeout(),
+				this.settings.maximumElectionTimeout() + 1);
+	}
+
+	private boolean isVoter() {
+		return MemberKey.contains(voters(), this.settings.self());
+	}
+
+	// Leader
+
+	private void lead(long now) {
+		advanceCommitIndex();
+		changeMembership(now);
+		this.leadership.heartbeatIfDue(now, this.actions);
+	}
+
+	private void appendAsLeader(List<LogEntry> entries, long now) {
+		this.log.append(entries);
+		this.actions.add(new ConsensusAction.AppendEntries(entries));
+		this.leadership.replicate(now, this.actions);
+	}
+
+	private void advanceCommitIndex() {
+		long index = this.leadership.majorityMatch(this.persistedIndex);
+		if (index > this.knownCommitIndex && this.log.termAt(index) == term()) {
+			this.knownCommitIndex = index;
+			applyCommitted();
+		}
+	}
+
+	private boolean hasCommittedOwnTerm() {
+		return this.log.termAt(this.commitIndex) == term();
+	}
+
+	private void changeMembership(long now) {
+		if (!isLeader() || !hasCommittedOwnTerm() || this.log.votersIndex() > this.commitIndex) {
+			return;
+		}
+		this.leadership.dueVoters(now).ifPresent((voters) -> {
+			LogEntry change = new LogEntry(term(), lastIndex() + 1, LogEntry.Kind.VOTERS, new byte[0], voters);
+			appendAsLeader(List.of(change), now);
+			this.leadership.updateVoters(now);
+		});
+	}
+
+	// Follower
+
+	private void receive(AppendRequest request, long now) {
+		if (!follow(request, now)) {
+			sendRejection(request, 0);
+			return;
+		}
+		if (!matches(request)) {
+			sendRejection(request, rejectionHint(request));
+			return;
+		}
+		appendMissing(request.entries());
+		long matchIndex = request.previousIndex() + request.entries().size();
+		this.knownCommitIndex = Math.max(this.knownCommitIndex, Math.min(request.commitIndex(), matchIndex));
+		applyCommitted();
+		answerWhenPersisted(request.from(), matchIndex,
+				new AppendAnswer(this.settings.self(), this.cluster, term(), true, matchIndex, request.round()));
+	}
+
+	// Follows the leader that sent a message, unless the message is of an earlier term.
+	private boolean follow(ConsensusMessage message, long now) {
+		if (this.cluster.isEmpty()) {
+			this.cluster = message.cluster();
+			this.actions.add(new ConsensusAction.JoinCluster(this.cluster));
+		}
+		if (message.term() < term()) {
+			return false;
+		}
+		if (message.term() > term()) {
+			adopt(new Vote(message.term(), null), now);
+		}
+		Invariants.require(this.leaderOfTerm == null || this.leaderOfTerm.isSameMember(message.from()),
+				message.from().name(), "term %d has the leaders %s and %s", term(), this.leaderOfTerm, message.from());
+		this.role = Role.FOLLOWER;
+		this.leader = message.from();
+		this.leaderOfTerm = this.leader;
+		heardFromLeader(now);
+		return true;
+	}
+
+	private boolean matches(AppendRequest request) {
+		return request.previousIndex() < this.log.baseIndex()
+				|| this.log.termAt(request.previousIndex()) == request.previousTerm();
+	}
+
+	// Returns where the leader may try again: before all entries of the conflicting term,
+	// but not before a committed entry, because those match.
+	private long rejectionHint(AppendRequest request) {
+		if (request.previousIndex() > lastIndex()) {
+			return lastIndex();
+		}
+		long conflictingTerm = this.log.termAt(request.previousIndex());
+		long hint = request.previousIndex() - 1;
+		while (hint > this.commitIndex && this.log.termAt(hint) == conflictingTerm) {
+			hint--;
+		}
+		return hint;
+	}
+
+	private void sendRejection(AppendRequest request, long hint) {
+		send(request.from(),
+				new AppendAnswer(this.settings.self(), this.cluster, term(), false, hint, request.round()));
+	}
+
+	private void appendMissing(List<LogEntry> entries) {
+		int position = 0;
+		while (position < entries.size() && holds(entries.get(position))) {
+			position++;
+		}
+		if (position == entries.size()) {
+			return;
+		}
+		List<LogEntry> missing = entries.subList(position, entries.size());
+		long firstIndex = missing.get(0).index();
+		if (firstIndex <= lastIndex()) {
+			truncateFrom(firstIndex);
+		}
+		this.log.append(missing);
+		this.actions.add(new ConsensusAction.AppendEntries(missing));
+	}
+
+	private boolean holds(LogEntry entry) {
+		return entry.index() <= this.log.baseIndex() || this.log.termAt(entry.index()) == entry.term();
+	}
+
+	private void truncateFrom(long index) {
+		Invariants.require(index > this.knownCommitIndex, "", "entry %d of %d committed entries would be truncated",
+				index, this.knownCommitIndex);
+		this.log.truncateFrom(index);
+		this.persistedIndex = Math.min(this.persistedIndex, index - 1);
+		this.pendingAnswers.clear();
+	}
+
+	private void receive(SnapshotRequest request, long now) {
+		if (!follow(request, now)) {
+			send(request.from(), snapshotAnswer(request, 0, false));
+			return;
+		}
+		if (holdsLastEntry(request)) {
+			this.knownCommitIndex = Math.max(this.knownCommitIndex, request.lastIndex());
+			applyCommitted();
+			answerWhenPersisted(request.from(), request.lastIndex(), snapshotAnswer(request, 0, true));
+			return;
+		}
+		if (this.assembly == null || !this.assembly.isContinuedBy(request)) {
+			this.assembly = new SnapshotAssembly(request);
+		}
+		if (this.assembly.add(request)) {
+			install(new ConsensusSnapshot(request.lastIndex(), request.lastTerm(), request.voters(),
+					this.assembly.data()));
+			send(request.from(), snapshotAnswer(request, 0, true));
+			return;
+		}
+		send(request.from(), snapshotAnswer(request, this.assembly.nextOffset(), false));
+	}
+
+	private void install(ConsensusSnapshot snapshot) {
+		Invariants.require(snapshot.lastIndex() > this.commitIndex, "", "commit index would go from %d back to %d",
+				this.commitIndex, snapshot.lastIndex());
+		this.assembly = null;
+		this.pendingAnswers.clear();
+		this.log.reset(snapshot);
+		this.persistedIndex = snapshot.lastIndex();
+		this.commitIndex = snapshot.lastIndex();
+		this.knownCommitIndex = Math.max(this.knownCommitIndex, this.commitIndex);
+		this.actions.add(new ConsensusAction.InstallSnapshot(snapshot));
+	}
+
+	// A log that holds the last entry of the snapshot must not be replaced, because it
+	// may
+	// hold later entries that were answered and are committed.
+	private boolean holdsLastEntry(SnapshotRequest request) {
+		return request.lastIndex() <= this.commitIndex || this.log.termAt(request.lastIndex()) == request.lastTerm();
+	}
+
+	private SnapshotAnswer snapshotAnswer(SnapshotRequest request, long nextOffset, boolean installed) {
+		return new SnapshotAnswer(this.settings.self(), this.cluster, term(), request.lastIndex(), nextOffset,
+				installed, request.round());
+	}
+
+	// Log
+
+	private void applyCommitted() {
+		long newCommitIndex = Math.min(this.knownCommitIndex, this.persistedIndex);
+		Invariants.require(newCommitIndex >= this.commitIndex, "", "commit index would go from %d back to %d",
+				this.commitIndex, newCommitIndex);
+		if (newCommitIndex > this.commitIndex) {
+			this.actions.add(new ConsensusAction.ApplyEntries(this.log.range(this.commitIndex + 1, newCommitIndex)));
+			this.commitIndex = newCommitIndex;
+		}
+		if (isLeader()) {
+			this.leadership.commitIndex(this.commitIndex);
+		}
+	}
+
+	private void answerWhenPersisted(ControlIdentity recipient, long index, ConsensusMessage answer) {
+		if (index <= this.persistedIndex) {
+			send(recipient, answer);
+		}
+		else {
+			this.pendingAnswers.add(new PendingAnswer(recipient, index, answer));
+		}
+	}
+
+	private void releaseAnswers() {
+		this.pendingAnswers.removeIf((pending) -> {
+			boolean released = pending.index() <= this.persistedIndex;
+			if (released) {
+				send(pending.recipient(), pending.answer());
+			}
+			return released;
+		});
+	}
+
+	private void send(ControlIdentity recipient, ConsensusMessage message) {
+		this.actions.add(new ConsensusAction.Send(this.settings.addressOf(recipient), message));
+	}
+
+	private enum Role {
+
+		FOLLOWER, PRE_CANDIDATE, CANDIDATE, LEADER
+
+	}
+
+	private record PendingAnswer(ControlIdentity recipient, long index, ConsensusMessage answer) {
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
@@ -0,0 +1,86 @@
+package org.magnolialead.engine.consensus;
+
+import java.util.Map;
+import java.util.Objects;
+
+import org.magnolialead.api.message.ControlIdentity;
+
+/**
+ * Settings of a {@link ConsensusNode}. All times are nanoseconds.
+ *
+ * @param self identity of this member
+ * @param peers peer addresses of all configured control daemons by name
+ * @param heartbeatInterval time between heartbeats of a leader
+ * @param minimumElectionTimeout time without a leader during which votes are refused
+ * @param maximumElectionTimeout upper bound of the random time until an election
+ * @param maximumEntries most entries in one message
+ * @param maximumBytes size of the commands in one message above which no further entry is
+ * added, in bytes
+ * @param maximumInFlight most unanswered messages with entries per member
+ * @param snapshotPartBytes size of one part of a snapshot in bytes
+ */
+public record ConsensusSettings(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
+		long minimumElectionTimeout, long maximumElectionTimeout, int maximumEntries, int maximumBytes,
+		int maximumInFlight, int snapshotPartBytes) {
+
+	private static final int DEFAULT_MAXIMUM_ENTRIES = 1_000;
+
+	/** Half of the largest frame, which leaves room for one more large command. */
+	private static final int DEFAULT_MAXIMUM_BYTES = 512 * 1024;
+
+	private static final int DEFAULT_MAXIMUM_IN_FLIGHT = 32;
+
+	private static final int DEFAULT_SNAPSHOT_PART_BYTES = 256 * 1024;
+
+	public ConsensusSettings {
+		Objects.requireNonNull(self, "self must not be null");
+		peers = Map.copyOf(peers);
+		requirePositive(heartbeatInterval, "heartbeatInterval");
+		requirePositive(maximumEntries, "maximumEntries");
+		requirePositive(maximumBytes, "maximumBytes");
+		requirePositive(maximumInFlight, "maximumInFlight");
+		requirePositive(snapshotPartBytes, "snapshotPartBytes");
+		if (minimumElectionTimeout <= 2 * heartbeatInterval) {
+			throw new IllegalArgumentException("minimumElectionTimeout must exceed two heartbeat intervals");
+		}
+		if (maximumElectionTimeout <= minimumElectionTimeout) {
+			throw new IllegalArgumentException("maximumElectionTimeout must exceed minimumElectionTimeout");
+		}
+	}
+
+	/**
+	 * Returns settings with default message limits.
+	 * @param self identity of this member
+	 * @param peers peer addresses of all configured control daemons by name
+	 * @param heartbeatInterval time between heartbeats in nanoseconds
+	 * @param minimumElectionTimeout minimum election timeout in nanoseconds
+	 * @param maximumElectionTimeout maximum election timeout in nanoseconds
+	 * @return the settings
+	 */
+	public static ConsensusSettings of(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
+			long minimumElectionTimeout, long maximumElectionTimeout) {
+		return new ConsensusSettings(self, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout,
+				DEFAULT_MAXIMUM_ENTRIES, DEFAULT_MAXIMUM_BYTES, DEFAULT_MAXIMUM_IN_FLIGHT, DEFAULT_SNAPSHOT_PART_BYTES);
+	}
+
+	/**
+	 * Returns for how long a leader may act after the send time of a round of heartbeats
+	 * that a majority answered. The difference to the minimum election timeout allows for
+	 * clocks that run at different speeds.
+	 * @return the time in nanoseconds
+	 */
+	long authorityDuration() {
+		return this.minimumElectionTimeout / 10 * 9;
+	}
+
+	String addressOf(ControlIdentity member) {
+		return this.peers.getOrDefault(member.name(), member.address());
+	}
+
+	private static void requirePositive(long value, String name) {
+		if (value <= 0) {
+			throw new IllegalArgumentException(name + " must be positive: " + value);
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
@@ -0,0 +1,365 @@
+package org.magnolialead.engine.consensus;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import org.magnolialead.api.message.ConsensusMessage;
+import org.magnolialead.api.message.ConsensusMessage.AppendAnswer;
+import org.magnolialead.api.message.ConsensusMessage.AppendRequest;
+import org.magnolialead.api.message.ConsensusMessage.SnapshotAnswer;
+import org.magnolialead.api.message.ConsensusMessage.SnapshotRequest;
+import org.magnolialead.api.message.ControlIdentity;
+import org.magnolialead.api.message.LogEntry;
+
+/**
+ * State of a leader during one term: the progress of voters and learners, the authority
+ * and the membership change that is due.
+ */
+final class Leadership {
+
+	/** Maximum election timeouts after which a silent learner is forgotten. */
+	private static final long LEARNER_TIMEOUTS = 10;
+
+	private final ConsensusSettings settings;
+
+	private final ReplicaLog log;
+
+	private final String cluster;
+
+	private final long term;
+
+	private final long since;
+
+	private final Map<MemberKey, MemberProgress> members = new LinkedHashMap<>();
+
+	private long round;
+
+	private long commitIndex;
+
+	private long nextHeartbeat;
+
+	/** Commit index at the latest heartbeat. */
+	private long latestCommitIndex;
+
+	/** Commit index at the heartbeat before the latest one. */
+	private long earlierCommitIndex;
+
+	Leadership(ConsensusSettings settings, ReplicaLog log, String cluster, long term, long now) {
+		this.settings = settings;
+		this.log = log;
+		this.cluster = cluster;
+		this.term = term;
+		this.since = now;
+		this.nextHeartbeat = now;
+		updateVoters(now);
+	}
+
+	long since() {
+		return this.since;
+	}
+
+	void commitIndex(long index) {
+		this.commitIndex = index;
+	}
+
+	/**
+	 * Creates the progress of new voters and removes that of former ones.
+	 * @param now present time
+	 */
+	void updateVoters(long now) {
+		List<ControlIdentity> voters = this.log.voters();
+		this.members.values().removeIf((progress) -> isReplaced(voters, progress.identity()));
+		for (ControlIdentity voter : voters) {
+			if (!voter.isSameMember(this.settings.self())) {
+				this.members.computeIfAbsent(MemberKey.of(voter), (key) -> newProgress(voter, now));
+			}
+		}
+	}
+
+	private static boolean isReplaced(List<ControlIdentity> voters, ControlIdentity member) {
+		return !MemberKey.contains(voters, member)
+				&& voters.stream().anyMatch((voter) -> voter.name().equals(member.name()));
+	}
+
+	private MemberProgress newProgress(ControlIdentity identity, long now) {
+		return new MemberProgress(identity, this.log.lastIndex() + 1, this.round + 1, now);
+	}
+
+	void heartbeatIfDue(long now, List<ConsensusAction> actions) {
+		if (now - this.nextHeartbeat < 0) {
+			return;
+		}
+		this.nextHeartbeat = now + this.settings.heartbeatInterval();
+		this.earlierCommitIndex = this.latestCommitIndex;
+		this.latestCommitIndex = this.commitIndex;
+		forgetSilentLearners(now);
+		for (MemberProgress progress : this.members.values()) {
+			heartbeat(progress, now, actions);
+		}
+		probeAbsentPeers(actions);
+	}
+
+	private void forgetSilentLearners(long now) {
+		long limit = now - LEARNER_TIMEOUTS * this.settings.maximumElectionTimeout();
+		this.members.values()
+			.removeIf((progress) -> !MemberKey.contains(this.log.voters(), progress.identity())
+					&& progress.isSilentSince(limit));
+	}
+
+	private void heartbeat(MemberProgress progress, long now, List<ConsensusAction> actions) {
+		if (progress.isSilentSince(now - this.settings.maximumElectionTimeout())) {
+			progress.restartFromMatch();
+			sendEmpty(progress, now, actions);
+			return;
+		}
+		if (progress.isSilentSince(now - 2 * this.settings.heartbeatInterval())) {
+			progress.restartFromMatch();
+		}
+		progress.allowProbe();
+		if (progress.maySendEntries(this.settings.maximumInFlight())) {
+			sendNext(progress, now, actions);
+		}
+		else {
+			sendEmpty(progress, now, actions);
+		}
+	}
+
+	// Contacts configured control daemons that are no member. They answer with their
+	// incarnation and become learners.
+	private void probeAbsentPeers(List<ConsensusAction> actions) {
+		this.settings.peers().forEach((name, address) -> {
+			if (!name.equals(this.settings.self().name()) && !isKnown(name)) {
+				this.round++;
+				send(address, appendRequest(this.log.lastIndex(), List.of()), actions);
+			}
+		});
+	}
+
+	private boolean isKnown(String name) {
+		return this.members.keySet().stream().anyMatch((key) -> key.name().equals(name));
+	}
+
+	void replicate(long now, List<ConsensusAction> actions) {
+		for (MemberProgress progress : this.members.values()) {
+			replicate(progress, now, actions);
+		}
+	}
+
+	private void replicate(MemberProgress progress, long now, List<ConsensusAction> actions) {
+		while (progress.transfer() == null && progress.nextIndex() <= this.log.lastIndex()
+				&& progress.maySendEntries(this.settings.maximumInFlight())) {
+			sendNext(progress, now, actions);
+		}
+	}
+
+	private void sendNext(MemberProgress progress, long now, List<ConsensusAction> actions) {
+		if (progress.nextIndex() <= this.log.baseIndex() && progress.transfer() == null) {
+			progress.startTransfer(this.log.snapshot());
+		}
+		if (progress.transfer() != null) {
+			sendSnapshotPart(progress, now, actions);
+			return;
+		}
+		List<LogEntry> entries = this.log.batch(progress.nextIndex(), this.settings.maximumEntries(),
+				this.settings.maximumBytes());
+		this.round++;
+		send(address(progress), appendRequest(progress.nextIndex() - 1, entries), actions);
+		progress.sent(this.round, now, entries.size());
+	}
+
+	private void sendEmpty(MemberProgress progress, long now, List<ConsensusAction> actions) {
+		long previousIndex = Math.max(this.log.baseIndex(), progress.nextIndex() - 1);
+		this.round++;
+		send(address(progress), appendRequest(previousIndex, List.of()), actions);
+		progress.sent(this.round, now, 0);
+	}
+
+	private void sendSnapshotPart(MemberProgress progress, long now, List<ConsensusAction> actions) {
+		ConsensusSnapshot snapshot = progress.transfer();
+		int offset = (int) progress.transferOffset();
+		int end = Math.min(snapshot.data().length, offset + this.settings.snapshotPartBytes());
+		byte[] part = Arrays.copyOfRange(snapshot.data(), offset, end);
+		this.round++;
+		SnapshotRequest request = new SnapshotRequest(this.settings.self(), this.cluster, this.term,
+				snapshot.lastTerm(), snapshot.lastIndex(), snapshot.voters(), offset, part,
+				end == snapshot.data().length, this.round);
+		send(address(progress), request, actions);
+		progress.sent(this.round, now, 0);
+	}
+
+	private AppendRequest appendRequest(long previousIndex, List<LogEntry> entries) {
+		return new AppendRequest(this.settings.self(), this.cluster, this.term, this.log.termAt(previousIndex),
+				previousIndex, entries, this.commitIndex, this.round);
+	}
+
+	private String address(MemberProgress progress) {
+		return this.settings.addressOf(progress.identity());
+	}
+
+	private static void send(String address, ConsensusMessage message, List<ConsensusAction> actions) {
+		actions.add(new ConsensusAction.Send(address, message));
+	}
+
+	void receive(AppendAnswer answer, long now, List<ConsensusAction> actions) {
+		MemberProgress progress = progressOf(answer.from(), now);
+		if (progress == null) {
+			return;
+		}
+		boolean known = progress.answer(answer.round(), now);
+		if (answer.accepted()) {
+			Invariants.require(answer.matchIndex() <= this.log.lastIndex(), answer.from().name(),
+					"member matches up to %d but the leader's log ends at %d", answer.matchIndex(),
+					this.log.lastIndex());
+			progress.matched(answer.matchIndex());
+		}
+		else if (known && progress.transfer() == null) {
+			progress.rejected(answer.matchIndex());
+		}
+		replicate(progress, now, actions);
+	}
+
+	void receive(SnapshotAnswer answer, long now, List<ConsensusAction> actions) {
+		MemberProgress progress = progressOf(answer.from(), now);
+		if (progress == null) {
+			return;
+		}
+		boolean known = progress.answer(answer.round(), now);
+		ConsensusSnapshot transfer = progress.transfer();
+		if (transfer == null || transfer.lastIndex() != answer.lastIndex()) {
+			return;
+		}
+		if (answer.installed()) {
+			progress.finishTransfer();
+			progress.matched(answer.lastIndex());
+			replicate(progress, now, actions);
+		}
+		else if (known && (answer.nextOffset() > progress.transferOffset() || answer.nextOffset() == 0)
+				&& answer.nextOffset() <= transfer.data().length) {
+			progress.continueTransfer(answer.nextOffset());
+			sendSnapshotPart(progress, now, actions);
+		}
+	}
+
+	// Returns the progress of the sender of an answer. A configured control daemon with
+	// an unknown incarnation becomes a learner.
+	private MemberProgress progressOf(ControlIdentity from, long now) {
+		MemberProgress progress = this.members.get(MemberKey.of(from));
+		if (progress != null || !isConfiguredPeer(from)) {
+			return progress;
+		}
+		this.members.values().removeIf((other) -> isOtherLearner(other.identity(), from));
+		MemberProgress learner = newProgress(from, now);
+		this.members.put(MemberKey.of(from), learner);
+		return learner;
+	}
+
+	private boolean isConfiguredPeer(ControlIdentity member) {
+		return this.settings.peers().containsKey(member.name()) && !member.name().equals(this.settings.self().name());
+	}
+
+	private boolean isOtherLearner(ControlIdentity member, ControlIdentity learner) {
+		return member.name().equals(learner.name()) && !MemberKey.contains(this.log.voters(), member);
+	}
+
+	/**
+	 * Returns the highest index that a majority of voters has synced.
+	 * @param persistedIndex last index synced by this member
+	 * @return the index
+	 */
+	long majorityMatch(long persistedIndex) {
+		List<Long> matches = new ArrayList<>();
+		for (ControlIdentity voter : this.log.voters()) {
+			MemberProgress progress = this.members.get(MemberKey.of(voter));
+			matches.add((progress != null) ? progress.matchIndex() : persistedIndex);
+		}
+		matches.sort(null);
+		return matches.get((matches.size() - 1) / 2);
+	}
+
+	/**
+	 * Returns the end of the authority of this leader: the send time of the latest
+	 * messages that a majority of voters answered, plus the authority duration.
+	 * @param now present time
+	 * @return the time, or empty if no majority has answered yet
+	 */
+	OptionalLong authorityDeadline(long now) {
+		List<Long> ages = new ArrayList<>();
+		List<ControlIdentity> voters = this.log.voters();
+		for (ControlIdentity voter : voters) {
+			MemberProgress progress = this.members.get(MemberKey.of(voter));
+			if (progress == null) {
+				ages.add(0L);
+			}
+			else if (progress.hasAnswered()) {
+				ages.add(now - progress.answeredSendTime());
+			}
+		}
+		int majority = voters.size() / 2 + 1;
+		if (ages.size() < majority) {
+			return OptionalLong.empty();
+		}
+		ages.sort(null);
+		return OptionalLong.of(now - ages.get(majority - 1) + this.settings.authorityDuration());
+	}
+
+	/**
+	 * Returns when this leader steps down unless a majority answers.
+	 * @param now present time
+	 * @return the time
+	 */
+	long stepDownDeadline(long now) {
+		long electionGrace = this.since + this.settings.minimumElectionTimeout();
+		OptionalLong authority = authorityDeadline(now);
+		if (authority.isEmpty() || authority.getAsLong() - electionGrace < 0) {
+			return electionGrace;
+		}
+		return authority.getAsLong();
+	}
+
+	/**
+	 * Returns the voters after the membership change that is due. A learner that has
+	 * caught up replaces the silent voter of the same name: the old incarnation is
+	 * removed first and the new one is added by the next change.
+	 * @param now present time
+	 * @return the voters, or empty if no change is due
+	 */
+	Optional<List<ControlIdentity>> dueVoters(long now) {
+		return this.members.values()
+			.stream()
+			.filter((progress) -> isPromotable(progress, now))
+			.map((progress) -> votersWith(progress.identity(), now))
+			.filter(Objects::nonNull)
+			.findFirst();
+	}
+
+	// A learner has caught up when it holds what was committed one heartbeat interval
+	// ago. Under constant load it always lacks the entries of the last round trip.
+	private boolean isPromotable(MemberProgress progress, long now) {
+		return !MemberKey.contains(this.log.voters(), progress.identity()) && progress.hasAnswered()
+				&& progress.transfer() == null && progress.matchIndex() >= Math.max(1, this.earlierCommitIndex)
+				&& !progress.isSilentSince(now - 2 * this.settings.heartbeatInterval());
+	}
+
+	private List<ControlIdentity> votersWith(ControlIdentity learner, long now) {
+		List<ControlIdentity> voters = new ArrayList<>(this.log.voters());
+		Optional<ControlIdentity> old = voters.stream()
+			.filter((voter) -> voter.name().equals(learner.name()))
+			.findFirst();
+		if (old.isEmpty()) {
+			voters.add(learner);
+			return voters;
+		}
+		if (!this.members.get(MemberKey.of(old.get())).isSilentSince(now - this.settings.maximumElectionTimeout())) {
+			return null;
+		}
+		voters.remove(old.get());
+		return voters;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/MemberKey.java
@@ -0,0 +1,23 @@
+package org.magnolialead.engine.consensus;
+
+import java.util.List;
+
+import org.magnolialead.api.message.ControlIdentity;
+
+/**
+ * Key of a member without its address, which may change.
+ *
+ * @param name name of the control daemon
+ * @param incarnation incarnation of its data folder
+ */
+record MemberKey(String name, String incarnation) {
+
+	static MemberKey of(ControlIdentity identity) {
+		return new MemberKey(identity.name(), identity.incarnation());
+	}
+
+	static boolean contains(List<ControlIdentity> members, ControlIdentity member) {
+		return members.stream().anyMatch((other) -> other.isSameMember(member));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/MemberProgress.java
@@ -0,0 +1,176 @@
+package org.magnolialead.engine.consensus;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+import org.magnolialead.api.message.ControlIdentity;
+
+/**
+ * What a leader knows about another member.
+ */
+final class MemberProgress {
+
+	/** Bounds the memory for a member that never answers. */
+	private static final int MAXIMUM_UNANSWERED = 1_024;
+
+	private final ControlIdentity identity;
+
+	private final long firstRound;
+
+	private final Deque<SentRound> unanswered = new ArrayDeque<>();
+
+	private long matchIndex;
+
+	private long nextIndex;
+
+	private boolean pipelining;
+
+	private boolean awaitingProbe;
+
+	private long lastHeard;
+
+	private boolean answered;
+
+	private long answeredSendTime;
+
+	private ConsensusSnapshot transfer;
+
+	private long transferOffset;
+
+	MemberProgress(ControlIdentity identity, long nextIndex, long firstRound, long now) {
+		this.identity = identity;
+		this.nextIndex = nextIndex;
+		this.firstRound = firstRound;
+		this.lastHeard = now;
+	}
+
+	ControlIdentity identity() {
+		return this.identity;
+	}
+
+	long matchIndex() {
+		return this.matchIndex;
+	}
+
+	long nextIndex() {
+		return this.nextIndex;
+	}
+
+	boolean hasAnswered() {
+		return this.answered;
+	}
+
+	/**
+	 * Returns when the latest answered message was sent.
+	 * @return the time in nanoseconds, meaningful only after an answer
+	 */
+	long answeredSendTime() {
+		return this.answeredSendTime;
+	}
+
+	boolean isSilentSince(long time) {
+		return this.lastHeard - time < 0;
+	}
+
+	boolean maySendEntries(int maximumInFlight) {
+		return this.pipelining ? this.unanswered.size() < maximumInFlight : !this.awaitingProbe;
+	}
+
+	void sent(long round, long now, int entries) {
+		this.unanswered.addLast(new SentRound(round, now));
+		if (this.unanswered.size() > MAXIMUM_UNANSWERED) {
+			this.unanswered.removeFirst();
+		}
+		if (this.pipelining) {
+			this.nextIndex += entries;
+		}
+		else {
+			this.awaitingProbe = true;
+		}
+	}
+
+	/**
+	 * Records an answer in the leader's term.
+	 * @param round round of the answered message
+	 * @param now present time
+	 * @return whether the round is a message to this member that no later answer has
+	 * superseded
+	 */
+	boolean answer(long round, long now) {
+		if (round < this.firstRound) {
+			return false;
+		}
+		this.lastHeard = now;
+		boolean known = false;
+		while (!this.unanswered.isEmpty() && this.unanswered.peekFirst().round() <= round) {
+			SentRound sent = this.unanswered.removeFirst();
+			if (sent.round() == round) {
+				known = true;
+				this.answered = true;
+				this.answeredSendTime = sent.time();
+			}
+		}
+		return known;
+	}
+
+	void matched(long index) {
+		this.matchIndex = Math.max(this.matchIndex, index);
+		this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
+		this.pipelining = true;
+		this.awaitingProbe = false;
+	}
+
+	/**
+	 * Goes back after a member rejected a message.
+	 * @param hint index from which the member may match
+	 */
+	void rejected(long hint) {
+		this.nextIndex = Math.max(this.matchIndex + 1, Math.min(this.nextIndex, hint + 1));
+		probe();
+	}
+
+	/**
+	 * Sends one message at a time from the last matching entry on, because messages in
+	 * flight are taken as lost.
+	 */
+	void restartFromMatch() {
+		this.nextIndex = this.matchIndex + 1;
+		probe();
+	}
+
+	void allowProbe() {
+		this.awaitingProbe = false;
+	}
+
+	private void probe() {
+		this.pipelining = false;
+		this.awaitingProbe = false;
+		this.unanswered.clear();
+	}
+
+	ConsensusSnapshot transfer() {
+		return this.transfer;
+	}
+
+	long transferOffset() {
+		return this.transferOffset;
+	}
+
+	void startTransfer(ConsensusSnapshot snapshot) {
+		this.transfer = snapshot;
+		this.transferOffset = 0;
+		probe();
+	}
+
+	void continueTransfer(long offset) {
+		this.transferOffset = offset;
+	}
+
+	void finishTransfer() {
+		this.transfer = null;
+	}
+
+	private record SentRound(long round, long time) {
+	}
+
+}
