--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpHandler.java
@@ -0,0 +1,18 @@
+package org.magnolialead.transport.http;
+
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * Handles HTTP requests.
+ */
+@FunctionalInterface
+public interface HttpHandler {
+
+	/**
+	 * Handles a request. Called on the executor of the server.
+	 * @param call the request
+	 * @return the reply; a failure is answered by {@link HttpErrors#reply(Throwable)}
+	 */
+	CompletableFuture<HttpReply> handle(HttpCall call);
+
+}
--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpReply.java
@@ -0,0 +1,38 @@
+package org.magnolialead.transport.http;
+
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Answer to an HTTP request.
+ *
+ * @param status status code
+ * @param headers headers by name, without the framing headers that the server adds
+ * @param body body, empty if there is none; not copied and not to be changed
+ */
+public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+
+	/**
+	 * Media type of JSON bodies.
+	 */
+	public static final String JSON = "application/json";
+
+	public HttpReply {
+		Objects.requireNonNull(body, "body must not be null");
+		headers = Map.copyOf(headers);
+		if (status < 200 || status > 599) {
+			throw new IllegalArgumentException("status must be from 200 to 599, found " + status);
+		}
+	}
+
+	/**
+	 * Returns a reply with a JSON body.
+	 * @param status status code
+	 * @param body text in JSON, encoded as UTF-8
+	 * @return the reply
+	 */
+	public static HttpReply json(int status, byte[] body) {
+		return new HttpReply(status, Map.of("Content-Type", JSON), body);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServerSettings.java
@@ -0,0 +1,78 @@
+package org.magnolialead.transport.http;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Settings of an HTTP server.
+ *
+ * @param host local address
+ * @param port local port, or 0 for any free port
+ * @param maximumBodyBytes greatest size of a request body in bytes
+ * @param maximumHeaderBytes greatest size of the request line, and of all headers
+ * together, in bytes
+ * @param receiveTimeout greatest time from the first to the last byte of a request
+ * @param idleTimeout greatest time that a connection stays open without a request, and
+ * that a reply may take to be written
+ * @param maximumConnections greatest number of open connections
+ */
+public record HttpServerSettings(String host, int port, int maximumBodyBytes, int maximumHeaderBytes,
+		Duration receiveTimeout, Duration idleTimeout, int maximumConnections) {
+
+	/**
+	 * Default limit of a body in bytes. Leaves room in a peer frame of 1 MiB for the
+	 * other fields of a forwarded request.
+	 */
+	public static final int DEFAULT_MAXIMUM_BODY_BYTES = 256 * 1_024;
+
+	/**
+	 * Default limit of headers in bytes.
+	 */
+	public static final int DEFAULT_MAXIMUM_HEADER_BYTES = 16 * 1_024;
+
+	/**
+	 * Default receive timeout.
+	 */
+	public static final Duration DEFAULT_RECEIVE_TIMEOUT = Duration.ofSeconds(10);
+
+	/**
+	 * Default idle timeout.
+	 */
+	public static final Duration DEFAULT_IDLE_TIMEOUT = Duration.ofMinutes(10);
+
+	/**
+	 * Default limit of connections.
+	 */
+	public static final int DEFAULT_MAXIMUM_CONNECTIONS = 10_000;
+
+	public HttpServerSettings {
+		Objects.requireNonNull(host, "host must not be null");
+		if (port < 0 || port > 65_535) {
+			throw new IllegalArgumentException("port must be from 0 to 65535, found " + port);
+		}
+		if (maximumBodyBytes < 1 || maximumHeaderBytes < 1 || maximumConnections < 1) {
+			throw new IllegalArgumentException("limits must be positive, found body %d, headers %d, connections %d"
+				.formatted(maximumBodyBytes, maximumHeaderBytes, maximumConnections));
+		}
+		if (!isPositive(receiveTimeout) || !isPositive(idleTimeout)) {
+			throw new IllegalArgumentException(
+					"timeouts must be positive, found receive %s, idle %s".formatted(receiveTimeout, idleTimeout));
+		}
+	}
+
+	/**
+	 * Returns settings with default limits.
+	 * @param host local address
+	 * @param port local port, or 0 for any free port
+	 * @return the settings
+	 */
+	public static HttpServerSettings defaults(String host, int port) {
+		return new HttpServerSettings(host, port, DEFAULT_MAXIMUM_BODY_BYTES, DEFAULT_MAXIMUM_HEADER_BYTES,
+				DEFAULT_RECEIVE_TIMEOUT, DEFAULT_IDLE_TIMEOUT, DEFAULT_MAXIMUM_CONNECTIONS);
+	}
+
+	private static boolean isPositive(Duration duration) {
+		return !duration.isNegative() && !duration.isZero();
+	}
+
+}
--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP/1.1 server for callers, the platform and database members.
+ */
+package org.magnolialead.transport.http;
--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/member/ConnectionPool.java
@@ -0,0 +1,373 @@
+package org.magnolialead.transport.member;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+
+/**
+ * Bounded pool of connections to one database member. Connections that are open, being
+ * opened or being closed never exceed the limit. Callers wait in the order of their
+ * arrival.
+ */
+public final class ConnectionPool implements AutoCloseable {
+
+	/**
+	 * Idle connections that stay open, so that a burst does not wait for new ones.
+	 */
+	public static final int DEFAULT_WARM_CONNECTIONS = 2;
+
+	/**
+	 * Time in nanoseconds after which further idle connections are closed.
+	 */
+	public static final long DEFAULT_IDLE_TIME = TimeUnit.SECONDS.toNanos(30);
+
+	private static final long CONNECT_TIME = TimeUnit.SECONDS.toNanos(1);
+
+	private static final long MAINTENANCE_INTERVAL = TimeUnit.SECONDS.toNanos(1);
+
+	private final Object lock = new Object();
+
+	private final Deque<IdleConnection> idle = new ArrayDeque<>();
+
+	private final Deque<Waiter> waiters = new ArrayDeque<>();
+
+	private final ConnectionOpener opener;
+
+	private final ScheduledExecutorService timer;
+
+	private final MonotonicClock clock;
+
+	private final String address;
+
+	private final int limit;
+
+	private final int warm;
+
+	private final long idleTime;
+
+	private final Future<?> maintenance;
+
+	private int opening;
+
+	private int open;
+
+	private boolean closed;
+
+	/**
+	 * Creates a pool with the default number of warm connections.
+	 * @param connector opens the connections
+	 * @param address address of the member in the form {@code host:port}
+	 * @param limit greatest number of connections
+	 * @param clock the clock of the deadlines
+	 */
+	public ConnectionPool(MemberConnector connector, String address, int limit, MonotonicClock clock) {
+		this(connector::connect, connector.timer(), address, limit, Math.min(limit, DEFAULT_WARM_CONNECTIONS),
+				DEFAULT_IDLE_TIME, clock);
+	}
+
+	/**
+	 * Creates a pool.
+	 * @param opener opens the connections
+	 * @param timer runs timeouts and maintenance
+	 * @param address address of the member in the form {@code host:port}
+	 * @param limit greatest number of connections
+	 * @param warm number of idle connections that are kept open
+	 * @param idleTime time in nanoseconds after which further idle connections are closed
+	 * @param clock the clock of the deadlines
+	 */
+	public ConnectionPool(ConnectionOpener opener, ScheduledExecutorService timer, String address, int limit, int warm,
+			long idleTime, MonotonicClock clock) {
+		if (limit < 1 || warm < 0 || warm > limit) {
+			throw new IllegalArgumentException(
+					"limit must be positive and warm at most the limit, found %d and %d".formatted(limit, warm));
+		}
+		this.opener = Objects.requireNonNull(opener, "opener must not be null");
+		this.timer = Objects.requireNonNull(timer, "timer must not be null");
+		this.address = Objects.requireNonNull(address, "address must not be null");
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		this.limit = limit;
+		this.warm = warm;
+		this.idleTime = idleTime;
+		this.maintenance = timer.scheduleWithFixedDelay(this::maintain, 0, MAINTENANCE_INTERVAL, TimeUnit.NANOSECONDS);
+	}
+
+	/**
+	 * Takes a connection.
+	 * @param deadline time of the clock at which waiting ends
+	 * @return a connection that must be passed to {@link #release}. Fails with a
+	 * {@link MagnolialeadException} of step {@code CONNECT}: {@code DEADLINE_EXCEEDED} if
+	 * none was free in time, {@code UNREACHABLE} if none could be opened
+	 */
+	public CompletableFuture<MemberConnection> acquire(long deadline) {
+		Waiter waiter = new Waiter();
+		long left = deadline - this.clock.nanoseconds();
+		if (left <= 0) {
+			waiter.future.completeExceptionally(deadlineExceeded());
+			return waiter.future;
+		}
+		List<Runnable> actions = new ArrayList<>();
+		synchronized (this.lock) {
+			if (this.closed) {
+				waiter.future.completeExceptionally(unreachable("the pool is closed", null));
+				return waiter.future;
+			}
+			this.waiters.add(waiter);
+			serveWaiters(actions);
+			if (!waiter.served) {
+				waiter.timeout = this.timer.schedule(() -> expire(waiter), left, TimeUnit.NANOSECONDS);
+			}
+		}
+		actions.forEach(Runnable::run);
+		return waiter.future;
+	}
+
+	/**
+	 * Gives a connection back.
+	 * @param connection the connection
+	 * @param reusable whether it may be used again; otherwise it is closed
+	 */
+	public void release(MemberConnection connection, boolean reusable) {
+		if (!reusable) {
+			connection.close();
+			return;
+		}
+		List<Runnable> actions = new ArrayList<>();
+		synchronized (this.lock) {
+			if (this.closed) {
+				actions.add(connection::close);
+			}
+			else if (connection.isOpen()) {
+				this.idle.addLast(new IdleConnection(connection, this.clock.nanoseconds()));
+				serveWaiters(actions);
+			}
+		}
+		actions.forEach(Runnable::run);
+	}
+
+	/**
+	 * Returns the number of connections that are open, being opened or being closed.
+	 * @return the number, at most the limit
+	 */
+	public int connectionCount() {
+		synchronized (this.lock) {
+			return this.open + this.opening;
+		}
+	}
+
+	/**
+	 * Returns the number of idle connections.
+	 * @return the number
+	 */
+	public int idleCount() {
+		synchronized (this.lock) {
+			return this.idle.size();
+		}
+	}
+
+	/**
+	 * Closes idle connections and fails waiting callers. Connections in use are closed
+	 * when they are released.
+	 */
+	@Override
+	public void close() {
+		this.maintenance.cancel(false);
+		List<Runnable> actions = new ArrayList<>();
+		synchronized (this.lock) {
+			this.closed = true;
+			this.idle.forEach((entry) -> actions.add(entry.connection()::close));
+			this.idle.clear();
+			while (!this.waiters.isEmpty()) {
+				Waiter waiter = this.waiters.remove();
+				waiter.served = true;
+				actions.add(() -> waiter.fail(unreachable("the pool was closed", null)));
+			}
+		}
+		actions.forEach(Runnable::run);
+	}
+
+	/**
+	 * Closes connections that were idle for too long and opens missing warm ones.
+	 */
+	void maintain() {
+		List<Runnable> actions = new ArrayList<>();
+		synchronized (this.lock) {
+			if (this.closed) {
+				return;
+			}
+			this.idle.removeIf((entry) -> !entry.connection().isOpen());
+			long now = this.clock.nanoseconds();
+			while (this.idle.size() > this.warm && now - this.idle.peekFirst().since() > this.idleTime) {
+				actions.add(this.idle.removeFirst().connection()::close);
+			}
+			while (this.open + this.opening < this.warm) {
+				startOpening(actions);
+			}
+		}
+		actions.forEach(Runnable::run);
+	}
+
+	private void serveWaiters(List<Runnable> actions) {
+		while (!this.waiters.isEmpty()) {
+			MemberConnection connection = takeIdle();
+			if (connection == null) {
+				break;
+			}
+			Waiter waiter = this.waiters.remove();
+			waiter.served = true;
+			actions.add(() -> waiter.succeed(connection));
+		}
+		while (this.opening < this.waiters.size() && hasRoom()) {
+			startOpening(actions);
+		}
+	}
+
+	/**
+	 * Takes the connection that was used last, so that the others become old enough to be
+	 * closed.
+	 * @return an open connection, or {@code null} if none is idle
+	 */
+	private MemberConnection takeIdle() {
+		while (!this.idle.isEmpty()) {
+			MemberConnection connection = this.idle.removeLast().connection();
+			if (connection.isOpen()) {
+				return connection;
+			}
+		}
+		return null;
+	}
+
+	private boolean hasRoom() {
+		return this.open + this.opening < this.limit;
+	}
+
+	private void startOpening(List<Runnable> actions) {
+		this.opening++;
+		checkLimit();
+		actions.add(() -> this.opener.connect(this.address, this.clock.nanoseconds() + CONNECT_TIME)
+			.whenComplete(this::opened));
+	}
+
+	private void opened(MemberConnection connection, Throwable failure) {
+		List<Runnable> actions = new ArrayList<>();
+		synchronized (this.lock) {
+			this.opening--;
+			if (failure != null) {
+				failOldestWaiter(failure, actions);
+			}
+			else {
+				this.open++;
+				checkLimit();
+			}
+			if (failure == null && this.closed) {
+				actions.add(connection::close);
+			}
+			else if (failure == null) {
+				this.idle.addLast(new IdleConnection(connection, this.clock.nanoseconds()));
+			}
+			serveWaiters(actions);
+		}
+		if (failure == null) {
+			connection.closed().thenRun(this::connectionClosed);
+		}
+		actions.forEach(Runnable::run);
+	}
+
+	private void failOldestWaiter(Throwable failure, List<Runnable> actions) {
+		Waiter waiter = this.waiters.poll();
+		if (waiter != null) {
+			waiter.served = true;
+			actions.add(() -> waiter.fail(failure));
+		}
+	}
+
+	private void connectionClosed() {
+		List<Runnable> actions = new ArrayList<>();
+		synchronized (this.lock) {
+			this.open--;
+			checkLimit();
+			if (!this.closed) {
+				serveWaiters(actions);
+			}
+		}
+		actions.forEach(Runnable::run);
+	}
+
+	private void expire(Waiter waiter) {
+		synchronized (this.lock) {
+			if (waiter.served) {
+				return;
+			}
+			waiter.served = true;
+			this.waiters.remove(waiter);
+		}
+		waiter.fail(deadlineExceeded());
+	}
+
+	private void checkLimit() {
+		if (this.open < 0 || this.opening < 0 || this.open + this.opening > this.limit) {
+			throw new MagnolialeadException(ErrorCode.INVARIANT_VIOLATED, Step.CONNECT, this.address,
+					"%d connections are open and %d being opened, at most %d are allowed".formatted(this.open,
+							this.opening, this.limit));
+		}
+	}
+
+	private MagnolialeadException deadlineExceeded() {
+		return new MagnolialeadException(ErrorCode.DEADLINE_EXCEEDED, Step.CONNECT, this.address,
+				"no connection was free before the deadline");
+	}
+
+	private MagnolialeadException unreachable(String message, Throwable cause) {
+		return new MagnolialeadException(ErrorCode.UNREACHABLE, Step.CONNECT, this.address, message, cause);
+	}
+
+	/**
+	 * Connection that nobody uses.
+	 *
+	 * @param connection the connection
+	 * @param since time at which it became idle
+	 */
+	private record IdleConnection(MemberConnection connection, long since) {
+	}
+
+	private static final class Waiter {
+
+		private final CompletableFuture<MemberConnection> future = new CompletableFuture<>();
+
+		private volatile Future<?> timeout;
+
+		private boolean served;
+
+		void succeed(MemberConnection connection) {
+			cancelTimeout();
+			this.future.complete(connection);
+		}
+
+		void fail(Throwable failure) {
+			cancelTimeout();
+			Throwable cause = (failure instanceof CompletionException && failure.getCause() != null)
+					? failure.getCause() : failure;
+			this.future.completeExceptionally(cause);
+		}
+
+		private void cancelTimeout() {
+			Future<?> running = this.timeout;
+			if (running != null) {
+				running.cancel(false);
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/member/MemberCall.java
@@ -0,0 +1,20 @@
+package org.magnolialead.transport.member;
+
+import java.util.Objects;
+
+/**
+ * Request to a database member.
+ *
+ * @param method HTTP method in upper case
+ * @param pathAndQuery path with the query
+ * @param body JSON text in UTF-8, empty if there is none
+ */
+public record MemberCall(String method, String pathAndQuery, byte[] body) {
+
+	public MemberCall {
+		Objects.requireNonNull(method, "method must not be null");
+		Objects.requireNonNull(pathAndQuery, "pathAndQuery must not be null");
+		Objects.requireNonNull(body, "body must not be null");
+	}
+
+}
--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/member/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Client side of the HTTP interface of database members, with a connection pool.
+ */
+package org.magnolialead.transport.member;
--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/netty/NettySupport.java
@@ -0,0 +1,133 @@
+package org.magnolialead.transport.netty;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+/**
+ * Event loops, buffers and bootstraps with the options that all sockets share.
+ */
+public final class NettySupport {
+
+	private static final int ACCEPT_BACKLOG = 4_096;
+
+	private static final int DIRECT_ARENAS = 2;
+
+	private static final int PAGE_BYTES = 8_192;
+
+	/**
+	 * Chunks of 512 KiB instead of Netty's 4 MiB keep the memory of an idle daemon small.
+	 */
+	private static final int CHUNK_ORDER = 6;
+
+	private static final int MINIMUM_READ_BYTES = 512;
+
+	private static final int INITIAL_READ_BYTES = 1_024;
+
+	private static final int MAXIMUM_READ_BYTES = 65_536;
+
+	private static final ByteBufAllocator ALLOCATOR = new PooledByteBufAllocator(true, DIRECT_ARENAS, DIRECT_ARENAS,
+			PAGE_BYTES, CHUNK_ORDER, PooledByteBufAllocator.defaultSmallCacheSize(),
+			PooledByteBufAllocator.defaultNormalCacheSize(), false);
+
+	private NettySupport() {
+	}
+
+	/**
+	 * Creates event loops with daemon threads.
+	 * @param name prefix of the thread names
+	 * @param threads number of threads
+	 * @return the event loops
+	 */
+	public static EventLoopGroup eventLoops(String name, int threads) {
+		return new MultiThreadIoEventLoopGroup(threads, new DefaultThreadFactory(name, true),
+				NioIoHandler.newFactory());
+	}
+
+	/**
+	 * Binds a listening socket.
+	 * @param loops event loops for the listener and its connections
+	 * @param host local address
+	 * @param port local port, or 0 for any free port
+	 * @param initializer handler that sets up each accepted connection
+	 * @return the listening channel
+	 */
+	public static Channel listen(EventLoopGroup loops, String host, int port, ChannelHandler initializer) {
+		ChannelFuture bound = new ServerBootstrap().group(loops)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+			.option(ChannelOption.ALLOCATOR, ALLOCATOR)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.SO_KEEPALIVE, true)
+			.childOption(ChannelOption.ALLOCATOR, ALLOCATOR)
+			.childOption(ChannelOption.RECVBUF_ALLOCATOR, readBuffers())
+			.childHandler(initializer)
+			.bind(new InetSocketAddress(host, port));
+		return bound.syncUninterruptibly().channel();
+	}
+
+	/**
+	 * Starts to open a connection.
+	 * @param loops event loops for the connection
+	 * @param address remote address in the form {@code host:port}
+	 * @param timeoutMilliseconds greatest time to connect in milliseconds
+	 * @param initializer handler that sets up the connection
+	 * @return the future of the connection
+	 * @throws IllegalArgumentException if the address is malformed
+	 */
+	public static ChannelFuture connect(EventLoopGroup loops, String address, int timeoutMilliseconds,
+			ChannelHandler initializer) {
+		return new Bootstrap().group(loops)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.SO_KEEPALIVE, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMilliseconds)
+			.option(ChannelOption.ALLOCATOR, ALLOCATOR)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, readBuffers())
+			.handler(initializer)
+			.connect(parseAddress(address));
+	}
+
+	/**
+	 * Stops event loops and closes their connections.
+	 * @param loops the event loops
+	 */
+	public static void shutDown(EventLoopGroup loops) {
+		loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	/**
+	 * Parses an address.
+	 * @param address the address in the form {@code host:port}
+	 * @return the socket address
+	 * @throws IllegalArgumentException if the address is malformed
+	 */
+	public static InetSocketAddress parseAddress(String address) {
+		int colon = address.lastIndexOf(':');
+		if (colon <= 0) {
+			throw new IllegalArgumentException("address must have the form host:port, found \"" + address + "\"");
+		}
+		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
+	private static AdaptiveRecvByteBufAllocator readBuffers() {
+		return new AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/netty/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Netty set-up that servers and clients share.
+ */
+package org.magnolialead.transport.netty;
--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerClient.java
@@ -0,0 +1,113 @@
+package org.magnolialead.transport.peer;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoopGroup;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+import org.magnolialead.transport.netty.NettySupport;
+
+/**
+ * Sends messages to other magnolialead processes over one connection per address. Many
+ * requests may be in flight; answers may arrive in any order.
+ */
+public final class PeerClient implements AutoCloseable {
+
+	private static final int EVENT_LOOP_THREADS = 2;
+
+	private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
+
+	private final AtomicLong lastCorrelationId = new AtomicLong();
+
+	private final PeerCodec codec = new PeerCodec();
+
+	private final EventLoopGroup loops = NettySupport.eventLoops("peer-client", EVENT_LOOP_THREADS);
+
+	private final MonotonicClock clock;
+
+	private final Executor completionExecutor;
+
+	private volatile boolean closed;
+
+	/**
+	 * Creates a client that completes its futures on its event loop; their dependents
+	 * must not block.
+	 * @param clock the clock of the deadlines
+	 */
+	public PeerClient(MonotonicClock clock) {
+		this(clock, Runnable::run);
+	}
+
+	/**
+	 * Creates a client.
+	 * @param clock the clock of the deadlines
+	 * @param completionExecutor completes the futures
+	 */
+	public PeerClient(MonotonicClock clock, Executor completionExecutor) {
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		this.completionExecutor = Objects.requireNonNull(completionExecutor, "completionExecutor must not be null");
+	}
+
+	/**
+	 * Sends a request.
+	 * @param address peer address in the form {@code host:port}
+	 * @param message the request
+	 * @param deadline time of the clock at which the request fails
+	 * @return the answer. Fails with a {@link MagnolialeadException} whose peer is the
+	 * address: with the code and step of the peer's
+	 * {@link org.magnolialead.api.message.ErrorAnswer}, or with step {@code FORWARD} and
+	 * code {@code UNREACHABLE} if the request surely never left, {@code OVERLOADED} if
+	 * too many bytes wait for the connection, {@code NO_ANSWER} otherwise
+	 * @throws IllegalArgumentException if the message cannot be encoded
+	 */
+	public CompletableFuture<Object> request(String address, Object message, long deadline) {
+		long correlationId = this.lastCorrelationId.incrementAndGet();
+		ByteBuf frame = this.codec.encode(correlationId, message);
+		if (this.closed) {
+			return CompletableFuture.failedFuture(closedFailure(address));
+		}
+		return connection(address).request(correlationId, frame, deadline);
+	}
+
+	/**
+	 * Sends a message without an answer. The message is dropped if the peer is not
+	 * reachable or too many bytes wait.
+	 * @param address peer address in the form {@code host:port}
+	 * @param message the message
+	 * @throws IllegalArgumentException if the message cannot be encoded
+	 */
+	public void send(String address, Object message) {
+		ByteBuf frame = this.codec.encode(0, message);
+		if (!this.closed) {
+			connection(address).send(frame);
+		}
+	}
+
+	/**
+	 * Closes all connections; requests in flight fail.
+	 */
+	@Override
+	public void close() {
+		this.closed = true;
+		this.connections.values().forEach(PeerConnection::close);
+		NettySupport.shutDown(this.loops);
+	}
+
+	private PeerConnection connection(String address) {
+		return this.connections.computeIfAbsent(address,
+				(key) -> new PeerConnection(key, this.loops.next(), this.codec, this.clock, this.completionExecutor));
+	}
+
+	private static MagnolialeadException closedFailure(String address) {
+		return new MagnolialeadException(ErrorCode.UNREACHABLE, Step.FORWARD, address, "the peer client is closed");
+	}
+
+}
--- /dev/null
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
@@ -0,0 +1,400 @@
+package org.magnolialead.transport.peer;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.message.ErrorAnswer;
+import org.magnolialead.transport.netty.NettySupport;
+
+/**
+ * Connection of a {@link PeerClient} to one address. Opens the connection on demand and
+ * waits a growing time after a failure. All fields except the byte count belong to the
+ * event loop.
+ */
+final class PeerConnection {
+
+	/**
+	 * Bytes of frames that may wait for the connection. Eight frames of the maximum size.
+	 */
+	static final long MAXIMUM_WAITING_BYTES = 8L * PeerCodec.MAXIMUM_FRAME_BYTES;
+
+	private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+
+	private static final long MINIMUM_BACK_OFF = TimeUnit.MILLISECONDS.toNanos(50);
+
+	private static final long MAXIMUM_BACK_OFF = TimeUnit.SECONDS.toNanos(1);
+
+	/**
+	 * Time without any received byte after a write until a probe is sent, and again until
+	 * the connection is closed. TCP alone would keep a silently cut connection for
+	 * minutes after the network is back.
+	 */
+	private static final long PROBE_INTERVAL = TimeUnit.MILLISECONDS.toNanos(750);
+
+	private final Map<Long, PendingRequest> pending = new HashMap<>();
+
+	private final Queue<WaitingFrame> waiting = new ArrayDeque<>();
+
+	private final AtomicLong waitingBytes = new AtomicLong();
+
+	private final String address;
+
+	private final EventLoop loop;
+
+	private final PeerCodec codec;
+
+	private final MonotonicClock clock;
+
+	private final Executor completionExecutor;
+
+	private Channel channel;
+
+	private boolean connecting;
+
+	private boolean closed;
+
+	private long backOff;
+
+	private long nextAttempt;
+
+	private boolean received;
+
+	private boolean probeScheduled;
+
+	PeerConnection(String address, EventLoop loop, PeerCodec codec, MonotonicClock clock, Executor completionExecutor) {
+		this.address = address;
+		this.loop = loop;
+		this.codec = codec;
+		this.clock = clock;
+		this.completionExecutor = completionExecutor;
+	}
+
+	CompletableFuture<Object> request(long correlationId, ByteBuf frame, long deadline) {
+		CompletableFuture<Object> answer = new CompletableFuture<>();
+		PendingRequest request = new PendingRequest(correlationId, answer, deadline);
+		if (!reserve(frame.readableBytes())) {
+			return CompletableFuture.failedFuture(failure(ErrorCode.OVERLOADED, "too many bytes wait", null));
+		}
+		if (!runOnLoop(() -> submit(new WaitingFrame(frame, frame.readableBytes(), request)))) {
+			return CompletableFuture.failedFuture(failure(ErrorCode.UNREACHABLE, "the peer client is closed", null));
+		}
+		return answer;
+	}
+
+	void send(ByteBuf frame) {
+		if (reserve(frame.readableBytes())) {
+			runOnLoop(() -> submit(new WaitingFrame(frame, frame.readableBytes(), null)));
+		}
+	}
+
+	void close() {
+		runOnLoop(() -> {
+			this.closed = true;
+			if (this.channel != null) {
+				this.channel.close();
+			}
+			failWaiting("the peer client was closed", null);
+		});
+	}
+
+	private boolean runOnLoop(Runnable task) {
+		try {
+			this.loop.execute(task);
+			return true;
+		}
+		catch (RejectedExecutionException ex) {
+			return false;
+		}
+	}
+
+	private boolean reserve(int bytes) {
+		if (this.waitingBytes.addAndGet(bytes) <= MAXIMUM_WAITING_BYTES) {
+			return true;
+		}
+		this.waitingBytes.addAndGet(-bytes);
+		return false;
+	}
+
+	private void submit(WaitingFrame frame) {
+		long now = this.clock.nanoseconds();
+		if (frame.request != null && frame.request.deadline - now <= 0) {
+			drop(frame, "the deadline had passed before the request was sent", null);
+			return;
+		}
+		if (this.closed) {
+			drop(frame, "the peer client is closed", null);
+			return;
+		}
+		if (this.channel != null) {
+			startTimer(frame, now);
+			write(frame);
+			return;
+		}
+		if (!this.connecting && this.backOff != 0 && now - this.nextAttempt < 0) {
+			drop(frame, "the last attempt to connect failed", null);
+			return;
+		}
+		startTimer(frame, now);
+		this.waiting.add(frame);
+		if (!this.connecting) {
+			connect();
+		}
+	}
+
+	private void startTimer(WaitingFrame frame, long now) {
+		PendingRequest request = frame.request;
+		if (request == null) {
+			return;
+		}
+		this.pending.put(request.correlationId, request);
+		request.timer = this.loop.schedule(() -> expire(frame), request.deadline - now, TimeUnit.NANOSECONDS);
+	}
+
+	private void expire(WaitingFrame frame) {
+		if (this.waiting.remove(frame)) {
+			drop(frame, "no connection before the deadline", null);
+			return;
+		}
+		if (this.pending.remove(frame.request.correlationId) != null) {
+			complete(frame.request, failure(ErrorCode.NO_ANSWER, "no answer before the deadline", null));
+		}
+	}
+
+	private void connect() {
+		this.connecting = true;
+		try {
+			ChannelFuture opening = NettySupport.connect(this.loop, this.address, CONNECT_TIMEOUT_MILLISECONDS,
+					new Initializer());
+			opening.addListener((done) -> connected(opening));
+		}
+		catch (IllegalArgumentException ex) {
+			connectFailed(ex);
+		}
+	}
+
+	private void connected(ChannelFuture opening) {
+		if (!opening.isSuccess()) {
+			connectFailed(opening.cause());
+			return;
+		}
+		this.connecting = false;
+		if (this.closed) {
+			opening.channel().close();
+			return;
+		}
+		if (!opening.channel().isActive()) {
+			connectFailed(null);
+			return;
+		}
+		this.channel = opening.channel();
+		this.received = true;
+		Channel opened = this.channel;
+		while (this.channel == opened && !this.waiting.isEmpty()) {
+			write(this.waiting.remove());
+		}
+	}
+
+	private void connectFailed(Throwable cause) {
+		this.connecting = false;
+		startBackOff();
+		failWaiting("the connection could not be opened", cause);
+	}
+
+	private void startBackOff() {
+		this.backOff = Math.min(MAXIMUM_BACK_OFF, Math.max(MINIMUM_BACK_OFF, this.backOff * 2));
+		// The random part keeps daemons from reconnecting to a restarted peer all at
+		// once.
+		long delay = this.backOff / 2 + ThreadLocalRandom.current().nextLong(this.backOff / 2);
+		this.nextAttempt = this.clock.nanoseconds() + delay;
+	}
+
+	private void failWaiting(String reason, Throwable cause) {
+		while (!this.waiting.isEmpty()) {
+			drop(this.waiting.remove(), reason, cause);
+		}
+	}
+
+	private void write(WaitingFrame frame) {
+		Channel target = this.channel;
+		scheduleProbe();
+		target.writeAndFlush(frame.bytes).addListener((done) -> {
+			this.waitingBytes.addAndGet(-frame.size);
+			// Netty fails a write only if not all of its bytes reached the socket, and a
+			// peer never handles an incomplete frame.
+			if (!done.isSuccess() && frame.request != null
+					&& this.pending.remove(frame.request.correlationId) != null) {
+				complete(frame.request,
+						failure(ErrorCode.UNREACHABLE, "the request could not be written", done.cause()));
+			}
+		});
+	}
+
+	private void drop(WaitingFrame frame, String reason, Throwable cause) {
+		this.waitingBytes.addAndGet(-frame.size);
+		if (frame.request != null) {
+			this.pending.remove(frame.request.correlationId);
+			complete(frame.request, failure(ErrorCode.UNREACHABLE, reason, cause));
+		}
+	}
+
+	private void scheduleProbe() {
+		if (!this.probeScheduled) {
+			this.probeScheduled = true;
+			this.received = false;
+			Channel probed = this.channel;
+			this.loop.schedule(() -> probe(probed, false), PROBE_INTERVAL, TimeUnit.NANOSECONDS);
+		}
+	}
+
+	private void probe(Channel probed, boolean sent) {
+		if (this.channel != probed) {
+			return;
+		}
+		if (this.received) {
+			this.probeScheduled = false;
+			return;
+		}
+		if (sent) {
+			probed.close();
+			return;
+		}
+		probed.writeAndFlush(PeerCodec.encodeProbe(0));
+		this.loop.schedule(() -> probe(probed, true), PROBE_INTERVAL, TimeUnit.NANOSECONDS);
+	}
+
+	private void receive(PeerFrame frame) {
+		// Answers that are late or repeated find no pending request and are dropped.
+		PendingRequest request = this.pending.remove(frame.correlationId());
+		if (request == null) {
+			return;
+		}
+		if (frame.message() instanceof ErrorAnswer error) {
+			complete(request, new MagnolialeadException(error.error(), error.step(), this.address, error.message()));
+			return;
+		}
+		complete(request, frame.message());
+	}
+
+	private void disconnected() {
+		this.channel = null;
+		this.probeScheduled = false;
+		startBackOff();
+		List<PendingRequest> lost = new ArrayList<>(this.pending.values());
+		this.pending.clear();
+		lost.forEach((request) -> complete(request,
+				failure(ErrorCode.NO_ANSWER, "the connection was lost before the answer", null)));
+	}
+
+	private void complete(PendingRequest request, Object result) {
+		if (request.timer != null) {
+			request.timer.cancel(false);
+		}
+		this.completionExecutor.execute(() -> {
+			if (result instanceof MagnolialeadException failure) {
+				request.answer.completeExceptionally(failure);
+			}
+			else {
+				request.answer.complete(result);
+			}
+		});
+	}
+
+	private MagnolialeadException failure(ErrorCode code, String message, Throwable cause) {
+		return new MagnolialeadException(code, Step.FORWARD, this.address, message, cause);
+	}
+
+	private static final class PendingRequest {
+
+		private final long correlationId;
+
+		private final CompletableFuture<Object> answer;
+
+		private final long deadline;
+
+		private Future<?> timer;
+
+		PendingRequest(long correlationId, CompletableFuture<Object> answer, long deadline) {
+			this.correlationId = correlationId;
+			this.answer = answer;
+			this.deadline = deadline;
+		}
+
+	}
+
+	private static final class WaitingFrame {
+
+		private final ByteBuf bytes;
+
+		private final int size;
+
+		private final PendingRequest request;
+
+		WaitingFrame(ByteBuf bytes, int size, PendingRequest request) {
+			this.bytes = bytes;
+			this.size = size;
+			this.request = request;
+		}
+
+	}
+
+	private final class Initializer extends ChannelInitializer<Channel> {
+
+		@Override
+		protected void initChannel(Channel target) {
+			target.pipeline()
+				.addLast(new LengthFieldBasedFrameDecoder(PeerCodec.MAXIMUM_FRAME_BYTES, 0, PeerCodec.LENGTH_BYTES, 0,
+						PeerCodec.LENGTH_BYTES))
+				.addLast(new AnswerHandler());
+		}
+
+	}
+
+	private final class AnswerHandler extends SimpleChannelInboundHandler<ByteBuf> {
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+			PeerConnection.this.received = true;
+			PeerConnection.this.backOff = 0;
+			if (!PeerCodec.isProbe(frame)) {
+				receive(PeerConnection.this.codec.decode(frame));
+			}
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			if (context.channel() == PeerConnection.this.channel) {
+				disconnected();
+			}
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			context.close();
+		}
+
+	}
+
+}
