Add database stand-in as embeddable class and process

Tests and the demo need database members with slots, scarce connections and asynchronous replication.

--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/Announcer.java
@@ -0,0 +1,72 @@
+package org.magnolialead.testsupport.standin;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.netty.util.concurrent.EventExecutor;
+import org.magnolialead.api.MemberDescription;
+
+/**
+ * Announces the member to one daemon after another. Used on the event loop only.
+ */
+final class Announcer {
+
+	private static final long PERIOD_MILLISECONDS = 500;
+
+	private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
+
+	private final List<String> addresses;
+
+	private final HttpClient client;
+
+	private final Supplier<MemberDescription> description;
+
+	private int next;
+
+	Announcer(List<String> addresses, HttpClient client, Supplier<MemberDescription> description) {
+		this.addresses = addresses;
+		this.client = client;
+		this.description = description;
+	}
+
+	void start(EventExecutor loop) {
+		if (!this.addresses.isEmpty()) {
+			loop.scheduleAtFixedRate(this::announce, 0, PERIOD_MILLISECONDS, TimeUnit.MILLISECONDS);
+		}
+	}
+
+	/**
+	 * Sends one announcement. A failure needs no handling, because the next announcement
+	 * goes to the next address.
+	 */
+	void announce() {
+		if (this.addresses.isEmpty()) {
+			return;
+		}
+		String address = this.addresses.get(this.next++ % this.addresses.size());
+		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/v1/announcements"))
+			.timeout(REQUEST_TIMEOUT)
+			.header("Content-Type", "application/json")
+			.POST(BodyPublishers.ofByteArray(encode()))
+			.build();
+		this.client.sendAsync(request, BodyHandlers.discarding());
+	}
+
+	private byte[] encode() {
+		try {
+			return DatabaseStandIn.JSON.writeValueAsBytes(this.description.get());
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("cannot encode the announcement", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/DatabaseStandInMain.java
@@ -0,0 +1,93 @@
+package org.magnolialead.testsupport.standin;
+
+import java.util.Arrays;
+import java.util.List;
+
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.magnolialead.api.MemberRole;
+
+/**
+ * Runs a database stand-in as a process of its own.
+ */
+public final class DatabaseStandInMain {
+
+	@Option(name = "--group", required = true, usage = "name of the database group")
+	private String group;
+
+	@Option(name = "--member", required = true, usage = "name of the member")
+	private String member;
+
+	@Option(name = "--address", usage = "address to listen on, host:port")
+	private String address = "127.0.0.1:0";
+
+	@Option(name = "--zone", usage = "availability zone")
+	private String zone = "zone-1";
+
+	@Option(name = "--announce", usage = "HTTP addresses of daemons, separated by commas")
+	private String announce = "";
+
+	@Option(name = "--slots", usage = "statements executed at once")
+	private int slots = 2;
+
+	@Option(name = "--connection-limit", usage = "connections served at once")
+	private int connectionLimit = 20;
+
+	@Option(name = "--connection-cost-milliseconds", usage = "delay of the first request on a connection")
+	private long connectionCost = 10;
+
+	@Option(name = "--read-milliseconds", usage = "service time of a read")
+	private long read = 2;
+
+	@Option(name = "--write-milliseconds", usage = "service time of a write")
+	private long write = 3;
+
+	@Option(name = "--lag-milliseconds", usage = "time between receiving and applying a record")
+	private long lag;
+
+	@Option(name = "--role", usage = "role at the start")
+	private MemberRole role = MemberRole.REPLICA;
+
+	@Option(name = "--term", usage = "term at the start")
+	private long term;
+
+	@Option(name = "--primary", usage = "address of the primary to follow from the start")
+	private String primary = "";
+
+	private DatabaseStandInMain() {
+	}
+
+	/**
+	 * Starts the stand-in and prints {@code listening on host:port}.
+	 * @param arguments command line arguments
+	 */
+	public static void main(String[] arguments) {
+		DatabaseStandInMain main = new DatabaseStandInMain();
+		CmdLineParser parser = new CmdLineParser(main);
+		try {
+			parser.parseArgument(arguments);
+			DatabaseStandIn standIn = new DatabaseStandIn(main.settings()).start();
+			System.out.println("listening on " + standIn.address());
+		}
+		catch (CmdLineException | IllegalArgumentException ex) {
+			System.err.println("database stand-in: " + ex.getMessage());
+			System.exit(2);
+		}
+	}
+
+	private StandInSettings settings() {
+		int separator = this.address.lastIndexOf(':');
+		if (separator < 1) {
+			throw new IllegalArgumentException("address must have the form host:port, found " + this.address);
+		}
+		List<String> announceAddresses = Arrays.stream(this.announce.split(","))
+			.filter((item) -> !item.isBlank())
+			.toList();
+		return new StandInSettings(this.group, this.member, this.address.substring(0, separator),
+				Integer.parseInt(this.address.substring(separator + 1)), this.zone, announceAddresses, this.slots,
+				this.connectionLimit, this.connectionCost, this.read, this.write, this.lag, this.role, this.term,
+				this.primary);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/LogRecord.java
@@ -0,0 +1,21 @@
+package org.magnolialead.testsupport.standin;
+
+import java.util.List;
+
+import org.magnolialead.api.LogPosition;
+
+/**
+ * Record of a member's log: the statements of one write or transaction.
+ *
+ * @param term term of the primary that wrote it
+ * @param index index in the log, from 1
+ * @param timeMilliseconds wall-clock time of the execution in milliseconds since 1970
+ * @param statements statements in order
+ */
+record LogRecord(long term, long index, long timeMilliseconds, List<Statement> statements) {
+
+	LogPosition position() {
+		return new LogPosition(this.term, this.index);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/MemberStore.java
@@ -0,0 +1,234 @@
+package org.magnolialead.testsupport.standin;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.NullNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MemberRole;
+
+/**
+ * Log, values, role and term of a member. Used on the event loop only.
+ */
+final class MemberStore {
+
+	private final List<LogRecord> log = new ArrayList<>();
+
+	private final List<Long> receivedTimes = new ArrayList<>();
+
+	private final List<LogRecord> executed = new ArrayList<>();
+
+	private final Map<String, JsonNode> values = new HashMap<>();
+
+	private int applied;
+
+	private MemberRole role;
+
+	private long term;
+
+	MemberStore(MemberRole role, long term) {
+		this.role = role;
+		this.term = term;
+	}
+
+	MemberRole role() {
+		return this.role;
+	}
+
+	long term() {
+		return this.term;
+	}
+
+	boolean isPrimary() {
+		return this.role == MemberRole.PRIMARY;
+	}
+
+	/**
+	 * Returns the position of the last record in the log, applied or not.
+	 * @return the position
+	 */
+	LogPosition received() {
+		return positionOf(this.log.size());
+	}
+
+	/**
+	 * Returns the position of the last record that reads see.
+	 * @return the position
+	 */
+	LogPosition applied() {
+		return positionOf(this.applied);
+	}
+
+	JsonNode value(String key) {
+		return this.values.getOrDefault(key, NullNode.getInstance());
+	}
+
+	List<LogRecord> log() {
+		return this.log;
+	}
+
+	List<LogRecord> executed() {
+		return this.executed;
+	}
+
+	boolean promote(long newTerm) {
+		if (newTerm <= this.term) {
+			return false;
+		}
+		this.term = newTerm;
+		this.role = MemberRole.PRIMARY;
+		applyUpTo(this.log.size());
+		return true;
+	}
+
+	/**
+	 * Becomes a replica. A primary of the same term refuses, because two members must not
+	 * be primary of one term.
+	 * @param newTerm term of the new primary
+	 * @return whether the order was accepted
+	 */
+	boolean follow(long newTerm) {
+		if (newTerm < this.term || (newTerm == this.term && isPrimary())) {
+			return false;
+		}
+		this.term = newTerm;
+		this.role = MemberRole.REPLICA;
+		return true;
+	}
+
+	/**
+	 * Evaluates a statement after earlier statements of its transaction without changing
+	 * the store.
+	 * @param earlier earlier statements of the transaction
+	 * @param statement the statement
+	 * @return its result
+	 * @throws StatementException if it cannot be executed
+	 */
+	ObjectNode evaluate(List<Statement> earlier, Statement statement) {
+		Map<String, JsonNode> scratch = new HashMap<>();
+		scratch.put(statement.key(), value(statement.key()));
+		earlier.stream()
+			.filter((other) -> other.key().equals(statement.key()))
+			.forEach((other) -> other.operation().apply(scratch, other));
+		return statement.operation().apply(scratch, statement);
+	}
+
+	/**
+	 * Executes statements as one record of the primary.
+	 * @param statements the statements
+	 * @return the result of the last statement
+	 * @throws StatementException if one cannot be executed; nothing is changed then
+	 */
+	ObjectNode execute(List<Statement> statements) {
+		Map<String, JsonNode> scratch = new HashMap<>();
+		ObjectNode result = null;
+		for (Statement statement : statements) {
+			scratch.computeIfAbsent(statement.key(), this::value);
+			result = statement.operation().apply(scratch, statement);
+		}
+		this.values.putAll(scratch);
+		LogRecord logRecord = new LogRecord(this.term, this.log.size() + 1L, System.currentTimeMillis(),
+				List.copyOf(statements));
+		add(logRecord);
+		this.executed.add(logRecord);
+		this.applied = this.log.size();
+		return result;
+	}
+
+	/**
+	 * Appends records received from the primary that follow the end of the log.
+	 * @param records the records
+	 */
+	void receive(List<LogRecord> records) {
+		for (LogRecord logRecord : records) {
+			if (logRecord.index() != this.log.size() + 1L) {
+				throw new IllegalStateException(
+						"record %d does not follow record %d".formatted(logRecord.index(), this.log.size()));
+			}
+			add(logRecord);
+		}
+	}
+
+	/**
+	 * Applies received records that are older than the lag.
+	 * @param lagMilliseconds the lag
+	 * @return time until the next record is due in nanoseconds, or -1 if none waits
+	 */
+	long applyDue(long lagMilliseconds) {
+		long now = System.nanoTime();
+		long lag = TimeUnit.MILLISECONDS.toNanos(lagMilliseconds);
+		while (this.applied < this.log.size()) {
+			long remaining = this.receivedTimes.get(this.applied) + lag - now;
+			if (remaining > 0) {
+				return remaining;
+			}
+			applyUpTo(this.applied + 1);
+		}
+		return -1;
+	}
+
+	boolean contains(LogPosition position) {
+		long index = position.index();
+		return index == 0 || (index <= this.log.size() && this.log.get((int) index - 1).term() == position.term());
+	}
+
+	/**
+	 * Returns the greatest index up to which the log of another member may be equal.
+	 * @param position last position of the other member
+	 * @return the index
+	 */
+	long greatestPossiblyCommonIndex(LogPosition position) {
+		long index = Math.min(position.index(), this.log.size());
+		while (index > 0 && this.log.get((int) index - 1).term() > position.term()) {
+			index--;
+		}
+		return (index == position.index()) ? index - 1 : index;
+	}
+
+	List<LogRecord> recordsAfter(long index, int limit) {
+		int from = (int) Math.min(index, this.log.size());
+		return List.copyOf(this.log.subList(from, Math.min(this.log.size(), from + limit)));
+	}
+
+	/**
+	 * Removes records that the new primary does not have.
+	 * @param lastIndex index of the last record to keep
+	 */
+	void truncate(long lastIndex) {
+		if (lastIndex >= this.log.size()) {
+			return;
+		}
+		int last = (int) lastIndex;
+		this.log.subList(last, this.log.size()).clear();
+		this.receivedTimes.subList(last, this.receivedTimes.size()).clear();
+		if (this.applied > last) {
+			this.values.clear();
+			this.applied = 0;
+			applyUpTo(last);
+		}
+	}
+
+	private void add(LogRecord logRecord) {
+		this.log.add(logRecord);
+		this.receivedTimes.add(System.nanoTime());
+	}
+
+	private void applyUpTo(int count) {
+		while (this.applied < count) {
+			this.log.get(this.applied)
+				.statements()
+				.forEach((statement) -> statement.operation().apply(this.values, statement));
+			this.applied++;
+		}
+	}
+
+	private LogPosition positionOf(int count) {
+		return (count == 0) ? LogPosition.NONE : this.log.get(count - 1).position();
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/Replicator.java
@@ -0,0 +1,126 @@
+package org.magnolialead.testsupport.standin;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.netty.util.concurrent.EventExecutor;
+import io.netty.util.concurrent.ScheduledFuture;
+
+/**
+ * Copies records from the primary by long polls. Used on the event loop only.
+ */
+final class Replicator {
+
+	private static final long WAIT_MILLISECONDS = 500;
+
+	private static final long RETRY_MILLISECONDS = 50;
+
+	private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
+
+	private final MemberStore store;
+
+	private final FaultControls faults;
+
+	private final EventExecutor loop;
+
+	private final HttpClient client;
+
+	private final Runnable changed;
+
+	private String primary = "";
+
+	private long generation;
+
+	private ScheduledFuture<?> nextApply;
+
+	Replicator(MemberStore store, FaultControls faults, EventExecutor loop, HttpClient client, Runnable changed) {
+		this.store = store;
+		this.faults = faults;
+		this.loop = loop;
+		this.client = client;
+		this.changed = changed;
+	}
+
+	/**
+	 * Starts to copy from a primary and stops copying from the former one.
+	 * @param address address of the primary, or an empty string for none
+	 */
+	void follow(String address) {
+		this.primary = address;
+		this.generation++;
+		if (!address.isEmpty()) {
+			pull(this.generation);
+		}
+	}
+
+	String primary() {
+		return this.primary;
+	}
+
+	void applyDue() {
+		if (this.nextApply != null) {
+			this.nextApply.cancel(false);
+			this.nextApply = null;
+		}
+		long remaining = this.store.applyDue(this.faults.lagMilliseconds);
+		if (remaining >= 0) {
+			this.nextApply = this.loop.schedule(this::applyDue, remaining, TimeUnit.NANOSECONDS);
+		}
+	}
+
+	private void pull(long pullGeneration) {
+		if (pullGeneration != this.generation) {
+			return;
+		}
+		if (this.faults.replicationPaused) {
+			retry(pullGeneration);
+			return;
+		}
+		String target = "http://%s/replication/records?term=%d&after_term=%d&after_index=%d&wait_milliseconds=%d"
+			.formatted(this.primary, this.store.term(), this.store.received().term(), this.store.received().index(),
+					WAIT_MILLISECONDS);
+		HttpRequest request = HttpRequest.newBuilder(URI.create(target)).timeout(REQUEST_TIMEOUT).build();
+		this.client.sendAsync(request, BodyHandlers.ofByteArray())
+			.whenCompleteAsync((response, failure) -> pulled(pullGeneration, response, failure), this.loop);
+	}
+
+	private void pulled(long pullGeneration, HttpResponse<byte[]> response, Throwable failure) {
+		if (pullGeneration != this.generation) {
+			return;
+		}
+		if (failure != null || response.statusCode() != 200 || this.faults.replicationPaused) {
+			retry(pullGeneration);
+			return;
+		}
+		try {
+			accept(ReplicationBatch.decode(response.body()));
+		}
+		catch (JsonProcessingException | StatementException ex) {
+			retry(pullGeneration);
+			return;
+		}
+		pull(pullGeneration);
+	}
+
+	private void accept(ReplicationBatch batch) {
+		if (batch.matches()) {
+			this.store.receive(batch.records());
+		}
+		else {
+			this.store.truncate(batch.keepUntil());
+		}
+		applyDue();
+		this.changed.run();
+	}
+
+	private void retry(long pullGeneration) {
+		this.loop.schedule(() -> pull(pullGeneration), RETRY_MILLISECONDS, TimeUnit.MILLISECONDS);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/StandInConnection.java
@@ -0,0 +1,173 @@
+package org.magnolialead.testsupport.standin;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+
+/**
+ * One connection to the stand-in with its open transaction.
+ */
+final class StandInConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+	private static final String REQUEST_ID = "X-Request-Id";
+
+	private final DatabaseStandIn standIn;
+
+	private ChannelHandlerContext context;
+
+	private List<Statement> transaction;
+
+	private boolean counted;
+
+	private boolean surplus;
+
+	private boolean used;
+
+	private long openedAt;
+
+	StandInConnection(DatabaseStandIn standIn) {
+		this.standIn = standIn;
+	}
+
+	/**
+	 * Returns the buffered statements of the open transaction.
+	 * @return the statements, or {@code null} if no transaction is open
+	 */
+	List<Statement> transaction() {
+		return this.transaction;
+	}
+
+	void beginTransaction() {
+		this.transaction = new ArrayList<>();
+	}
+
+	void endTransaction() {
+		this.transaction = null;
+	}
+
+	boolean isOpen() {
+		return this.context != null && this.context.channel().isActive();
+	}
+
+	void close() {
+		this.context.close();
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext activeContext) {
+		this.context = activeContext;
+		this.openedAt = System.nanoTime();
+		this.counted = this.standIn.connectionOpened(this);
+		this.surplus = !this.counted;
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext inactiveContext) {
+		endTransaction();
+		this.standIn.connectionClosed(this, this.counted);
+		this.counted = false;
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext readContext, FullHttpRequest message) {
+		StandInRequest request = decode(message);
+		if (request == null) {
+			close();
+			return;
+		}
+		if (request.isAdministrative()) {
+			releaseCount();
+			this.standIn.handle(request);
+			return;
+		}
+		if (this.surplus) {
+			this.standIn.refuseConnection(request);
+			return;
+		}
+		long wait = this.used ? 0 : this.standIn.remainingConnectionCost(this.openedAt);
+		this.used = true;
+		if (wait <= 0) {
+			this.standIn.handle(request);
+		}
+		else {
+			readContext.executor().schedule(() -> this.standIn.handle(request), wait, TimeUnit.NANOSECONDS);
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext failedContext, Throwable cause) {
+		failedContext.close();
+	}
+
+	void send(StandInRequest request, EncodedAnswer answer) {
+		if (!isOpen()) {
+			return;
+		}
+		ByteBuf content = Unpooled.wrappedBuffer(answer.body());
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answer.status(), content);
+		response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+		HttpUtil.setContentLength(response, answer.body().length);
+		if (!answer.requestId().isEmpty()) {
+			response.headers().set(REQUEST_ID, answer.requestId());
+		}
+		response.headers().set("Magnolialead-Term", answer.term());
+		response.headers().set("Magnolialead-Position-Term", answer.position().term());
+		response.headers().set("Magnolialead-Position-Index", answer.position().index());
+		response.headers().set("Magnolialead-Member", answer.member());
+		if (request.keepAlive() && !this.surplus) {
+			this.context.writeAndFlush(response);
+			return;
+		}
+		response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+		this.context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+	}
+
+	private void releaseCount() {
+		if (this.counted) {
+			this.standIn.connectionNotCounted();
+		}
+		this.counted = false;
+		this.surplus = false;
+	}
+
+	private StandInRequest decode(FullHttpRequest message) {
+		if (message.decoderResult().isFailure()) {
+			return null;
+		}
+		String requestId = message.headers().get(REQUEST_ID, "");
+		try {
+			return new StandInRequest(this, requestId, message.method().name(), new QueryStringDecoder(message.uri()),
+					decodeBody(message.content()), HttpUtil.isKeepAlive(message));
+		}
+		catch (IOException ex) {
+			return new StandInRequest(this, requestId, message.method().name(), new QueryStringDecoder("/malformed"),
+					MissingNode.getInstance(), HttpUtil.isKeepAlive(message));
+		}
+	}
+
+	private JsonNode decodeBody(ByteBuf content) throws IOException {
+		if (!content.isReadable()) {
+			return MissingNode.getInstance();
+		}
+		return DatabaseStandIn.JSON.readTree(new ByteBufInputStream(content));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/StandInSettings.java
@@ -0,0 +1,127 @@
+package org.magnolialead.testsupport.standin;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.MemberRole;
+
+/**
+ * Settings of a database stand-in.
+ *
+ * @param group name of the database group
+ * @param member name of the member
+ * @param host host to listen on
+ * @param port port to listen on; 0 picks a free port
+ * @param availabilityZone availability zone of the member
+ * @param announceAddresses HTTP addresses of daemons in the form {@code host:port}
+ * @param slots number of statements executed at once
+ * @param connectionLimit number of connections that are served
+ * @param connectionCostMilliseconds delay before the first request on a connection is
+ * handled
+ * @param readMilliseconds time for which a read holds a slot
+ * @param writeMilliseconds time for which a write holds a slot
+ * @param lagMilliseconds time between receiving and applying a record
+ * @param role role at the start
+ * @param term term at the start
+ * @param primary address of the primary to follow from the start, or an empty string
+ */
+public record StandInSettings(String group, String member, String host, int port, String availabilityZone,
+		List<String> announceAddresses, int slots, int connectionLimit, long connectionCostMilliseconds,
+		long readMilliseconds, long writeMilliseconds, long lagMilliseconds, MemberRole role, long term,
+		String primary) {
+
+	public StandInSettings {
+		Objects.requireNonNull(group, "group must not be null");
+		Objects.requireNonNull(member, "member must not be null");
+		Objects.requireNonNull(role, "role must not be null");
+		Objects.requireNonNull(primary, "primary must not be null");
+		announceAddresses = List.copyOf(announceAddresses);
+		if (slots < 1 || connectionLimit < 1) {
+			throw new IllegalArgumentException("slots and connectionLimit must be positive");
+		}
+		if (connectionCostMilliseconds < 0 || readMilliseconds < 0 || writeMilliseconds < 0 || lagMilliseconds < 0
+				|| term < 0) {
+			throw new IllegalArgumentException("times and term must not be negative");
+		}
+	}
+
+	/**
+	 * Returns the default settings of a replica of term 0 on a free loopback port.
+	 * @param group name of the group
+	 * @param member name of the member
+	 * @return the settings
+	 */
+	public static StandInSettings of(String group, String member) {
+		return new StandInSettings(group, member, "127.0.0.1", 0, "zone-1", List.of(), 2, 20, 10, 2, 3, 0,
+				MemberRole.REPLICA, 0, "");
+	}
+
+	/**
+	 * Returns these settings with another initial role.
+	 * @param role the role
+	 * @param term the term
+	 * @param primary address of the primary to follow, or an empty string
+	 * @return the new settings
+	 */
+	public StandInSettings withRole(MemberRole role, long term, String primary) {
+		return new StandInSettings(this.group, this.member, this.host, this.port, this.availabilityZone,
+				this.announceAddresses, this.slots, this.connectionLimit, this.connectionCostMilliseconds,
+				this.readMilliseconds, this.writeMilliseconds, this.lagMilliseconds, role, term, primary);
+	}
+
+	/**
+	 * Returns these settings with another port.
+	 * @param port the port; 0 picks a free one
+	 * @return the new settings
+	 */
+	public StandInSettings withPort(int port) {
+		return new StandInSettings(this.group, this.member, this.host, port, this.availabilityZone,
+				this.announceAddresses, this.slots, this.connectionLimit, this.connectionCostMilliseconds,
+				this.readMilliseconds, this.writeMilliseconds, this.lagMilliseconds, this.role, this.term,
+				this.primary);
+	}
+
+	/**
+	 * Returns these settings with another capacity.
+	 * @param slots number of statements executed at once
+	 * @param connectionLimit number of connections that are served
+	 * @return the new settings
+	 */
+	public StandInSettings withCapacity(int slots, int connectionLimit) {
+		return new StandInSettings(this.group, this.member, this.host, this.port, this.availabilityZone,
+				this.announceAddresses, slots, connectionLimit, this.connectionCostMilliseconds, this.readMilliseconds,
+				this.writeMilliseconds, this.lagMilliseconds, this.role, this.term, this.primary);
+	}
+
+	/**
+	 * Returns these settings with other times.
+	 * @param connectionCost delay of the first request on a connection in milliseconds
+	 * @param read time of a read in milliseconds
+	 * @param write time of a write in milliseconds
+	 * @param lag time between receiving and applying a record in milliseconds
+	 * @return the new settings
+	 */
+	public StandInSettings withMilliseconds(long connectionCost, long read, long write, long lag) {
+		return new StandInSettings(this.group, this.member, this.host, this.port, this.availabilityZone,
+				this.announceAddresses, this.slots, this.connectionLimit, connectionCost, read, write, lag, this.role,
+				this.term, this.primary);
+	}
+
+	/**
+	 * Returns these settings with addresses to announce to.
+	 * @param addresses addresses (HTTP) of daemons in the form {@code host:port}
+	 * @return the new settings
+	 */
+	public StandInSettings withAnnounceAddresses(List<String> addresses) {
+		return new StandInSettings(this.group, this.member, this.host, this.port, this.availabilityZone, addresses,
+				this.slots, this.connectionLimit, this.connectionCostMilliseconds, this.readMilliseconds,
+				this.writeMilliseconds, this.lagMilliseconds, this.role, this.term, this.primary);
+	}
+
+	MemberDescription description(String address, boolean leaving) {
+		return new MemberDescription(this.group, this.member, address, this.availabilityZone, this.slots,
+				this.connectionLimit, leaving);
+	}
+
+}
