Add fault-injecting proxy and process harness

Failure tests need partitions in one direction and frozen or killed processes. The proxy cuts, holds, delays and refuses per route, and the harness signals only processes that it started.

--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/process/ManagedProcess.java
@@ -0,0 +1,230 @@
+package org.magnolialead.testsupport.process;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Child process with a log file that holds its output.
+ */
+public final class ManagedProcess {
+
+	private static final long POLL_MILLISECONDS = 20;
+
+	private static final int CONNECT_MILLISECONDS = 200;
+
+	private final String name;
+
+	private final List<String> command;
+
+	private final Path logFile;
+
+	private Process process;
+
+	private long logStart;
+
+	ManagedProcess(String name, List<String> command, Path logFile) {
+		this.name = name;
+		this.command = List.copyOf(command);
+		this.logFile = logFile;
+	}
+
+	/**
+	 * Starts the process, also again after it has ended. Its output is appended to the
+	 * log file.
+	 * @throws IllegalStateException if it is running
+	 */
+	public synchronized void start() {
+		if (isAlive()) {
+			throw new IllegalStateException("process " + this.name + " is running");
+		}
+		try {
+			this.logStart = Files.exists(this.logFile) ? Files.size(this.logFile) : 0;
+			this.process = new ProcessBuilder(this.command).redirectErrorStream(true)
+				.redirectOutput(ProcessBuilder.Redirect.appendTo(this.logFile.toFile()))
+				.start();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot start process " + this.name, ex);
+		}
+	}
+
+	/**
+	 * Returns the process identifier.
+	 * @return the identifier
+	 */
+	public synchronized long pid() {
+		return this.process.pid();
+	}
+
+	/**
+	 * Tells whether the process runs or is stopped by a signal.
+	 * @return {@code true} until it has ended
+	 */
+	public synchronized boolean isAlive() {
+		return this.process != null && this.process.isAlive();
+	}
+
+	/**
+	 * Returns the output since the latest start.
+	 * @return the output
+	 */
+	public synchronized String output() {
+		try {
+			byte[] bytes = Files.readAllBytes(this.logFile);
+			int start = (int) Math.min(this.logStart, bytes.length);
+			return new String(bytes, start, bytes.length - start, StandardCharsets.UTF_8);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot read " + this.logFile, ex);
+		}
+	}
+
+	/**
+	 * Waits until the output since the latest start contains a pattern.
+	 * @param pattern the pattern
+	 * @param deadline deadline of the monotonic clock in nanoseconds
+	 * @return the match
+	 * @throws IllegalStateException if the process ends or the deadline passes before
+	 */
+	public Matcher awaitOutput(Pattern pattern, long deadline) {
+		return await("output of pattern " + pattern, deadline, () -> {
+			Matcher matcher = pattern.matcher(output());
+			return matcher.find() ? Optional.of(matcher) : Optional.empty();
+		});
+	}
+
+	/**
+	 * Waits until a port accepts connections.
+	 * @param host host of the port
+	 * @param port the port
+	 * @param deadline deadline of the monotonic clock in nanoseconds
+	 * @throws IllegalStateException if the process ends or the deadline passes before
+	 */
+	public void awaitPort(String host, int port, long deadline) {
+		await("port " + port, deadline, () -> {
+			try (Socket socket = new Socket()) {
+				socket.connect(new InetSocketAddress(host, port), CONNECT_MILLISECONDS);
+				return Optional.of(port);
+			}
+			catch (IOException ex) {
+				return Optional.empty();
+			}
+		});
+	}
+
+	/**
+	 * Asks the process to end and waits for it.
+	 * @param deadline deadline of the monotonic clock in nanoseconds
+	 * @return the exit code, or empty if it still runs at the deadline
+	 */
+	public Optional<Integer> terminate(long deadline) {
+		Process current = current();
+		current.destroy();
+		return waitFor(current, deadline);
+	}
+
+	/**
+	 * Waits until the process ends by itself.
+	 * @param deadline deadline of the monotonic clock in nanoseconds
+	 * @return the exit code, or empty if it still runs at the deadline
+	 */
+	public Optional<Integer> awaitExit(long deadline) {
+		return waitFor(current(), deadline);
+	}
+
+	/**
+	 * Ends the process at once, like the loss of its VM, and waits until it is gone.
+	 */
+	public void kill() {
+		Process current = current();
+		if (current != null) {
+			current.destroyForcibly();
+			waitFor(current, System.nanoTime() + TimeUnit.SECONDS.toNanos(10));
+		}
+	}
+
+	/**
+	 * Freezes the process with SIGSTOP.
+	 */
+	public void freeze() {
+		signal("-STOP");
+	}
+
+	/**
+	 * Continues a frozen process with SIGCONT.
+	 */
+	public void resume() {
+		signal("-CONT");
+	}
+
+	private synchronized Process current() {
+		return this.process;
+	}
+
+	private synchronized void signal(String signal) {
+		if (!isAlive()) {
+			throw new IllegalStateException("process " + this.name + " does not run");
+		}
+		try {
+			int exitCode = new ProcessBuilder("kill", signal, Long.toString(pid())).start().waitFor();
+			if (exitCode != 0) {
+				throw new IllegalStateException("cannot send %s to process %s".formatted(signal, this.name));
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot send a signal to process " + this.name, ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("interrupted while sending a signal", ex);
+		}
+	}
+
+	private <T> T await(String awaited, long deadline, Supplier<Optional<T>> condition) {
+		while (true) {
+			boolean alive = isAlive();
+			Optional<T> result = condition.get();
+			if (result.isPresent()) {
+				return result.get();
+			}
+			if (!alive || System.nanoTime() - deadline > 0) {
+				throw new IllegalStateException("process %s %s without %s; its output is:%n%s".formatted(this.name,
+						alive ? "reached the deadline" : "ended", awaited, output()));
+			}
+			pause();
+		}
+	}
+
+	private static Optional<Integer> waitFor(Process process, long deadline) {
+		try {
+			boolean ended = process.waitFor(Math.max(0, deadline - System.nanoTime()), TimeUnit.NANOSECONDS);
+			return ended ? Optional.of(process.exitValue()) : Optional.empty();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return Optional.empty();
+		}
+	}
+
+	private static void pause() {
+		try {
+			Thread.sleep(POLL_MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("interrupted while waiting for a process", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/process/ProcessHarness.java
@@ -0,0 +1,67 @@
+package org.magnolialead.testsupport.process;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * Starts Java main classes as child processes and ends them on close.
+ */
+public final class ProcessHarness implements AutoCloseable {
+
+	private final Path logFolder;
+
+	private final List<String> javaOptions;
+
+	private final List<ManagedProcess> processes = new ArrayList<>();
+
+	/**
+	 * Creates a harness.
+	 * @param logFolder existing folder for the log files of the processes
+	 * @param javaOptions options for each Java process, such as {@code -Xmx64m}
+	 */
+	public ProcessHarness(Path logFolder, List<String> javaOptions) {
+		this.logFolder = Objects.requireNonNull(logFolder, "logFolder must not be null");
+		this.javaOptions = List.copyOf(javaOptions);
+	}
+
+	/**
+	 * Starts a main class with the class path of this process.
+	 * @param name name of the process and of its log file
+	 * @param mainClass name of the main class
+	 * @param arguments command line arguments
+	 * @return the running process
+	 */
+	public synchronized ManagedProcess start(String name, String mainClass, List<String> arguments) {
+		List<String> command = new ArrayList<>();
+		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		command.addAll(this.javaOptions);
+		command.add("-cp");
+		command.add(classPath());
+		command.add(mainClass);
+		command.addAll(arguments);
+		ManagedProcess process = new ManagedProcess(name, command, this.logFolder.resolve(name + ".log"));
+		this.processes.add(process);
+		process.start();
+		return process;
+	}
+
+	/**
+	 * Kills all processes that were started here and still run.
+	 */
+	@Override
+	public synchronized void close() {
+		this.processes.forEach(ManagedProcess::kill);
+	}
+
+	/**
+	 * Returns the class path. Surefire starts test processes with a class path of one
+	 * manifest file and states the real one in a property.
+	 * @return the class path
+	 */
+	private static String classPath() {
+		return System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Child processes for tests and the demo.
+ */
+package org.magnolialead.testsupport.process;
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/FaultProxy.java
@@ -0,0 +1,144 @@
+package org.magnolialead.testsupport.proxy;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+
+/**
+ * TCP proxy with several routes whose directions can be cut, held and delayed at run
+ * time. All state is used on one event loop thread.
+ */
+public final class FaultProxy implements AutoCloseable {
+
+	private static final int MAXIMUM_BODY_BYTES = 1 << 16;
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final EventLoop loop = this.group.next();
+
+	private final Map<String, ProxyRoute> routes = new ConcurrentHashMap<>();
+
+	/**
+	 * Adds a route that passes all bytes.
+	 * @param name name of the route
+	 * @param listen address to listen on; port 0 picks a free one
+	 * @param target address of the target
+	 * @return the listening port
+	 */
+	public int addRoute(String name, InetSocketAddress listen, InetSocketAddress target) {
+		ProxyRoute route = new ProxyRoute(this.group, listen, target);
+		if (this.routes.putIfAbsent(name, route) != null) {
+			throw new IllegalArgumentException("route \"" + name + "\" exists already");
+		}
+		route.open();
+		return route.port();
+	}
+
+	/**
+	 * Changes what happens to the bytes of one direction, on open and new connections.
+	 * @param name name of the route
+	 * @param direction the direction
+	 * @param mode the mode
+	 * @param delayMilliseconds delay in milliseconds for {@link FaultMode#DELAY}
+	 */
+	public void change(String name, Direction direction, FaultMode mode, long delayMilliseconds) {
+		ProxyRoute route = route(name);
+		onLoop(() -> route.change(direction, mode, delayMilliseconds));
+	}
+
+	/**
+	 * Changes what happens to the bytes of both directions.
+	 * @param name name of the route
+	 * @param mode the mode
+	 * @param delayMilliseconds delay in milliseconds for {@link FaultMode#DELAY}
+	 */
+	public void change(String name, FaultMode mode, long delayMilliseconds) {
+		for (Direction direction : Direction.values()) {
+			change(name, direction, mode, delayMilliseconds);
+		}
+	}
+
+	/**
+	 * Refuses new connections of a route or accepts them again.
+	 * @param name name of the route
+	 * @param refuse whether to refuse
+	 */
+	public void refuse(String name, boolean refuse) {
+		ProxyRoute route = route(name);
+		if (this.loop.inEventLoop()) {
+			route.refuse(refuse);
+			return;
+		}
+		this.loop.submit(() -> route.refuse(refuse)).syncUninterruptibly().getNow().syncUninterruptibly();
+	}
+
+	/**
+	 * Resets all open connections of a route.
+	 * @param name name of the route
+	 */
+	public void reset(String name) {
+		ProxyRoute route = route(name);
+		onLoop(route::reset);
+	}
+
+	/**
+	 * Serves control requests over HTTP.
+	 * @param listen address to listen on; port 0 picks a free one
+	 * @return the listening port
+	 */
+	public int startControl(InetSocketAddress listen) {
+		Channel channel = new ServerBootstrap().group(this.group)
+			.channel(NioServerSocketChannel.class)
+			.childHandler(new ChannelInitializer<Channel>() {
+
+				@Override
+				protected void initChannel(Channel child) {
+					child.pipeline()
+						.addLast(new HttpServerCodec(), new HttpObjectAggregator(MAXIMUM_BODY_BYTES),
+								new ProxyControlHandler(FaultProxy.this));
+				}
+
+			})
+			.bind(listen)
+			.syncUninterruptibly()
+			.channel();
+		return ((InetSocketAddress) channel.localAddress()).getPort();
+	}
+
+	/**
+	 * Closes all routes and connections.
+	 */
+	@Override
+	public void close() {
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+	}
+
+	private ProxyRoute route(String name) {
+		ProxyRoute route = this.routes.get(name);
+		if (route == null) {
+			throw new IllegalArgumentException("unknown route \"" + name + "\"");
+		}
+		return route;
+	}
+
+	private void onLoop(Runnable change) {
+		if (this.loop.inEventLoop()) {
+			change.run();
+			return;
+		}
+		this.loop.submit(change).syncUninterruptibly();
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/Flow.java
@@ -0,0 +1,123 @@
+package org.magnolialead.testsupport.proxy;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Bytes of one connection in one direction. Used on the event loop of the proxy only.
+ */
+final class Flow {
+
+	private final Channel source;
+
+	private final Channel destination;
+
+	private final Queue<Segment> delayed = new ArrayDeque<>();
+
+	private FaultMode mode = FaultMode.CONTINUE;
+
+	private long delayNanoseconds;
+
+	private long lastDue = System.nanoTime();
+
+	private boolean lostBytes;
+
+	private boolean sourceClosed;
+
+	Flow(Channel source, Channel destination) {
+		this.source = source;
+		this.destination = destination;
+	}
+
+	/**
+	 * Changes the fault of this direction.
+	 * @param newMode the mode
+	 * @param newDelayNanoseconds the delay
+	 */
+	void apply(FaultMode newMode, long newDelayNanoseconds) {
+		this.mode = newMode;
+		this.delayNanoseconds = newDelayNanoseconds;
+		if (newMode != FaultMode.CUT && this.lostBytes) {
+			this.source.close();
+			this.destination.close();
+			return;
+		}
+		this.source.config().setAutoRead(newMode != FaultMode.HOLD && this.destination.isWritable());
+		if (this.sourceClosed) {
+			closed();
+		}
+	}
+
+	void received(ByteBuf bytes) {
+		if (this.mode == FaultMode.CUT) {
+			this.lostBytes = true;
+			ReferenceCountUtil.release(bytes);
+			return;
+		}
+		if (this.delayNanoseconds == 0 && this.delayed.isEmpty()) {
+			this.destination.writeAndFlush(bytes);
+		}
+		else {
+			delay(bytes);
+		}
+	}
+
+	/**
+	 * Passes on that the source has closed. While the direction is cut the close is lost
+	 * like any other segment.
+	 */
+	void closed() {
+		this.sourceClosed = true;
+		if (this.mode == FaultMode.CUT || this.mode == FaultMode.HOLD) {
+			return;
+		}
+		if (this.delayNanoseconds == 0 && this.delayed.isEmpty()) {
+			this.destination.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+		}
+		else {
+			delay(null);
+		}
+	}
+
+	void destinationWritabilityChanged() {
+		this.source.config().setAutoRead(this.mode != FaultMode.HOLD && this.destination.isWritable());
+	}
+
+	private void delay(ByteBuf bytes) {
+		long due = System.nanoTime() + this.delayNanoseconds;
+		this.lastDue = (due - this.lastDue > 0) ? due : this.lastDue;
+		this.delayed.add(new Segment(bytes));
+		this.destination.eventLoop()
+			.schedule(this::deliverNext, this.lastDue - System.nanoTime(), TimeUnit.NANOSECONDS);
+	}
+
+	private void deliverNext() {
+		Segment segment = this.delayed.remove();
+		if (this.mode == FaultMode.CUT) {
+			this.lostBytes = true;
+			ReferenceCountUtil.release(segment.bytes());
+		}
+		else if (segment.bytes() == null) {
+			this.destination.close();
+		}
+		else {
+			this.destination.writeAndFlush(segment.bytes());
+		}
+	}
+
+	/**
+	 * Delayed bytes.
+	 *
+	 * @param bytes the bytes, or {@code null} for the end of the stream
+	 */
+	private record Segment(ByteBuf bytes) {
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * TCP proxy that injects network faults between processes.
+ */
+package org.magnolialead.testsupport.proxy;
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/DatabaseStandInMain.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/DatabaseStandInMain.java
@@ -3,6 +3,8 @@
 import java.util.Arrays;
 import java.util.List;
 
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -63,6 +65,7 @@
 	 * @param arguments command line arguments
 	 */
 	public static void main(String[] arguments) {
+		InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
 		DatabaseStandInMain main = new DatabaseStandInMain();
 		CmdLineParser parser = new CmdLineParser(main);
 		try {
@@ -74,6 +77,10 @@
 			System.err.println("database stand-in: " + ex.getMessage());
 			System.exit(2);
 		}
+		catch (Exception ex) {
+			System.err.println("database stand-in: cannot listen: " + ex.getMessage());
+			System.exit(1);
+		}
 	}
 
 	private StandInSettings settings() {
