--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -0,0 +1,165 @@
+package org.magnolialead.daemon;
+
+import java.security.SecureRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.MetricRegistry;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.message.ConsensusMessage;
+import org.magnolialead.api.message.ErrorAnswer;
+import org.magnolialead.api.message.HeartbeatRequest;
+import org.magnolialead.api.message.InitializeAnswer;
+import org.magnolialead.api.message.InitializeRequest;
+import org.magnolialead.api.message.SubmitCommandRequest;
+import org.magnolialead.api.message.ViewAnswer;
+import org.magnolialead.api.message.ViewQuery;
+import org.magnolialead.daemon.control.CommandLogSettings;
+import org.magnolialead.daemon.control.ControlController;
+import org.magnolialead.daemon.control.ControlSettings;
+import org.magnolialead.daemon.control.ControlStateMachine;
+import org.magnolialead.daemon.control.DefaultCommandLog;
+import org.magnolialead.daemon.control.WallClock;
+import org.magnolialead.daemon.log.LogEvent;
+import org.magnolialead.daemon.settings.DaemonSettings;
+import org.magnolialead.transport.http.HttpServer;
+import org.magnolialead.transport.peer.PeerClient;
+import org.magnolialead.transport.peer.PeerServer;
+
+/**
+ * Daemon in the control role.
+ */
+final class ControlDaemon implements Daemon {
+
+	private static final System.Logger LOGGER = System.getLogger(ControlDaemon.class.getName());
+
+	private static final long PEER_QUERY_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+
+	private final DaemonSettings settings;
+
+	private final MonotonicClock clock = MonotonicClock.SYSTEM;
+
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final ExecutorService executor;
+
+	private final PeerClient peerClient;
+
+	private final DefaultCommandLog log;
+
+	private final ControlController controller;
+
+	private PeerServer peerServer;
+
+	private HttpServer httpServer;
+
+	private ControlDaemon(DaemonSettings settings) {
+		this.settings = settings;
+		this.executor = Executors.newFixedThreadPool(settings.threads(), DaemonThreads.named("worker"));
+		this.peerClient = new PeerClient(this.clock);
+		ControlStateMachine machine = new ControlStateMachine();
+		CommandLogSettings defaults = CommandLogSettings.withDefaults(settings.name(), settings.peer().address(),
+				settings.dataFolder().orElseThrow(), settings.controlMembers());
+		CommandLogSettings logSettings = new CommandLogSettings(defaults.name(), defaults.peerAddress(),
+				defaults.dataFolder(), defaults.peers(), defaults.heartbeatInterval(),
+				defaults.minimumElectionTimeout(), defaults.maximumElectionTimeout(), settings.snapshotEntries());
+		this.log = new DefaultCommandLog(logSettings, machine, this.peerClient::send, this.clock, new SecureRandom());
+		this.controller = new ControlController(ControlSettings.defaults(settings.name()), this.log, machine,
+				this.clock, WallClock.SYSTEM);
+	}
+
+	static ControlDaemon start(DaemonSettings settings) {
+		ControlDaemon daemon = new ControlDaemon(settings);
+		try {
+			daemon.open();
+			return daemon;
+		}
+		catch (RuntimeException ex) {
+			daemon.close();
+			throw ex;
+		}
+	}
+
+	private void open() {
+		this.peerServer = Listeners.peer(this.settings, this::handle, this.executor);
+		this.httpServer = Listeners.http(this.settings,
+				new ControlHttpHandler(this.controller, this.log, this.metrics), this.executor);
+		this.log.start();
+		this.controller.start();
+		LogEvent.DAEMON_STARTED.log(LOGGER, this.settings.name(), this.settings.role(), this.settings.peer().address(),
+				this.settings.http().host() + ":" + this.settings.http().port());
+	}
+
+	private CompletableFuture<Object> handle(Object message) {
+		this.metrics.meter("peer." + message.getClass().getSimpleName()).mark();
+		if (message instanceof ConsensusMessage consensus) {
+			this.log.receive(consensus);
+			return null;
+		}
+		if (message instanceof HeartbeatRequest heartbeat) {
+			return this.controller.heartbeat(heartbeat).thenApply((answer) -> answer);
+		}
+		if (message instanceof SubmitCommandRequest submit) {
+			return this.controller.submit(submit).thenApply((answer) -> answer);
+		}
+		if (message instanceof ViewQuery) {
+			return CompletableFuture.completedFuture(this.controller.view());
+		}
+		if (message instanceof InitializeRequest) {
+			return initialize().thenApply((answer) -> answer);
+		}
+		return CompletableFuture.completedFuture(new ErrorAnswer(ErrorCode.BAD_REQUEST, Step.CONTROL,
+				"a control daemon does not handle " + message.getClass().getSimpleName()));
+	}
+
+	/**
+	 * Starts a new cluster unless another control daemon already belongs to one, because
+	 * two clusters would each grant leases.
+	 */
+	private CompletableFuture<InitializeAnswer> initialize() {
+		long deadline = this.clock.nanoseconds() + PEER_QUERY_NANOSECONDS;
+		CompletableFuture<InitializeAnswer> checked = CompletableFuture.completedFuture(new InitializeAnswer(true, ""));
+		for (String address : this.settings.controlMembers().values()) {
+			if (!address.equals(this.settings.peer().address())) {
+				checked = checked.thenCombine(checkPeer(address, deadline),
+						(first, second) -> first.accepted() ? second : first);
+			}
+		}
+		return checked.thenApply((answer) -> answer.accepted() ? this.log.initialize() : answer);
+	}
+
+	private CompletableFuture<InitializeAnswer> checkPeer(String address, long deadline) {
+		return this.peerClient.request(address, new ViewQuery(), deadline).handle((answer, failure) -> {
+			if (!(answer instanceof ViewAnswer view)) {
+				return new InitializeAnswer(false, "control daemon %s does not answer; start all of them first".formatted(address));
+			}
+			return view.voters().isEmpty() ? new InitializeAnswer(true, "")
+					: new InitializeAnswer(false, "control daemon %s already belongs to a cluster".formatted(address));
+		});
+	}
+
+	@Override
+	public void shutDown() {
+		LogEvent.SHUTDOWN_STARTED.log(LOGGER, 0);
+		close();
+		LogEvent.SHUTDOWN_FINISHED.log(LOGGER, 0);
+	}
+
+	private void close() {
+		this.controller.close();
+		if (this.httpServer != null) {
+			this.httpServer.close();
+		}
+		if (this.peerServer != null) {
+			this.peerServer.close();
+		}
+		this.log.close();
+		this.peerClient.close();
+		this.executor.shutdownNow();
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlHttpHandler.java
@@ -0,0 +1,77 @@
+package org.magnolialead.daemon;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import com.codahale.metrics.Meter;
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.magnolialead.daemon.control.ControlController;
+import org.magnolialead.daemon.control.DefaultCommandLog;
+import org.magnolialead.transport.http.HttpCall;
+import org.magnolialead.transport.http.HttpHandler;
+import org.magnolialead.transport.http.HttpReply;
+
+/**
+ * Health, readiness and metrics of a control daemon over HTTP.
+ */
+final class ControlHttpHandler implements HttpHandler {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private static final int OK = 200;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final ControlController controller;
+
+	private final DefaultCommandLog log;
+
+	private final MetricRegistry metrics;
+
+	ControlHttpHandler(ControlController controller, DefaultCommandLog log, MetricRegistry metrics) {
+		this.controller = controller;
+		this.log = log;
+		this.metrics = metrics;
+	}
+
+	@Override
+	public CompletableFuture<HttpReply> handle(HttpCall call) {
+		return CompletableFuture.completedFuture(switch (call.path()) {
+			case "/health" -> health();
+			case "/readiness" -> reply(this.log.leaderAddress().isPresent() ? OK : UNAVAILABLE,
+					MAPPER.createObjectNode().put("leader", this.log.leaderAddress().orElse("")));
+			case "/metrics" -> reply(OK, metrics());
+			default -> reply(NOT_FOUND, MAPPER.createObjectNode().put("message", "no such path: " + call.path()));
+		});
+	}
+
+	private HttpReply health() {
+		boolean healthy = this.log.failure().isEmpty();
+		String status = this.log.failure().map(RuntimeException::toString).orElse("healthy");
+		return reply(healthy ? OK : UNAVAILABLE, MAPPER.createObjectNode().put("status", status));
+	}
+
+	private ObjectNode metrics() {
+		ObjectNode node = MAPPER.createObjectNode()
+			.put("leader", this.controller.view().leader())
+			.put("term", this.log.term())
+			.put("commit_index", this.log.commitIndex())
+			.put("applied_index", this.log.appliedIndex());
+		for (Map.Entry<String, Meter> meter : this.metrics.getMeters().entrySet()) {
+			node.putObject(meter.getKey())
+				.put("count", meter.getValue().getCount())
+				.put("per_second", meter.getValue().getOneMinuteRate());
+		}
+		return node;
+	}
+
+	private static HttpReply reply(int status, ObjectNode body) {
+		return HttpReply.json(status, body.toString().getBytes(StandardCharsets.UTF_8));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Daemon.java
@@ -0,0 +1,28 @@
+package org.magnolialead.daemon;
+
+import org.magnolialead.daemon.settings.DaemonSettings;
+
+/**
+ * Running daemon of either role.
+ */
+interface Daemon {
+
+	/**
+	 * Finishes the requests in progress and stops.
+	 */
+	void shutDown();
+
+	/**
+	 * Starts a daemon in the role of its settings.
+	 * @param settings checked settings
+	 * @return the running daemon
+	 * @throws org.magnolialead.api.MagnolialeadException if it cannot start
+	 */
+	static Daemon start(DaemonSettings settings) {
+		return switch (settings.role()) {
+			case ENTRY -> EntryDaemon.start(settings);
+			case CONTROL -> ControlDaemon.start(settings);
+		};
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/EntryDaemon.java
@@ -0,0 +1,202 @@
+package org.magnolialead.daemon;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.message.ErrorAnswer;
+import org.magnolialead.api.message.ExecuteRequest;
+import org.magnolialead.daemon.entry.ControlLink;
+import org.magnolialead.daemon.entry.DefaultGroupDispatcher;
+import org.magnolialead.daemon.entry.EntryServices;
+import org.magnolialead.daemon.filter.CallerRouter;
+import org.magnolialead.daemon.filter.SessionTokenCodec;
+import org.magnolialead.daemon.log.LogEvent;
+import org.magnolialead.daemon.owner.OwnershipController;
+import org.magnolialead.daemon.settings.DaemonSettings;
+import org.magnolialead.transport.http.HttpServer;
+import org.magnolialead.transport.member.MemberConnector;
+import org.magnolialead.transport.peer.PeerClient;
+import org.magnolialead.transport.peer.PeerServer;
+
+/**
+ * Daemon in the entry role.
+ */
+final class EntryDaemon implements Daemon {
+
+	private static final System.Logger LOGGER = System.getLogger(EntryDaemon.class.getName());
+
+	private static final int INCARNATION_BYTES = 8;
+
+	/**
+	 * Time for which requests are still accepted after readiness was withdrawn, so that
+	 * the balancer notices.
+	 */
+	private static final long BALANCER_GRACE_MILLISECONDS = 1_000;
+
+	/**
+	 * Longest time to hand over groups and to finish requests. Longer than the life of a
+	 * transaction and the default timeout of a request, both 5 s.
+	 */
+	private static final long DRAIN_TIME_MILLISECONDS = 15_000;
+
+	private static final long POLL_MILLISECONDS = 20;
+
+	private final DaemonSettings settings;
+
+	private final MonotonicClock clock = MonotonicClock.SYSTEM;
+
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final ExecutorService executor;
+
+	private final ScheduledExecutorService timer;
+
+	private final ScheduledExecutorService controlTimer;
+
+	private final PeerClient peerClient;
+
+	private final MemberConnector connector;
+
+	private final EntryServices entry;
+
+	private final OwnershipController ownership;
+
+	private final CallerRouter router;
+
+	private PeerServer peerServer;
+
+	private HttpServer httpServer;
+
+	private EntryDaemon(DaemonSettings settings) {
+		this.settings = settings;
+		String incarnation = randomIncarnation();
+		this.executor = Executors.newFixedThreadPool(settings.threads(), DaemonThreads.named("worker"));
+		this.timer = Executors.newScheduledThreadPool(2, DaemonThreads.named("timer"));
+		// Heartbeats have a thread of their own, so that load does not delay the lease.
+		this.controlTimer = Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("control-link"));
+		this.peerClient = new PeerClient(this.clock);
+		this.connector = new MemberConnector(this.clock);
+		this.entry = new EntryServices(this.clock, this.peerClient, this.controlTimer);
+		ControlLink link = this.entry.connect(settings, incarnation);
+		this.ownership = new OwnershipController(settings.name(), incarnation, this.clock, this.executor, this.timer,
+				this.connector, this.entry.view(), this.entry.leaseGate(), link);
+		this.entry.ownership(this.ownership);
+		DefaultGroupDispatcher dispatcher = new DefaultGroupDispatcher(settings.name(), this.entry.view(),
+				this.entry.leaseGate(), this.clock, this.timer, this.peerClient, this.ownership);
+		this.router = CallerRouter.create(this.clock, this.entry.view(), this.entry.leaseGate(),
+				new SessionTokenCodec(sessionKey(settings)), dispatcher, this.entry::announce, this.metrics);
+		registerGauges();
+	}
+
+	static EntryDaemon start(DaemonSettings settings) {
+		EntryDaemon daemon = new EntryDaemon(settings);
+		try {
+			daemon.open();
+			return daemon;
+		}
+		catch (RuntimeException ex) {
+			daemon.close();
+			throw ex;
+		}
+	}
+
+	private void open() {
+		this.peerServer = Listeners.peer(this.settings, this::handle, this.executor);
+		this.httpServer = Listeners.http(this.settings, this.router, this.executor);
+		this.entry.start();
+		LogEvent.DAEMON_STARTED.log(LOGGER, this.settings.name(), this.settings.role(), this.settings.peer().address(),
+				this.settings.http().host() + ":" + this.settings.http().port());
+	}
+
+	private CompletableFuture<Object> handle(Object message) {
+		if (message instanceof ExecuteRequest request) {
+			long deadline = this.clock.nanoseconds() + TimeUnit.MILLISECONDS.toNanos(request.timeoutMilliseconds());
+			return this.ownership.execute(request, deadline).thenApply((answer) -> answer);
+		}
+		return CompletableFuture.completedFuture(new ErrorAnswer(ErrorCode.BAD_REQUEST, Step.FORWARD,
+				"an entry daemon does not handle " + message.getClass().getSimpleName()));
+	}
+
+	@Override
+	public void shutDown() {
+		LogEvent.SHUTDOWN_STARTED.log(LOGGER, this.router.requestsInProgress());
+		this.router.drain();
+		this.entry.drain();
+		this.ownership.drain();
+		long deadline = this.clock.nanoseconds() + TimeUnit.MILLISECONDS.toNanos(DRAIN_TIME_MILLISECONDS);
+		pause(BALANCER_GRACE_MILLISECONDS);
+		while (this.ownership.ownedCount() > 0 && deadline - this.clock.nanoseconds() > 0) {
+			pause(POLL_MILLISECONDS);
+		}
+		this.httpServer.stopAccepting();
+		while (this.router.requestsInProgress() > 0 && deadline - this.clock.nanoseconds() > 0) {
+			pause(POLL_MILLISECONDS);
+		}
+		this.httpServer.drained().completeOnTimeout(null, 1, TimeUnit.SECONDS).join();
+		LogEvent.SHUTDOWN_FINISHED.log(LOGGER, this.router.requestsInProgress());
+		close();
+	}
+
+	private void close() {
+		this.ownership.stop();
+		if (this.httpServer != null) {
+			this.httpServer.close();
+		}
+		if (this.peerServer != null) {
+			this.peerServer.close();
+		}
+		this.peerClient.close();
+		this.connector.close();
+		this.controlTimer.shutdownNow();
+		this.timer.shutdownNow();
+		this.executor.shutdownNow();
+	}
+
+	private void registerGauges() {
+		Gauge<Integer> owned = this.ownership::ownedCount;
+		this.metrics.registerAll("ownership", () -> java.util.Map.of("groups", owned));
+		Gauge<Long> viewVersion = () -> this.entry.view().get().version();
+		Gauge<Long> configurationVersion = () -> this.entry.view().get().configuration().version();
+		this.metrics.registerAll("view",
+				() -> java.util.Map.of("version", viewVersion, "configuration_version", configurationVersion));
+	}
+
+	private static byte[] sessionKey(DaemonSettings settings) {
+		try {
+			return Files.readAllBytes(settings.sessionKeyFile().orElseThrow());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static String randomIncarnation() {
+		byte[] bytes = new byte[INCARNATION_BYTES];
+		new SecureRandom().nextBytes(bytes);
+		return HexFormat.of().formatHex(bytes);
+	}
+
+	private static void pause(long milliseconds) {
+		try {
+			Thread.sleep(milliseconds);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
@@ -0,0 +1,105 @@
+package org.magnolialead.daemon;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.daemon.log.LogEvent;
+import org.magnolialead.daemon.settings.DaemonSettings;
+import org.magnolialead.daemon.settings.SettingsReader;
+
+/**
+ * Entry point of the {@code magnolialead} binary.
+ */
+public final class MagnolialeadMain {
+
+	private static final int EXIT_OK = 0;
+
+	private static final int EXIT_FAILED = 1;
+
+	private static final int EXIT_USAGE = 2;
+
+	@Option(name = "--settings", metaVar = "FILE", usage = "start a daemon with the settings in FILE",
+			forbids = "--check-settings")
+	private Path settings;
+
+	@Option(name = "--check-settings", metaVar = "FILE", usage = "check the settings in FILE and exit",
+			forbids = "--settings")
+	private Path checkSettings;
+
+	@Option(name = "--help", help = true, usage = "print this help")
+	private boolean help;
+
+	private MagnolialeadMain() {
+	}
+
+	/**
+	 * Starts the daemon or checks its settings.
+	 * @param arguments command line
+	 */
+	public static void main(String[] arguments) {
+		int exitCode = new MagnolialeadMain().run(arguments);
+		if (exitCode != EXIT_OK) {
+			System.exit(exitCode);
+		}
+	}
+
+	private int run(String[] arguments) {
+		CmdLineParser parser = new CmdLineParser(this);
+		try {
+			parser.parseArgument(arguments);
+		}
+		catch (CmdLineException ex) {
+			System.err.println("magnolialead: " + ex.getMessage());
+			return EXIT_USAGE;
+		}
+		if (this.help) {
+			parser.printUsage(System.out);
+			return EXIT_OK;
+		}
+		if (this.settings == null && this.checkSettings == null) {
+			System.err.println("magnolialead: either --settings FILE or --check-settings FILE is required");
+			return EXIT_USAGE;
+		}
+		return (this.checkSettings != null) ? check() : start();
+	}
+
+	private int check() {
+		try {
+			SettingsReader.read(this.checkSettings);
+			System.out.println(this.checkSettings + ": settings are valid");
+			return EXIT_OK;
+		}
+		catch (MagnolialeadException ex) {
+			System.err.println("magnolialead: " + ex.getMessage());
+			return EXIT_FAILED;
+		}
+	}
+
+	private int start() {
+		try {
+			DaemonSettings checked = SettingsReader.read(this.settings);
+			Daemon daemon = Daemon.start(checked);
+			CountDownLatch closed = new CountDownLatch(1);
+			Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+				daemon.shutDown();
+				closed.countDown();
+			}, "shutdown"));
+			closed.await();
+			return EXIT_OK;
+		}
+		catch (MagnolialeadException ex) {
+			LogEvent.DAEMON_START_FAILED.log(System.getLogger(MagnolialeadMain.class.getName()), ex.getMessage());
+			System.err.println("magnolialead: " + ex.getMessage());
+			return EXIT_FAILED;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return EXIT_FAILED;
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -0,0 +1,260 @@
+package org.magnolialead.daemon.entry;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.message.HeartbeatAnswer;
+import org.magnolialead.api.message.HeartbeatRequest;
+import org.magnolialead.api.message.OwnedGroupReport;
+import org.magnolialead.api.message.SubmitCommandAnswer;
+import org.magnolialead.api.message.SubmitCommandRequest;
+import org.magnolialead.daemon.filter.LeaseGate;
+import org.magnolialead.daemon.log.LogEvent;
+import org.magnolialead.transport.peer.PeerClient;
+
+/**
+ * Connects an entry daemon with the control leader: renews the lease, keeps the fleet
+ * view current and submits commands.
+ */
+public final class ControlLink implements CommandSubmitter {
+
+	private static final System.Logger LOGGER = System.getLogger(ControlLink.class.getName());
+
+	private static final long HEARTBEAT_INTERVAL_MILLISECONDS = 200;
+
+	/**
+	 * A heartbeat without an answer for this long is tried with the next control daemon.
+	 * Short against the lease of 2,500 ms, so that all control daemons can be tried before
+	 * it runs out.
+	 */
+	private static final long HEARTBEAT_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(350);
+
+	private static final long RETRY_DELAY_MILLISECONDS = 20;
+
+	private final Identity identity;
+
+	private final List<String> controlAddresses;
+
+	private final PeerClient client;
+
+	private final MonotonicClock clock;
+
+	private final ScheduledExecutorService scheduler;
+
+	private final LeaseGate leaseGate;
+
+	private final FleetViewHolder view;
+
+	private final Supplier<List<OwnedGroupReport>> reports;
+
+	private final AnnouncementBuffer announcements;
+
+	private final AtomicInteger addressIndex = new AtomicInteger();
+
+	private final AtomicLong beatNumber = new AtomicLong();
+
+	private volatile boolean beatInProgress;
+
+	private volatile String leaderAddress = "";
+
+	private volatile boolean draining;
+
+	private volatile boolean leaseWasHeld;
+
+	ControlLink(Identity identity, List<String> controlAddresses, PeerClient client, MonotonicClock clock,
+			ScheduledExecutorService scheduler, LeaseGate leaseGate, FleetViewHolder view,
+			Supplier<List<OwnedGroupReport>> reports, AnnouncementBuffer announcements) {
+		this.identity = identity;
+		this.controlAddresses = List.copyOf(controlAddresses);
+		this.client = client;
+		this.clock = clock;
+		this.scheduler = scheduler;
+		this.leaseGate = leaseGate;
+		this.view = view;
+		this.reports = reports;
+		this.announcements = announcements;
+	}
+
+	void start() {
+		this.scheduler.scheduleAtFixedRate(this::beatSafely, 0, HEARTBEAT_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
+	}
+
+	void drain() {
+		this.draining = true;
+		this.scheduler.execute(this::beatSafely);
+	}
+
+	void beatSoon() {
+		this.scheduler.execute(this::beatSafely);
+	}
+
+	@Override
+	public CompletableFuture<CommandResult> submit(ControlCommand command, long deadline) {
+		CompletableFuture<CommandResult> result = new CompletableFuture<>();
+		trySubmit(command, deadline, false, result);
+		return result;
+	}
+
+	private void beatSafely() {
+		try {
+			beat();
+		}
+		catch (RuntimeException ex) {
+			LogEvent.REQUEST_FAILED_UNEXPECTEDLY.log(LOGGER, Step.CONTROL, this.leaderAddress, ex);
+		}
+	}
+
+	private void beat() {
+		noteLeaseChange("");
+		if (this.beatInProgress) {
+			return;
+		}
+		this.beatInProgress = true;
+		this.beatNumber.incrementAndGet();
+		String address = currentAddress();
+		HeartbeatRequest request = new HeartbeatRequest(this.identity.daemon(), this.identity.incarnation(),
+				this.identity.peerAddress(), this.identity.availabilityZone(), this.draining, this.view.get().version(),
+				this.reports.get(), this.announcements.unknownToControl());
+		long sentAt = this.clock.nanoseconds();
+		this.client.request(address, request, sentAt + HEARTBEAT_TIMEOUT_NANOSECONDS)
+			.whenCompleteAsync((answer, failure) -> beatAnswered(address, sentAt, answer, failure), this.scheduler);
+	}
+
+	private void beatAnswered(String address, long sentAt, Object answer, Throwable failure) {
+		this.beatInProgress = false;
+		if (!(answer instanceof HeartbeatAnswer heartbeat)) {
+			leaderFailed(address);
+			retryBeat();
+			return;
+		}
+		if (heartbeat.leaseMilliseconds() == 0) {
+			followHint(address, heartbeat.leaderAddress());
+			retryBeat();
+			return;
+		}
+		this.leaderAddress = address;
+		if (heartbeat.change() != null && !applyChange(heartbeat)) {
+			return;
+		}
+		// The view goes first: under the renewed lease this daemon must not act on
+		// ownership or configuration that the leader has already changed.
+		this.leaseGate.renew(sentAt + TimeUnit.MILLISECONDS.toNanos(heartbeat.leaseMilliseconds()));
+		noteLeaseChange(address);
+	}
+
+	private boolean applyChange(HeartbeatAnswer heartbeat) {
+		FleetView before = this.view.get();
+		try {
+			this.view.apply(heartbeat.change());
+		}
+		catch (IllegalArgumentException ex) {
+			LogEvent.VIEW_REFUSED.log(LOGGER, this.leaderAddress, ex.getMessage());
+			return false;
+		}
+		long configurationVersion = this.view.get().configuration().version();
+		if (configurationVersion != before.configuration().version()) {
+			LogEvent.CONFIGURATION_IN_FORCE.log(LOGGER, configurationVersion);
+		}
+		return true;
+	}
+
+	private void noteLeaseChange(String address) {
+		boolean held = this.leaseGate.isHeld(this.clock.nanoseconds());
+		if (held && !this.leaseWasHeld) {
+			LogEvent.LEASE_OBTAINED.log(LOGGER, address, this.view.get().version());
+		}
+		if (!held && this.leaseWasHeld) {
+			LogEvent.LEASE_LOST.log(LOGGER, this.leaderAddress);
+		}
+		this.leaseWasHeld = held;
+	}
+
+	private void retryBeat() {
+		this.scheduler.schedule(this::beatSafely, RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
+	}
+
+	private void trySubmit(ControlCommand command, long deadline, boolean mayHaveRun,
+			CompletableFuture<CommandResult> result) {
+		if (deadline - this.clock.nanoseconds() <= 0) {
+			ErrorCode code = mayHaveRun ? ErrorCode.COMMAND_UNKNOWN : ErrorCode.UNREACHABLE;
+			result.completeExceptionally(new MagnolialeadException(code, Step.CONTROL, this.leaderAddress,
+					"no control leader answered before the deadline"));
+			return;
+		}
+		String address = currentAddress();
+		long attemptDeadline = earlier(deadline, this.clock.nanoseconds() + 2 * HEARTBEAT_TIMEOUT_NANOSECONDS);
+		this.client.request(address, new SubmitCommandRequest(command), attemptDeadline)
+			.whenComplete((answer, failure) -> submitAnswered(command, deadline, mayHaveRun, address, answer, failure,
+					result));
+	}
+
+	private void submitAnswered(ControlCommand command, long deadline, boolean mayHaveRun, String address,
+			Object answer, Throwable failure, CompletableFuture<CommandResult> result) {
+		boolean stillUnknown = mayHaveRun;
+		if (answer instanceof SubmitCommandAnswer submitted) {
+			if (submitted.result() != null) {
+				result.complete(submitted.result());
+				return;
+			}
+			followHint(address, submitted.leaderAddress());
+			stillUnknown |= submitted.error() == ErrorCode.COMMAND_UNKNOWN;
+		}
+		else {
+			leaderFailed(address);
+			stillUnknown |= !Failures.surelyNotRun(failure);
+		}
+		boolean unknown = stillUnknown;
+		this.scheduler.schedule(() -> trySubmit(command, deadline, unknown, result), RETRY_DELAY_MILLISECONDS,
+				TimeUnit.MILLISECONDS);
+	}
+
+	private String currentAddress() {
+		String leader = this.leaderAddress;
+		return (!leader.isEmpty()) ? leader
+				: this.controlAddresses.get(Math.floorMod(this.addressIndex.get(), this.controlAddresses.size()));
+	}
+
+	private void leaderFailed(String address) {
+		if (address.equals(this.leaderAddress)) {
+			this.leaderAddress = "";
+		}
+		this.addressIndex.incrementAndGet();
+	}
+
+	private void followHint(String address, String hint) {
+		if (hint != null && !hint.isEmpty() && !hint.equals(address)) {
+			this.leaderAddress = hint;
+		}
+		else {
+			leaderFailed(address);
+		}
+	}
+
+	private static long earlier(long first, long second) {
+		return (first - second < 0) ? first : second;
+	}
+
+	/**
+	 * Identity of an entry daemon.
+	 *
+	 * @param daemon name of the daemon
+	 * @param incarnation random identifier of this process
+	 * @param peerAddress address for the peer protocol
+	 * @param availabilityZone its availability zone
+	 */
+	record Identity(String daemon, String incarnation, String peerAddress, String availabilityZone) {
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/DefaultGroupDispatcher.java
@@ -0,0 +1,242 @@
+package org.magnolialead.daemon.entry;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.magnolialead.api.DaemonView;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Outcome;
+import org.magnolialead.api.Profile;
+import org.magnolialead.api.StatementKind;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.message.ExecuteAnswer;
+import org.magnolialead.api.message.ExecuteRequest;
+import org.magnolialead.daemon.filter.GroupDispatcher;
+import org.magnolialead.daemon.filter.LeaseGate;
+import org.magnolialead.daemon.owner.OwnershipController;
+import org.magnolialead.engine.owner.RetryBudget;
+import org.magnolialead.transport.peer.PeerClient;
+
+/**
+ * Sends a caller's request to the owner of its group. While a group has no reachable
+ * owner the request waits here until its deadline.
+ */
+public final class DefaultGroupDispatcher implements GroupDispatcher {
+
+	/**
+	 * Time beyond the deadline for which the owner's answer is awaited, as the owner says
+	 * truthfully at the deadline whether the request was run.
+	 */
+	private static final long ANSWER_GRACE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(200);
+
+	private static final long FIRST_DELAY_MILLISECONDS = 10;
+
+	private static final long LONGEST_DELAY_MILLISECONDS = 80;
+
+	private final String daemon;
+
+	private final FleetViewHolder view;
+
+	private final LeaseGate leaseGate;
+
+	private final MonotonicClock clock;
+
+	private final ScheduledExecutorService timer;
+
+	private final PeerClient client;
+
+	private final OwnershipController ownership;
+
+	private final RetryBudget retryBudget;
+
+	/**
+	 * Creates a dispatcher.
+	 * @param daemon name of this daemon
+	 * @param view fleet view
+	 * @param leaseGate lease of this daemon
+	 * @param clock clock for all deadlines
+	 * @param timer executor for delayed tasks
+	 * @param client connections to other daemons
+	 * @param ownership groups that this daemon owns
+	 */
+	public DefaultGroupDispatcher(String daemon, FleetViewHolder view, LeaseGate leaseGate, MonotonicClock clock,
+			ScheduledExecutorService timer, PeerClient client, OwnershipController ownership) {
+		this.daemon = daemon;
+		this.view = view;
+		this.leaseGate = leaseGate;
+		this.clock = clock;
+		this.timer = timer;
+		this.client = client;
+		this.ownership = ownership;
+		this.retryBudget = new RetryBudget(clock.nanoseconds());
+	}
+
+	@Override
+	public CompletableFuture<ExecuteAnswer> dispatch(ExecuteRequest request, long deadline) {
+		this.retryBudget.requestStarted(this.clock.nanoseconds());
+		Dispatch dispatch = new Dispatch(request, deadline);
+		attempt(dispatch);
+		return dispatch.result;
+	}
+
+	private void attempt(Dispatch dispatch) {
+		GroupView group = this.view.get().groups().get(dispatch.request.group());
+		if (group == null) {
+			dispatch.fail(new MagnolialeadException(ErrorCode.UNKNOWN_GROUP, Step.FORWARD, "",
+					"database group \"%s\" does not exist".formatted(dispatch.request.group())));
+			return;
+		}
+		if (dispatch.deadline - this.clock.nanoseconds() <= 0) {
+			dispatch.fail(new MagnolialeadException(ErrorCode.DEADLINE_EXCEEDED, Step.FORWARD, group.owner(),
+					"the deadline passed before the owner of the group could be reached"));
+			return;
+		}
+		if (group.owner().equals(this.daemon)) {
+			this.ownership.execute(dispatch.request, dispatch.deadline)
+				.whenComplete((answer, failure) -> answered(dispatch, group, answer, failure));
+			return;
+		}
+		DaemonView owner = this.view.get().daemons().get(group.owner());
+		if (owner == null) {
+			attemptLater(dispatch);
+			return;
+		}
+		forward(dispatch, group, owner);
+	}
+
+	private void forward(Dispatch dispatch, GroupView group, DaemonView owner) {
+		long remaining = TimeUnit.NANOSECONDS.toMillis(dispatch.deadline - this.clock.nanoseconds());
+		this.client
+			.request(owner.peerAddress(), withTimeout(dispatch.request, Math.max(1, remaining)),
+					dispatch.deadline + ANSWER_GRACE_NANOSECONDS)
+			.whenComplete((answer, failure) -> answered(dispatch, group,
+					(answer instanceof ExecuteAnswer executed) ? executed : null, failure));
+	}
+
+	private void answered(Dispatch dispatch, GroupView group, ExecuteAnswer answer, Throwable failure) {
+		if (answer == null) {
+			notAnswered(dispatch, Failures.describe((failure != null) ? failure
+					: new MagnolialeadException(ErrorCode.NO_ANSWER, Step.FORWARD, group.owner(), "unexpected answer"),
+					Step.FORWARD, group.owner()));
+		}
+		else if (answer.error() == ErrorCode.NOT_OWNER) {
+			attemptLater(dispatch);
+		}
+		else {
+			dispatch.complete(checked(dispatch.request, answer));
+		}
+	}
+
+	private void notAnswered(Dispatch dispatch, MagnolialeadException failure) {
+		if (failure.code().outcome() == Outcome.NOT_RUN) {
+			attemptLater(dispatch);
+			return;
+		}
+		dispatch.mayHaveRun = true;
+		boolean again = mayBeSentAgain(dispatch.request) && dispatch.deadline - this.clock.nanoseconds() > 0
+				&& this.retryBudget.tryRetry(this.clock.nanoseconds());
+		if (again) {
+			attemptLater(dispatch);
+		}
+		else {
+			dispatch.fail(failure);
+		}
+	}
+
+	/**
+	 * A write is acknowledged only while this daemon holds its lease and knows of no
+	 * later primary.
+	 */
+	private ExecuteAnswer checked(ExecuteRequest request, ExecuteAnswer answer) {
+		boolean acknowledges = request.kind().changesData() && answer.outcome() == Outcome.DONE && !answer.repeated();
+		if (!acknowledges) {
+			return answer;
+		}
+		if (!this.leaseGate.isHeld(this.clock.nanoseconds())) {
+			return ExecuteAnswer.failed(new MagnolialeadException(ErrorCode.LEASE_LOST, Step.FORWARD, this.daemon,
+					"the lease ended before the write was acknowledged"));
+		}
+		GroupView group = this.view.get().groups().get(request.group());
+		if (group != null && group.term() > answer.term()) {
+			return ExecuteAnswer.failed(new MagnolialeadException(ErrorCode.PRIMARY_REPLACED, Step.FORWARD,
+					answer.member(), "the primary of term %d was replaced by term %d before the write was acknowledged"
+						.formatted(answer.term(), group.term())));
+		}
+		return answer;
+	}
+
+	/**
+	 * Reads and repeatable writes may run twice. A non-repeatable write may be sent to the
+	 * owner again, because its idempotency key is recorded before it runs.
+	 */
+	private boolean mayBeSentAgain(ExecuteRequest request) {
+		if (request.kind() == StatementKind.READ) {
+			return true;
+		}
+		FleetView present = this.view.get();
+		Profile profile = present.configuration().profiles().get(request.profile());
+		boolean keyed = !request.idempotencyKey().isEmpty();
+		return request.kind() == StatementKind.WRITE && profile != null && (profile.repeatable() || keyed);
+	}
+
+	private void attemptLater(Dispatch dispatch) {
+		long delay = Math.min(LONGEST_DELAY_MILLISECONDS, FIRST_DELAY_MILLISECONDS << Math.min(3, dispatch.delays++));
+		long remaining = TimeUnit.NANOSECONDS.toMillis(dispatch.deadline - this.clock.nanoseconds());
+		this.timer.schedule(() -> attempt(dispatch), Math.max(1, Math.min(delay, remaining)), TimeUnit.MILLISECONDS);
+	}
+
+	private static ExecuteRequest withTimeout(ExecuteRequest request, long timeoutMilliseconds) {
+		return new ExecuteRequest(request.group(), request.kind(), request.statement(), request.profile(),
+				request.session(), request.sessionPosition(), request.idempotencyKey(), request.transaction(),
+				timeoutMilliseconds, request.configurationVersion());
+	}
+
+	/**
+	 * Request on its way to the owner. One step holds it at a time.
+	 */
+	private static final class Dispatch {
+
+		private final ExecuteRequest request;
+
+		private final long deadline;
+
+		private final CompletableFuture<ExecuteAnswer> result = new CompletableFuture<>();
+
+		private volatile boolean mayHaveRun;
+
+		private volatile int delays;
+
+		Dispatch(ExecuteRequest request, long deadline) {
+			this.request = request;
+			this.deadline = deadline;
+		}
+
+		/**
+		 * Passes on an answer. "Not run" is true only of the last attempt, so it becomes
+		 * unknown if an earlier attempt may have been executed.
+		 */
+		void complete(ExecuteAnswer answer) {
+			if (this.mayHaveRun && answer.outcome() == Outcome.NOT_RUN && this.request.kind().changesData()) {
+				fail(new MagnolialeadException(answer.error(), answer.step(), answer.peer(), answer.message()));
+				return;
+			}
+			this.result.complete(answer);
+		}
+
+		void fail(MagnolialeadException failure) {
+			MagnolialeadException truthful = failure;
+			if (this.mayHaveRun && failure.code().outcome() == Outcome.NOT_RUN) {
+				truthful = new MagnolialeadException(ErrorCode.NO_ANSWER, failure.step(), failure.peer(),
+						failure.getMessage() + "; an earlier attempt may have been executed", failure);
+			}
+			this.result.complete(ExecuteAnswer.failed(truthful));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/log/LogEvent.java
@@ -0,0 +1,104 @@
+package org.magnolialead.daemon.log;
+
+import java.lang.System.Logger.Level;
+
+/**
+ * Events that the daemons log. Numbers are stable; docs/log-events.md describes each.
+ */
+public enum LogEvent {
+
+	/** The daemon has started. */
+	DAEMON_STARTED(1001, Level.INFO, "daemon started: name=%s role=%s peer=%s http=%s"),
+	/** The daemon could not start. */
+	DAEMON_START_FAILED(1002, Level.ERROR, "daemon cannot start: %s"),
+	/** Graceful shutdown has begun. */
+	SHUTDOWN_STARTED(1003, Level.INFO, "graceful shutdown started: requests_in_progress=%s"),
+	/** Graceful shutdown has ended. */
+	SHUTDOWN_FINISHED(1004, Level.INFO, "graceful shutdown finished: requests_cut=%s"),
+	/** A request failed for an unexpected reason. */
+	REQUEST_FAILED_UNEXPECTEDLY(1101, Level.ERROR, "request failed unexpectedly: step=%s peer=%s cause=%s"),
+	/** The daemon obtained a lease. */
+	LEASE_OBTAINED(2001, Level.INFO, "lease obtained: leader=%s view_version=%s"),
+	/** The daemon's lease ran out. */
+	LEASE_LOST(2002, Level.WARNING, "lease lost: last_leader=%s"),
+	/** A fleet view was refused. */
+	VIEW_REFUSED(2003, Level.ERROR, "fleet view change refused: from=%s cause=%s"),
+	/** A configuration came into force on this daemon. */
+	CONFIGURATION_IN_FORCE(2004, Level.INFO, "configuration in force: version=%s"),
+	/** The daemon became owner of a group. */
+	OWNERSHIP_STARTED(3001, Level.INFO, "ownership started: group=%s epoch=%s"),
+	/** The daemon gave up or lost a group. */
+	OWNERSHIP_ENDED(3002, Level.INFO, "ownership ended: group=%s epoch=%s reason=%s"),
+	/** The owner serves writes on a primary. */
+	PRIMARY_CONFIRMED(3101, Level.INFO, "primary confirmed: group=%s primary=%s term=%s"),
+	/** The owner stopped acknowledging writes of a term. */
+	TERM_SEALED(3102, Level.WARNING, "term sealed: group=%s term=%s"),
+	/** The owner ordered a promotion. */
+	PROMOTION_ORDERED(3103, Level.WARNING, "promotion ordered: group=%s candidate=%s term=%s"),
+	/** A promotion did not succeed. */
+	PROMOTION_FAILED(3104, Level.WARNING, "promotion failed: group=%s candidate=%s term=%s cause=%s"),
+	/** A member stopped answering. */
+	MEMBER_UNREACHABLE(3201, Level.WARNING, "database member unreachable: group=%s member=%s cause=%s"),
+	/** A member answers again. */
+	MEMBER_REACHABLE(3202, Level.INFO, "database member reachable: group=%s member=%s role=%s term=%s"),
+	/** An answer of a member was refused. */
+	MEMBER_ANSWER_REFUSED(3203, Level.WARNING, "answer of database member refused: group=%s member=%s cause=%s"),
+	/** This control daemon became leader. */
+	CONTROL_LEADER(4001, Level.INFO, "control leadership started: term=%s"),
+	/** This control daemon stopped being leader. */
+	CONTROL_FOLLOWER(4002, Level.INFO, "control leadership ended: term=%s"),
+	/** A configuration change was accepted. */
+	CONFIGURATION_ACCEPTED(4003, Level.INFO, "configuration change accepted: request=%s version=%s"),
+	/** A control command that was due failed. */
+	CONTROL_COMMAND_FAILED(4004, Level.WARNING, "control command failed: command=%s cause=%s"),
+	/** An invariant does not hold. */
+	INVARIANT_VIOLATED(9001, Level.ERROR, "invariant violated: %s");
+
+	private final int number;
+
+	private final Level level;
+
+	private final String format;
+
+	LogEvent(int number, Level level, String format) {
+		this.number = number;
+		this.level = level;
+		this.format = format;
+	}
+
+	/**
+	 * Returns the stable number of this event.
+	 * @return the number
+	 */
+	public int number() {
+		return this.number;
+	}
+
+	/**
+	 * Returns the severity of this event.
+	 * @return the level
+	 */
+	public Level level() {
+		return this.level;
+	}
+
+	/**
+	 * Returns the format of the message.
+	 * @return the format
+	 */
+	public String format() {
+		return this.format;
+	}
+
+	/**
+	 * Logs this event.
+	 * @param logger logger of the reporting class
+	 * @param arguments values of the format in order
+	 */
+	public void log(System.Logger logger, Object... arguments) {
+		if (logger.isLoggable(this.level)) {
+			logger.log(this.level, "ML-" + this.number + " " + this.format.formatted(arguments));
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Numbered log events of the daemons.
+ */
+package org.magnolialead.daemon.log;
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupOwnerController.java
@@ -0,0 +1,297 @@
+package org.magnolialead.daemon.owner;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.MemberStatus;
+import org.magnolialead.api.Profile;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.message.ExecuteAnswer;
+import org.magnolialead.api.message.ExecuteRequest;
+import org.magnolialead.api.message.OwnedGroupReport;
+import org.magnolialead.daemon.entry.Failures;
+import org.magnolialead.daemon.log.LogEvent;
+import org.magnolialead.engine.owner.FailoverAction;
+import org.magnolialead.engine.owner.FailoverDecision;
+import org.magnolialead.engine.owner.FailoverEvent;
+import org.magnolialead.transport.member.MemberReply;
+
+/**
+ * Owner of one database group for one owner epoch. Drives the failover decision and the
+ * statements of the group.
+ */
+final class GroupOwnerController implements MemberPoller.Listener {
+
+	private static final System.Logger LOGGER = System.getLogger(GroupOwnerController.class.getName());
+
+	private static final long TICK_MILLISECONDS = 20;
+
+	private static final long ORDER_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	private static final long COMMAND_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+	private final GroupContext context;
+
+	private final GroupMembers members;
+
+	private final StatementRunner runner;
+
+	private final long startedAt;
+
+	private ScheduledFuture<?> ticks;
+
+	private Optional<FailoverDecision.Primary> lastPrimary = Optional.empty();
+
+	private volatile boolean draining;
+
+	private volatile boolean released;
+
+	private volatile int reachableMembers;
+
+	GroupOwnerController(OwnerServices services, FleetView fleetView, GroupView view) {
+		this.context = new GroupContext(services, fleetView, view);
+		this.members = new GroupMembers(services, this.context.serial(), this);
+		this.runner = new StatementRunner(this.context, this.members);
+		this.startedAt = services.now();
+		this.reachableMembers = view.members().size();
+	}
+
+	long ownerEpoch() {
+		return this.context.ownerEpoch();
+	}
+
+	void start() {
+		LogEvent.OWNERSHIP_STARTED.log(LOGGER, this.context.group(), this.context.ownerEpoch());
+		this.context.serial().execute(() -> this.members.update(this.context.view()));
+		this.ticks = this.context.services()
+			.timer()
+			.scheduleAtFixedRate(() -> this.context.serial().execute(this::tick), TICK_MILLISECONDS, TICK_MILLISECONDS,
+					TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Executes a request of a caller.
+	 */
+	CompletableFuture<ExecuteAnswer> execute(ExecuteRequest request, long deadline) {
+		CompletableFuture<ExecuteAnswer> answer = new CompletableFuture<>();
+		this.context.serial().execute(() -> accept(request, deadline, answer));
+		return answer;
+	}
+
+	void viewChanged(FleetView fleetView, GroupView view) {
+		this.context.serial().execute(() -> {
+			if (view.version() < this.context.view().version()) {
+				return;
+			}
+			this.context.viewChanged(fleetView, view).forEach(this.runner::confirmationEnded);
+			this.members.update(this.context.view());
+			decide(List.of(new FailoverEvent.GroupChanged(this.context.view())));
+		});
+	}
+
+	/**
+	 * Finishes what is in progress and accepts nothing new, so that the group can move.
+	 */
+	void drain() {
+		if (!this.draining) {
+			this.draining = true;
+			this.context.serial().execute(this.runner::handBackWaiting);
+		}
+	}
+
+	/**
+	 * Ends the ownership at once. After this call returns nothing is acknowledged.
+	 */
+	void stop(String reason) {
+		if (this.context.isStopped()) {
+			return;
+		}
+		this.context.stop();
+		LogEvent.OWNERSHIP_ENDED.log(LOGGER, this.context.group(), this.context.ownerEpoch(), reason);
+		this.ticks.cancel(false);
+		this.context.serial().execute(() -> {
+			this.runner.stop();
+			this.members.close();
+		});
+	}
+
+	OwnedGroupReport report() {
+		return new OwnedGroupReport(this.context.group(), this.context.ownerEpoch(), this.released,
+				this.reachableMembers);
+	}
+
+	@Override
+	public void statusAnswered(MemberDescription member, MemberStatus status, long sentAt, boolean returned) {
+		if (returned) {
+			LogEvent.MEMBER_REACHABLE.log(LOGGER, this.context.group(), member.member(), status.role(), status.term());
+		}
+		long now = this.context.now();
+		this.context.positions().statusAnswered(status, sentAt, now, this.context.view());
+		this.context.confirmations()
+			.memberAt(member.member(), status.position())
+			.forEach(this.runner::confirmationEnded);
+		decide(List.of(new FailoverEvent.StatusAnswered(status, sentAt, now)));
+		setSessionFloor(status, sentAt);
+		this.reachableMembers = this.members.reachable();
+		this.runner.pump();
+	}
+
+	@Override
+	public void statusFailed(MemberDescription member, Throwable failure) {
+		LogEvent.MEMBER_UNREACHABLE.log(LOGGER, this.context.group(), member.member(),
+				Failures.unwrap(failure).getMessage());
+		this.reachableMembers = this.members.reachable();
+	}
+
+	private void accept(ExecuteRequest request, long deadline, CompletableFuture<ExecuteAnswer> answer) {
+		boolean continuesTransaction = !request.transaction().isEmpty();
+		if (this.context.isStopped() || this.released || (this.draining && !continuesTransaction)) {
+			answer.complete(ExecuteAnswer.failed(new MagnolialeadException(ErrorCode.NOT_OWNER, Step.FORWARD, "",
+					"the group moves to another owner")));
+			return;
+		}
+		Profile profile = this.context.configuration().profiles().get(request.profile());
+		if (profile == null) {
+			answer.complete(ExecuteAnswer.failed(new MagnolialeadException(ErrorCode.UNKNOWN_PROFILE, Step.PROFILE, "",
+					"profile \"%s\" does not exist".formatted(request.profile()))));
+			return;
+		}
+		PendingRequest pending = new PendingRequest(request, profile, deadline);
+		pending.answer().thenAccept(answer::complete);
+		this.runner.submit(pending);
+	}
+
+	private void tick() {
+		if (this.context.isStopped()) {
+			return;
+		}
+		decide(List.of());
+		this.runner.pump();
+		if (this.draining && this.runner.inProgress() == 0) {
+			this.released = true;
+		}
+	}
+
+	/**
+	 * The floor counts for every session that this owner does not know. Only a status
+	 * that was asked for after the ownership began includes all writes acknowledged by
+	 * earlier owners.
+	 */
+	private void setSessionFloor(MemberStatus status, long sentAt) {
+		boolean fromPrimary = this.context.servingPrimary(this.context.now())
+			.filter((primary) -> primary.member().equals(status.member()) && primary.term() == status.term())
+			.isPresent();
+		if (fromPrimary && !this.context.sessions().floorKnown() && sentAt - this.startedAt > 0) {
+			this.context.sessions().raiseFloor(status.position());
+		}
+	}
+
+	private void decide(List<FailoverEvent> events) {
+		FailoverDecision.Transition transition = this.context.failover().next(events, this.context.now());
+		this.context.failover(transition.decision());
+		for (FailoverAction action : transition.actions()) {
+			perform(action);
+		}
+		notePrimary();
+	}
+
+	private void notePrimary() {
+		Optional<FailoverDecision.Primary> primary = this.context.failover().primary();
+		if (primary.equals(this.lastPrimary)) {
+			return;
+		}
+		this.lastPrimary = primary;
+		primary.ifPresent((present) -> {
+			this.context.primaryConfirmed(present.term(), present.member());
+			LogEvent.PRIMARY_CONFIRMED.log(LOGGER, this.context.group(), present.member(), present.term());
+		});
+	}
+
+	private void perform(FailoverAction action) {
+		if (action instanceof FailoverAction.Seal seal) {
+			LogEvent.TERM_SEALED.log(LOGGER, this.context.group(), seal.term());
+			this.runner.sealed(seal.term());
+			return;
+		}
+		if (!this.context.mayAct()) {
+			return;
+		}
+		if (action instanceof FailoverAction.Reserve reserve) {
+			reserve(reserve);
+		}
+		else if (action instanceof FailoverAction.Promote promote) {
+			promote(promote);
+		}
+		else if (action instanceof FailoverAction.Follow follow) {
+			order(follow.member(), "/follow", MemberCalls.followBody(follow.term(), follow.primaryAddress()));
+		}
+		else if (action instanceof FailoverAction.Confirm confirm) {
+			confirm(confirm);
+		}
+	}
+
+	private void reserve(FailoverAction.Reserve reserve) {
+		ControlCommand command = new ControlCommand.ReservePromotion(this.context.group(), this.context.ownerEpoch(),
+				reserve.expectedReservedTerm(), reserve.newTerm(), reserve.candidate());
+		submit(command, (accepted) -> new FailoverEvent.ReserveAnswered(reserve.newTerm(), accepted));
+	}
+
+	private void confirm(FailoverAction.Confirm confirm) {
+		ControlCommand command = new ControlCommand.ConfirmPrimary(this.context.group(), this.context.ownerEpoch(),
+				confirm.term(), confirm.primary());
+		submit(command, (accepted) -> new FailoverEvent.ConfirmAnswered(confirm.term(), accepted));
+	}
+
+	private void submit(ControlCommand command, AnswerEvent event) {
+		long deadline = this.context.now() + COMMAND_TIMEOUT_NANOSECONDS;
+		this.context.services().control().submit(command, deadline).whenCompleteAsync((result, failure) -> {
+			boolean accepted = failure == null && result.isAccepted();
+			decide(List.of(event.of(accepted)));
+			this.runner.pump();
+		}, this.context.serial());
+	}
+
+	private void promote(FailoverAction.Promote promote) {
+		LogEvent.PROMOTION_ORDERED.log(LOGGER, this.context.group(), promote.member(), promote.term());
+		order(promote.member(), "/promote", MemberCalls.termBody(promote.term()))
+			.whenCompleteAsync((reply, failure) -> promoted(promote, reply, failure), this.context.serial());
+	}
+
+	private void promoted(FailoverAction.Promote promote, MemberReply reply, Throwable failure) {
+		boolean accepted = failure == null && MemberCalls.isSuccess(reply);
+		if (!accepted) {
+			String cause = (failure != null) ? Failures.unwrap(failure).getMessage() : MemberCalls.message(reply);
+			LogEvent.PROMOTION_FAILED.log(LOGGER, this.context.group(), promote.member(), promote.term(), cause);
+		}
+		decide(List.of(new FailoverEvent.PromoteAnswered(promote.member(), promote.term(), accepted)));
+	}
+
+	private CompletableFuture<MemberReply> order(String member, String path, byte[] body) {
+		MemberPoller poller = this.members.poller(member);
+		if (poller == null) {
+			return CompletableFuture.failedFuture(new MagnolialeadException(ErrorCode.UNREACHABLE, Step.PROMOTE, member,
+					"the member is gone"));
+		}
+		return poller.order(path, body, this.context.now() + ORDER_TIMEOUT_NANOSECONDS);
+	}
+
+	/**
+	 * Turns the result of a command into an event.
+	 */
+	private interface AnswerEvent {
+
+		FailoverEvent of(boolean accepted);
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberCalls.java
@@ -0,0 +1,86 @@
+package org.magnolialead.daemon.owner;
+
+import java.nio.charset.StandardCharsets;
+
+import org.magnolialead.api.message.ExecuteRequest;
+import org.magnolialead.transport.member.MemberCall;
+import org.magnolialead.transport.member.MemberReply;
+
+/**
+ * Builds calls to database members and reads their HTTP status.
+ */
+final class MemberCalls {
+
+	private static final int FIRST_SUCCESS = 200;
+
+	private static final int FIRST_BEYOND_SUCCESS = 300;
+
+	private static final int CONFLICT = 409;
+
+	private static final int UNPROCESSABLE = 422;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int MAXIMUM_MESSAGE_CHARACTERS = 300;
+
+	private MemberCalls() {
+	}
+
+	static MemberCall of(ExecuteRequest request) {
+		return switch (request.kind()) {
+			case READ -> execute("read", request);
+			case WRITE -> execute("write", request);
+			case TRANSACTION_STATEMENT -> execute("transaction", request);
+			case BEGIN -> order("/transactions/begin");
+			case COMMIT -> order("/transactions/commit");
+			case ROLLBACK -> order("/transactions/rollback");
+		};
+	}
+
+	static boolean isSuccess(MemberReply reply) {
+		return reply.status() >= FIRST_SUCCESS && reply.status() < FIRST_BEYOND_SUCCESS;
+	}
+
+	/**
+	 * Tells whether the member refused because it is not the primary.
+	 */
+	static boolean isNotPrimary(MemberReply reply) {
+		return reply.status() == CONFLICT;
+	}
+
+	/**
+	 * Tells whether the member refused the statement before it executed anything.
+	 */
+	static boolean isRejectedStatement(MemberReply reply) {
+		return reply.status() == UNPROCESSABLE || reply.status() == BAD_REQUEST;
+	}
+
+	static String message(MemberReply reply) {
+		String body = new String(reply.body(), StandardCharsets.UTF_8);
+		return "the member answered with HTTP status %d: %s".formatted(reply.status(),
+				body.substring(0, Math.min(body.length(), MAXIMUM_MESSAGE_CHARACTERS)));
+	}
+
+	static byte[] termBody(long term) {
+		return "{\"term\":%d}".formatted(term).getBytes(StandardCharsets.UTF_8);
+	}
+
+	static byte[] followBody(long term, String primaryAddress) {
+		return "{\"term\":%d,\"primary\":\"%s\"}".formatted(term, primaryAddress).getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static MemberCall execute(String kind, ExecuteRequest request) {
+		byte[] prefix = "{\"kind\":\"%s\",\"statement\":".formatted(kind).getBytes(StandardCharsets.UTF_8);
+		byte[] statement = request.statement();
+		byte[] body = new byte[prefix.length + statement.length + 1];
+		System.arraycopy(prefix, 0, body, 0, prefix.length);
+		System.arraycopy(statement, 0, body, prefix.length, statement.length);
+		body[body.length - 1] = '}';
+		return new MemberCall("POST", "/execute", body);
+	}
+
+	private static MemberCall order(String path) {
+		return new MemberCall("POST", path, "{}".getBytes(StandardCharsets.UTF_8));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberPoller.java
@@ -0,0 +1,205 @@
+package org.magnolialead.daemon.owner;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.MemberStatus;
+import org.magnolialead.transport.member.MemberCall;
+import org.magnolialead.transport.member.MemberConnection;
+import org.magnolialead.transport.member.MemberReply;
+
+/**
+ * Asks one database member for its status over a connection of its own. Each request
+ * waits at the member until its log has grown, so that the owner learns at once when a
+ * replica holds a write. Confined to the serial executor of the group.
+ */
+final class MemberPoller {
+
+	private static final ObjectReader STATUS_READER = new ObjectMapper().readerFor(MemberStatus.class);
+
+	private static final int HTTP_OK = 200;
+
+	/**
+	 * Longest wait of a status request at the member.
+	 */
+	private static final long WAIT_MILLISECONDS = 100;
+
+	/**
+	 * Time beyond the wait after which a status request has failed. Well below the
+	 * suspicion limit of 1,000 ms, so that one lost answer does not cause a failover.
+	 */
+	private static final long ANSWER_TIME_MILLISECONDS = 300;
+
+	private static final long RETRY_DELAY_MILLISECONDS = 50;
+
+	/**
+	 * Pause between two status requests; bounds their rate while writes arrive without a
+	 * break.
+	 */
+	private static final long PAUSE_MICROSECONDS = 500;
+
+	private final OwnerServices services;
+
+	private final Executor serial;
+
+	private final MemberDescription member;
+
+	private final Listener listener;
+
+	private MemberConnection connection;
+
+	private LogPosition known = LogPosition.NONE;
+
+	private boolean reachable;
+
+	private boolean closed;
+
+	MemberPoller(OwnerServices services, Executor serial, MemberDescription member, Listener listener) {
+		this.services = services;
+		this.serial = serial;
+		this.member = member;
+		this.listener = listener;
+	}
+
+	MemberDescription member() {
+		return this.member;
+	}
+
+	boolean isReachable() {
+		return this.reachable;
+	}
+
+	void start() {
+		poll();
+	}
+
+	void close() {
+		this.closed = true;
+		closeConnection();
+	}
+
+	private void poll() {
+		if (this.closed) {
+			return;
+		}
+		long deadline = this.services.now()
+				+ TimeUnit.MILLISECONDS.toNanos(WAIT_MILLISECONDS + ANSWER_TIME_MILLISECONDS);
+		if (this.connection != null && this.connection.isOpen()) {
+			askStatus(deadline);
+			return;
+		}
+		this.services.connector()
+			.connect(this.member.address(), deadline)
+			.whenCompleteAsync((opened, failure) -> connected(opened, failure, deadline), this.serial);
+	}
+
+	private void connected(MemberConnection opened, Throwable failure, long deadline) {
+		if (failure != null) {
+			failed(failure);
+			return;
+		}
+		if (this.closed) {
+			opened.close();
+			return;
+		}
+		this.connection = opened;
+		askStatus(deadline);
+	}
+
+	private void askStatus(long deadline) {
+		long sentAt = this.services.now();
+		// A member that is not known to answer is asked without a wait, so that its
+		// return and its role are known as soon as possible.
+		long wait = this.reachable ? WAIT_MILLISECONDS : 0;
+		String path = "/status?least_term=%d&least_index=%d&wait_milliseconds=%d".formatted(this.known.term(),
+				this.known.index() + 1, wait);
+		this.connection.exchange(new MemberCall("GET", path, new byte[0]), deadline)
+			.whenCompleteAsync((reply, failure) -> answered(reply, failure, sentAt), this.serial);
+	}
+
+	private void answered(MemberReply reply, Throwable failure, long sentAt) {
+		if (this.closed) {
+			return;
+		}
+		if (failure != null) {
+			failed(failure);
+			return;
+		}
+		MemberStatus status;
+		try {
+			status = read(reply);
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			failed(ex);
+			return;
+		}
+		this.known = status.position();
+		boolean returned = !this.reachable;
+		this.reachable = true;
+		this.listener.statusAnswered(this.member, status, sentAt, returned);
+		pollAfter(PAUSE_MICROSECONDS, TimeUnit.MICROSECONDS);
+	}
+
+	private MemberStatus read(MemberReply reply) throws IOException {
+		if (reply.status() != HTTP_OK) {
+			throw new IOException("status request was answered with HTTP status " + reply.status());
+		}
+		MemberStatus status = STATUS_READER.readValue(reply.body());
+		boolean sameMember = status.group().equals(this.member.group()) && status.member().equals(this.member.member());
+		if (!sameMember) {
+			throw new IOException("member %s/%s answered at %s".formatted(status.group(), status.member(),
+					this.member.address()));
+		}
+		return status;
+	}
+
+	private void failed(Throwable failure) {
+		closeConnection();
+		if (this.reachable) {
+			this.reachable = false;
+			this.listener.statusFailed(this.member, failure);
+		}
+		pollAfter(RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
+	}
+
+	private void pollAfter(long delay, TimeUnit unit) {
+		if (!this.closed) {
+			this.services.timer().schedule(() -> this.serial.execute(this::poll), delay, unit);
+		}
+	}
+
+	private void closeConnection() {
+		if (this.connection != null) {
+			this.connection.close();
+			this.connection = null;
+		}
+	}
+
+	/**
+	 * Sends one order to the member over a new connection.
+	 */
+	CompletableFuture<MemberReply> order(String path, byte[] body, long deadline) {
+		return this.services.connector()
+			.connect(this.member.address(), deadline)
+			.thenCompose((opened) -> opened.exchange(new MemberCall("POST", path, body), deadline)
+				.whenComplete((reply, failure) -> opened.close()));
+	}
+
+	/**
+	 * Receives the results of status requests.
+	 */
+	interface Listener {
+
+		void statusAnswered(MemberDescription member, MemberStatus status, long sentAt, boolean returned);
+
+		void statusFailed(MemberDescription member, Throwable failure);
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OnceRequests.java
@@ -0,0 +1,324 @@
+package org.magnolialead.daemon.owner;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.message.ExecuteAnswer;
+import org.magnolialead.daemon.entry.Failures;
+import org.magnolialead.engine.owner.OnceDecision;
+import org.magnolialead.engine.owner.OnceDecision.LocalRecord;
+import org.magnolialead.engine.owner.OnceDecision.LocalState;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Requests that run at most once. The intent is committed to the control log before a
+ * statement leaves, and the result after it. Confined to the serial executor of the group.
+ */
+final class OnceRequests {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+
+	/**
+	 * Largest answer kept in the control log, in bytes.
+	 */
+	private static final int MAXIMUM_KEPT_ANSWER_BYTES = 1024;
+
+	/**
+	 * Time for which the control log remembers a key. A resend later than this runs
+	 * again, so it exceeds any retry of a caller by far.
+	 */
+	private static final long REMEMBER_MILLISECONDS = TimeUnit.DAYS.toMillis(7);
+
+	/**
+	 * Time for which the end of a request is submitted again while control does not
+	 * answer.
+	 */
+	private static final long FINISH_TIME_NANOSECONDS = TimeUnit.SECONDS.toNanos(60);
+
+	private final GroupContext context;
+
+	private final Consumer<PendingRequest> runner;
+
+	private final Map<String, Entry> entries = new HashMap<>();
+
+	private int unrecorded;
+
+	OnceRequests(GroupContext context, Consumer<PendingRequest> runner) {
+		this.context = context;
+		this.runner = runner;
+	}
+
+	/**
+	 * Decides on a request that has arrived.
+	 */
+	void arrived(PendingRequest request) {
+		String key = request.request().idempotencyKey();
+		String digest = digest(request);
+		Entry entry = this.entries.get(key);
+		if (entry != null && entry.answer != null && entry.digest.equals(digest)) {
+			request.complete(entry.answer.asRepeated());
+			return;
+		}
+		LocalRecord local = (entry != null) ? entry.record() : LocalRecord.ABSENT;
+		OnceDecision decision = OnceDecision.onArrival(local, digest);
+		if (decision instanceof OnceDecision.Run) {
+			begin(new Entry(key, digest, request));
+		}
+		else if (decision instanceof OnceDecision.Join) {
+			entry.joined.add(request);
+		}
+		else {
+			refuse(request, decision);
+		}
+	}
+
+	void sent(PendingRequest request) {
+		Entry entry = entryOf(request);
+		if (entry != null) {
+			entry.state = LocalState.SENT;
+		}
+	}
+
+	void done(PendingRequest request, ExecuteAnswer answer) {
+		request.complete(answer);
+		Entry entry = entryOf(request);
+		if (entry == null) {
+			return;
+		}
+		entry.answer = answer;
+		entry.joined.forEach((joined) -> joined.complete(answer.asRepeated()));
+		entry.joined.clear();
+		finish(entry, true, encode(answer));
+	}
+
+	/**
+	 * Ends a request that surely was not executed. The caller is answered after its key
+	 * is free, so that an immediate resend through another owner may run.
+	 */
+	void notRun(PendingRequest request, MagnolialeadException failure, long retryAfterMilliseconds) {
+		Entry entry = entryOf(request);
+		if (entry == null) {
+			request.fail(failure, retryAfterMilliseconds);
+			return;
+		}
+		if (!entry.freeing) {
+			entry.freeing = true;
+			entry.failure = failure;
+			entry.retryAfterMilliseconds = retryAfterMilliseconds;
+			finish(entry, false, null);
+		}
+	}
+
+	void unknown(PendingRequest request, MagnolialeadException failure) {
+		request.fail(failure, 0);
+		Entry entry = entryOf(request);
+		if (entry != null) {
+			entry.state = LocalState.UNKNOWN;
+			entry.joined.forEach((joined) -> joined.fail(failure, 0));
+			entry.joined.clear();
+		}
+	}
+
+	private void begin(Entry entry) {
+		this.entries.put(entry.key, entry);
+		long forgetDeadline = System.currentTimeMillis() + REMEMBER_MILLISECONDS;
+		ControlCommand command = new ControlCommand.BeginRequest(this.context.group(), this.context.ownerEpoch(),
+				entry.key, entry.digest, forgetDeadline);
+		this.context.services()
+			.control()
+			.submit(command, entry.first.deadline())
+			.whenCompleteAsync((result, failure) -> begun(entry, result, failure), this.context.serial());
+	}
+
+	private void begun(Entry entry, CommandResult result, Throwable failure) {
+		if (failure != null) {
+			beginFailed(entry, Failures.describe(failure, Step.RECORD, "control"));
+			return;
+		}
+		if (!result.isAccepted()) {
+			ErrorCode code = (result.error() == ErrorCode.STALE_COMMAND) ? ErrorCode.NOT_OWNER : result.error();
+			remove(entry, new MagnolialeadException(code, Step.RECORD, "control", result.message()));
+			return;
+		}
+		OnceDecision decision = OnceDecision.onRecord(result.request(), entry.record(), entry.digest,
+				this.context.ownerEpoch());
+		if (decision instanceof OnceDecision.Run) {
+			this.runner.accept(entry.first);
+			return;
+		}
+		this.entries.remove(entry.key);
+		entry.all().forEach((request) -> refuse(request, decision));
+	}
+
+	/**
+	 * The statement was not sent, so the request was not run. If the command may have
+	 * been committed, the key is freed.
+	 */
+	private void beginFailed(Entry entry, MagnolialeadException failure) {
+		MagnolialeadException notRun = new MagnolialeadException(ErrorCode.UNREACHABLE, Step.RECORD, "control",
+				"the intent could not be recorded: " + failure.getMessage(), failure);
+		if (Failures.surelyNotRun(failure)) {
+			remove(entry, notRun);
+		}
+		else {
+			notRun(entry.first, notRun, 0);
+		}
+	}
+
+	private void remove(Entry entry, MagnolialeadException failure) {
+		this.entries.remove(entry.key);
+		entry.all().forEach((request) -> request.fail(failure, 0));
+	}
+
+	private void refuse(PendingRequest request, OnceDecision decision) {
+		if (decision instanceof OnceDecision.Repeat repeat) {
+			request.complete(decode(repeat.answer()).asRepeated());
+		}
+		else if (decision instanceof OnceDecision.KeyReused) {
+			request.fail(ErrorCode.INVALID_IDEMPOTENCY_KEY, Step.RECORD, "",
+					"the idempotency key was used for another request");
+		}
+		else {
+			request.fail(ErrorCode.EARLIER_ATTEMPT_UNKNOWN, Step.RECORD, "",
+					"an earlier attempt with this idempotency key may have been executed; it is not run again");
+		}
+	}
+
+	/**
+	 * Returns the number of results that control has not yet recorded.
+	 */
+	int unrecorded() {
+		return this.unrecorded;
+	}
+
+	private void finish(Entry entry, boolean executed, byte[] answer) {
+		this.unrecorded++;
+		ControlCommand command = new ControlCommand.FinishRequest(this.context.group(), this.context.ownerEpoch(),
+				entry.key, executed, answer);
+		this.context.services()
+			.control()
+			.submit(command, this.context.now() + FINISH_TIME_NANOSECONDS)
+			.whenCompleteAsync((result, failure) -> finished(entry, failure), this.context.serial());
+	}
+
+	private void finished(Entry entry, Throwable failure) {
+		this.unrecorded--;
+		if (entry.freeing) {
+			entry.first.fail(entry.failure, entry.retryAfterMilliseconds);
+		}
+		if (failure != null) {
+			// The control log still has the intent without a result, so the key must
+			// never run again under this owner either.
+			entry.state = (entry.answer != null) ? entry.state : LocalState.UNKNOWN;
+			entry.freeing = false;
+			entry.joined.forEach((request) -> refuse(request, new OnceDecision.Unknown()));
+			entry.joined.clear();
+			return;
+		}
+		this.entries.remove(entry.key);
+		if (entry.freeing) {
+			List.copyOf(entry.joined).forEach(this::arrived);
+		}
+	}
+
+	private Entry entryOf(PendingRequest request) {
+		Entry entry = this.entries.get(request.request().idempotencyKey());
+		return (entry != null && entry.first == request) ? entry : null;
+	}
+
+	private static String digest(PendingRequest request) {
+		try {
+			MessageDigest sha = MessageDigest.getInstance("SHA-256");
+			sha.update((byte) request.request().kind().ordinal());
+			sha.update(request.request().statement());
+			return HexFormat.of().formatHex(sha.digest(), 0, 16);
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("every Java platform has SHA-256", ex);
+		}
+	}
+
+	private static byte[] encode(ExecuteAnswer answer) {
+		try {
+			byte[] encoded = MAPPER.writeValueAsBytes(answer);
+			if (encoded.length <= MAXIMUM_KEPT_ANSWER_BYTES) {
+				return encoded;
+			}
+			return MAPPER.writeValueAsBytes(ExecuteAnswer.done(new byte[0], answer.term(), answer.position(),
+					answer.member(), false, ""));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static ExecuteAnswer decode(byte[] answer) {
+		if (answer.length == 0) {
+			return ExecuteAnswer.done(answer, 0, LogPosition.NONE, "", false, "");
+		}
+		try {
+			return MAPPER.readValue(answer, ExecuteAnswer.class);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * What this owner knows of one key.
+	 */
+	private static final class Entry {
+
+		private final String key;
+
+		private final String digest;
+
+		private final PendingRequest first;
+
+		private final List<PendingRequest> joined = new ArrayList<>();
+
+		private LocalState state = LocalState.BEGINNING;
+
+		private ExecuteAnswer answer;
+
+		private boolean freeing;
+
+		private MagnolialeadException failure;
+
+		private long retryAfterMilliseconds;
+
+		Entry(String key, String digest, PendingRequest first) {
+			this.key = key;
+			this.digest = digest;
+			this.first = first;
+		}
+
+		LocalRecord record() {
+			return new LocalRecord(this.state, this.digest);
+		}
+
+		List<PendingRequest> all() {
+			List<PendingRequest> all = new ArrayList<>(this.joined);
+			all.add(0, this.first);
+			return all;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OpenTransaction.java
@@ -0,0 +1,108 @@
+package org.magnolialead.daemon.owner;
+
+import org.magnolialead.api.StatementKind;
+import org.magnolialead.api.message.ExecuteAnswer;
+import org.magnolialead.transport.member.ConnectionPool;
+import org.magnolialead.transport.member.MemberConnection;
+
+/**
+ * Transaction that is pinned to one connection of the primary. Confined to the serial
+ * executor of the group.
+ */
+final class OpenTransaction {
+
+	private final String identifier;
+
+	private final String member;
+
+	private final long term;
+
+	private final long deadline;
+
+	private final MemberConnection connection;
+
+	private ConnectionPool pool;
+
+	private PendingRequest inProgress;
+
+	private boolean closed;
+
+	private ExecuteAnswer end;
+
+	OpenTransaction(String identifier, String member, long term, long deadline, MemberConnection connection) {
+		this.identifier = identifier;
+		this.member = member;
+		this.term = term;
+		this.deadline = deadline;
+		this.connection = connection;
+	}
+
+	String identifier() {
+		return this.identifier;
+	}
+
+	String member() {
+		return this.member;
+	}
+
+	long term() {
+		return this.term;
+	}
+
+	long deadline() {
+		return this.deadline;
+	}
+
+	ConnectionPool pool() {
+		return this.pool;
+	}
+
+	void pool(ConnectionPool connectionPool) {
+		this.pool = connectionPool;
+	}
+
+	/**
+	 * Tells whether a commit was sent whose outcome may not be known.
+	 */
+	boolean isCommitSent() {
+		return this.inProgress != null && this.inProgress.request().kind() == StatementKind.COMMIT
+				&& this.inProgress.wasSent();
+	}
+
+	MemberConnection connection() {
+		return this.connection;
+	}
+
+	/**
+	 * Reserves the transaction for one statement.
+	 * @return {@code false} if another statement is in progress or the transaction ended
+	 */
+	boolean begin(PendingRequest statement) {
+		if (this.inProgress != null || this.closed) {
+			return false;
+		}
+		this.inProgress = statement;
+		return true;
+	}
+
+	void statementEnded() {
+		this.inProgress = null;
+	}
+
+	boolean isOpen() {
+		return !this.closed;
+	}
+
+	/**
+	 * Records how the transaction ended, for resends of the commit.
+	 */
+	void ended(ExecuteAnswer answer) {
+		this.closed = true;
+		this.end = answer;
+	}
+
+	ExecuteAnswer end() {
+		return this.end;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/PendingRequest.java
@@ -0,0 +1,154 @@
+package org.magnolialead.daemon.owner;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Outcome;
+import org.magnolialead.api.Profile;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.message.ExecuteAnswer;
+import org.magnolialead.api.message.ExecuteRequest;
+
+/**
+ * Request in the hands of a group's owner. Confined to the serial executor of the group.
+ */
+final class PendingRequest {
+
+	private final ExecuteRequest request;
+
+	private final Profile profile;
+
+	private final long deadline;
+
+	private final CompletableFuture<ExecuteAnswer> answer = new CompletableFuture<>();
+
+	private LogPosition required = LogPosition.NONE;
+
+	private boolean floorKnown = true;
+
+	private boolean primaryOnly;
+
+	private boolean sent;
+
+	private int attempts;
+
+	private ExecuteAnswer confirmationAnswer;
+
+	PendingRequest(ExecuteRequest request, Profile profile, long deadline) {
+		this.request = request;
+		this.profile = profile;
+		this.deadline = deadline;
+	}
+
+	ExecuteRequest request() {
+		return this.request;
+	}
+
+	Profile profile() {
+		return this.profile;
+	}
+
+	long deadline() {
+		return this.deadline;
+	}
+
+	CompletableFuture<ExecuteAnswer> answer() {
+		return this.answer;
+	}
+
+	LogPosition required() {
+		return this.required;
+	}
+
+	boolean floorKnown() {
+		return this.floorKnown;
+	}
+
+	void require(LogPosition position, boolean known) {
+		this.required = position;
+		this.floorKnown = known;
+	}
+
+	boolean primaryOnly() {
+		return this.primaryOnly;
+	}
+
+	void restrictToPrimary() {
+		this.primaryOnly = true;
+	}
+
+	/**
+	 * Tells whether the request was sent to a database in an attempt that may have been
+	 * executed.
+	 */
+	boolean wasSent() {
+		return this.sent;
+	}
+
+	void markSent() {
+		this.sent = true;
+		this.attempts++;
+	}
+
+	/**
+	 * Records that a database refused the only attempt before it executed anything.
+	 */
+	void markRefused() {
+		if (this.attempts == 1) {
+			this.sent = false;
+			this.attempts = 0;
+		}
+	}
+
+	/**
+	 * Returns the answer that is passed on once the write is confirmed.
+	 */
+	ExecuteAnswer confirmationAnswer() {
+		return this.confirmationAnswer;
+	}
+
+	void confirmationAnswer(ExecuteAnswer confirmed) {
+		this.confirmationAnswer = confirmed;
+	}
+
+	int attempts() {
+		return this.attempts;
+	}
+
+	/**
+	 * Tells whether the request runs at most once, which the control log guards.
+	 */
+	boolean isOnce() {
+		return !this.profile.repeatable() && this.request.kind().changesData();
+	}
+
+	boolean mayBeSentAgain() {
+		return !this.request.kind().isTransactional()
+				&& (!this.request.kind().changesData() || this.profile.repeatable());
+	}
+
+	void complete(ExecuteAnswer completed) {
+		this.answer.complete(completed);
+	}
+
+	/**
+	 * Completes the answer with an error. An error that says "not run" becomes unknown if
+	 * the request was sent.
+	 */
+	void fail(ErrorCode code, Step step, String peer, String message) {
+		fail(new MagnolialeadException(code, step, peer, message), 0);
+	}
+
+	void fail(MagnolialeadException failure, long retryAfterMilliseconds) {
+		MagnolialeadException truthful = failure;
+		if (this.sent && failure.code().outcome() == Outcome.NOT_RUN
+				&& failure.code() != ErrorCode.STATEMENT_REJECTED) {
+			truthful = new MagnolialeadException(ErrorCode.NO_ANSWER, failure.step(), failure.peer(),
+					failure.getMessage() + "; an earlier attempt may have been executed", failure);
+		}
+		this.answer.complete(ExecuteAnswer.failed(truthful, retryAfterMilliseconds));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Launcher of the magnolialead daemon.
+ */
+package org.magnolialead.daemon;
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
@@ -0,0 +1,203 @@
+package org.magnolialead.daemon.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Step;
+
+/**
+ * Reads and checks the settings file of a daemon.
+ */
+public final class SettingsReader {
+
+	/**
+	 * Least size of the key that signs session tokens, in bytes.
+	 */
+	public static final int MINIMUM_KEY_BYTES = 32;
+
+	private static final int MAXIMUM_PORT = 65_535;
+
+	private static final int DEFAULT_BODY_BYTES = 64 * 1024;
+
+	private static final int MAXIMUM_BODY_BYTES = 512 * 1024;
+
+	private static final int DEFAULT_HEADER_BYTES = 16 * 1024;
+
+	private static final int DEFAULT_RECEIVE_TIMEOUT_MILLISECONDS = 10_000;
+
+	private static final int DEFAULT_IDLE_TIMEOUT_MILLISECONDS = 600_000;
+
+	private static final int MAXIMUM_TIMEOUT_MILLISECONDS = 3_600_000;
+
+	private static final int DEFAULT_CONNECTIONS = 5_000;
+
+	private static final int MAXIMUM_CONNECTIONS = 100_000;
+
+	private static final int DEFAULT_SNAPSHOT_ENTRIES = 20_000;
+
+	private static final int MAXIMUM_THREADS = 64;
+
+	private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
+
+	private static final Pattern IP_NUMBER = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[?[0-9a-fA-F:]+\\]?");
+
+	private SettingsReader() {
+	}
+
+	/**
+	 * Reads and checks a settings file.
+	 * @param file the TOML file
+	 * @return the settings
+	 * @throws MagnolialeadException with code {@code INVALID_SETTINGS} and a message that
+	 * names file, key, the value found and what is allowed
+	 */
+	public static DaemonSettings read(Path file) {
+		SettingsSection root = new SettingsSection(file, "", parse(file));
+		SettingsSection daemon = root.section("daemon");
+		String name = name(daemon, "name");
+		DaemonRole role = daemon.choice("role", DaemonRole.class);
+		String availabilityZone = daemon.text("availability_zone");
+		int threads = daemon.wholeNumber("threads", 1, MAXIMUM_THREADS,
+				Math.max(2, Math.min(8, Runtime.getRuntime().availableProcessors())));
+		daemon.refuseUnknownKeys();
+		SettingsSection peerSection = root.section("peer");
+		DaemonSettings.PeerSettings peer = new DaemonSettings.PeerSettings(ipNumber(peerSection, "host"),
+				peerSection.wholeNumber("port", 1, MAXIMUM_PORT));
+		peerSection.refuseUnknownKeys();
+		DaemonSettings.HttpSettings http = http(root.section("http"));
+		if (http.host().equals(peer.host()) && http.port() == peer.port()) {
+			throw root.invalid("http.port", String.valueOf(http.port()), "a port other than peer.port");
+		}
+		SettingsSection control = root.section("control");
+		Map<String, String> members = controlMembers(control.section("members"), control);
+		Optional<Path> dataFolder = control.optionalText("data_folder").map((text) -> resolve(file, text));
+		int snapshotEntries = control.wholeNumber("snapshot_entries", 10, 10_000_000, DEFAULT_SNAPSHOT_ENTRIES);
+		control.refuseUnknownKeys();
+		SettingsSection session = root.section("session");
+		Optional<Path> keyFile = session.optionalText("key_file").map((text) -> resolve(file, text));
+		session.refuseUnknownKeys();
+		root.refuseUnknownKeys();
+		checkRole(role, name, peer, members, dataFolder, keyFile, control, session);
+		return new DaemonSettings(file, name, role, availabilityZone, peer, members, http, keyFile, dataFolder,
+				snapshotEntries, threads);
+	}
+
+	private static JsonNode parse(Path file) {
+		try {
+			return new TomlMapper().readTree(Files.readString(file));
+		}
+		catch (JsonProcessingException ex) {
+			int line = (ex.getLocation() != null) ? ex.getLocation().getLineNr() : 0;
+			throw invalid(file, "line %d is not valid TOML: %s".formatted(line, ex.getOriginalMessage()), ex);
+		}
+		catch (IOException ex) {
+			throw invalid(file, "the file cannot be read: " + ex, ex);
+		}
+	}
+
+	private static MagnolialeadException invalid(Path file, String message, Exception cause) {
+		return new MagnolialeadException(ErrorCode.INVALID_SETTINGS, Step.SETTINGS, "", file + ": " + message, cause);
+	}
+
+	private static DaemonSettings.HttpSettings http(SettingsSection http) {
+		DaemonSettings.HttpSettings settings = new DaemonSettings.HttpSettings(ipNumber(http, "host"),
+				http.wholeNumber("port", 1, MAXIMUM_PORT),
+				http.wholeNumber("maximum_body_bytes", 1, MAXIMUM_BODY_BYTES, DEFAULT_BODY_BYTES),
+				http.wholeNumber("maximum_header_bytes", 512, MAXIMUM_BODY_BYTES, DEFAULT_HEADER_BYTES),
+				http.wholeNumber("receive_timeout_milliseconds", 10, MAXIMUM_TIMEOUT_MILLISECONDS,
+						DEFAULT_RECEIVE_TIMEOUT_MILLISECONDS),
+				http.wholeNumber("idle_timeout_milliseconds", 10, MAXIMUM_TIMEOUT_MILLISECONDS,
+						DEFAULT_IDLE_TIMEOUT_MILLISECONDS),
+				http.wholeNumber("maximum_connections", 1, MAXIMUM_CONNECTIONS, DEFAULT_CONNECTIONS));
+		if (settings.idleTimeoutMilliseconds() < settings.receiveTimeoutMilliseconds()) {
+			throw http.invalid("idle_timeout_milliseconds", String.valueOf(settings.idleTimeoutMilliseconds()),
+					"at least receive_timeout_milliseconds, %d".formatted(settings.receiveTimeoutMilliseconds()));
+		}
+		http.refuseUnknownKeys();
+		return settings;
+	}
+
+	private static Map<String, String> controlMembers(SettingsSection members, SettingsSection control) {
+		Map<String, String> addresses = members.textsByKey();
+		if (addresses.isEmpty()) {
+			throw control.invalid("members", "nothing", "a table with the name and address of each control daemon");
+		}
+		addresses.forEach((member, address) -> {
+			int colon = address.lastIndexOf(':');
+			boolean valid = colon > 0 && IP_NUMBER.matcher(address.substring(0, colon)).matches()
+					&& address.substring(colon + 1).matches("[1-9][0-9]{0,4}")
+					&& Integer.parseInt(address.substring(colon + 1)) <= MAXIMUM_PORT;
+			if (!valid) {
+				throw members.invalid(member, "\"" + address + "\"",
+						"an IP number and a port, such as \"10.0.0.1:7001\"");
+			}
+		});
+		return addresses;
+	}
+
+	private static void checkRole(DaemonRole role, String name, DaemonSettings.PeerSettings peer,
+			Map<String, String> members, Optional<Path> dataFolder, Optional<Path> keyFile, SettingsSection control,
+			SettingsSection session) {
+		if (role == DaemonRole.CONTROL) {
+			if (dataFolder.isEmpty()) {
+				throw control.invalid("data_folder", "nothing", "a folder on a disk, as daemon.role is control");
+			}
+			if (!peer.address().equals(members.get(name))) {
+				throw control.invalid("members", members.toString(),
+						"a table in which \"%s\" has the address of this daemon, %s".formatted(name, peer.address()));
+			}
+			return;
+		}
+		if (dataFolder.isPresent()) {
+			throw control.invalid("data_folder", dataFolder.get().toString(), "nothing, as daemon.role is entry");
+		}
+		if (keyFile.isEmpty()) {
+			throw session.invalid("key_file", "nothing",
+					"a file with at least %d bytes, as daemon.role is entry".formatted(MINIMUM_KEY_BYTES));
+		}
+		checkKeyFile(keyFile.get(), session);
+	}
+
+	private static void checkKeyFile(Path keyFile, SettingsSection session) {
+		try {
+			long size = Files.size(keyFile);
+			if (size < MINIMUM_KEY_BYTES) {
+				throw session.invalid("key_file", "a file of %d bytes".formatted(size),
+						"a file with at least %d bytes".formatted(MINIMUM_KEY_BYTES));
+			}
+		}
+		catch (IOException ex) {
+			throw session.invalid("key_file", keyFile + ", which cannot be read", "a readable file");
+		}
+	}
+
+	private static String name(SettingsSection section, String key) {
+		String name = section.text(key);
+		if (!NAME.matcher(name).matches()) {
+			throw section.invalid(key, "\"" + name + "\"", "1 to 64 letters, digits, dots, underscores or hyphens");
+		}
+		return name;
+	}
+
+	private static String ipNumber(SettingsSection section, String key) {
+		String host = section.text(key);
+		if (!IP_NUMBER.matcher(host).matches()) {
+			throw section.invalid(key, "\"" + host + "\"", "an IP number");
+		}
+		return host;
+	}
+
+	private static Path resolve(Path file, String text) {
+		return file.toAbsolutePath().getParent().resolve(text).normalize();
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsSection.java
@@ -0,0 +1,141 @@
+package org.magnolialead.daemon.settings;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Step;
+
+/**
+ * One table of a settings file. Remembers which keys were read, so that unknown keys can
+ * be refused.
+ */
+final class SettingsSection {
+
+	private final Path file;
+
+	private final String name;
+
+	private final JsonNode table;
+
+	private final Set<String> knownKeys = new HashSet<>();
+
+	SettingsSection(Path file, String name, JsonNode table) {
+		this.file = file;
+		this.name = name;
+		this.table = table;
+	}
+
+	SettingsSection section(String key) {
+		JsonNode node = node(key);
+		if (node != null && !node.isObject()) {
+			throw invalid(key, node.toString(), "a table");
+		}
+		return new SettingsSection(this.file, path(key), node);
+	}
+
+	String text(String key) {
+		JsonNode node = required(key, "a text");
+		return checkedText(key, node);
+	}
+
+	Optional<String> optionalText(String key) {
+		JsonNode node = node(key);
+		return (node != null) ? Optional.of(checkedText(key, node)) : Optional.empty();
+	}
+
+	<E extends Enum<E>> E choice(String key, Class<E> type) {
+		String found = text(key);
+		List<String> allowed = new ArrayList<>();
+		for (E constant : type.getEnumConstants()) {
+			String spelling = constant.name().toLowerCase(Locale.ROOT);
+			if (spelling.equals(found)) {
+				return constant;
+			}
+			allowed.add(spelling);
+		}
+		throw invalid(key, found, "one of " + allowed);
+	}
+
+	int wholeNumber(String key, int minimum, int maximum) {
+		JsonNode node = required(key, "a whole number from %d to %d".formatted(minimum, maximum));
+		return checkedNumber(key, node, minimum, maximum);
+	}
+
+	int wholeNumber(String key, int minimum, int maximum, int defaultValue) {
+		JsonNode node = node(key);
+		return (node != null) ? checkedNumber(key, node, minimum, maximum) : defaultValue;
+	}
+
+	Map<String, String> textsByKey() {
+		Map<String, String> texts = new LinkedHashMap<>();
+		if (this.table != null) {
+			this.table.fieldNames().forEachRemaining((key) -> texts.put(key, text(key)));
+		}
+		return texts;
+	}
+
+	boolean isPresent() {
+		return this.table != null;
+	}
+
+	void refuseUnknownKeys() {
+		if (this.table == null) {
+			return;
+		}
+		this.table.fieldNames().forEachRemaining((key) -> {
+			if (!this.knownKeys.contains(key)) {
+				throw invalid(key, this.table.get(key).toString(),
+						"one of the keys " + this.knownKeys.stream().sorted().toList());
+			}
+		});
+	}
+
+	MagnolialeadException invalid(String key, String found, String allowed) {
+		return new MagnolialeadException(ErrorCode.INVALID_SETTINGS, Step.SETTINGS, "",
+				"%s: key \"%s\": found %s, allowed is %s".formatted(this.file, path(key), found, allowed));
+	}
+
+	private String checkedText(String key, JsonNode node) {
+		if (!node.isTextual() || node.textValue().isBlank()) {
+			throw invalid(key, node.toString(), "a text that is not empty");
+		}
+		return node.textValue();
+	}
+
+	private int checkedNumber(String key, JsonNode node, int minimum, int maximum) {
+		boolean fits = node.isIntegralNumber() && node.canConvertToInt() && node.intValue() >= minimum
+				&& node.intValue() <= maximum;
+		if (!fits) {
+			throw invalid(key, node.toString(), "a whole number from %d to %d".formatted(minimum, maximum));
+		}
+		return node.intValue();
+	}
+
+	private JsonNode required(String key, String allowed) {
+		JsonNode node = node(key);
+		if (node == null) {
+			throw invalid(key, "nothing", allowed);
+		}
+		return node;
+	}
+
+	private JsonNode node(String key) {
+		this.knownKeys.add(key);
+		return (this.table != null) ? this.table.get(key) : null;
+	}
+
+	private String path(String key) {
+		return this.name.isEmpty() ? key : this.name + "." + key;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings of a daemon: reading from TOML, checks and typed records.
+ */
+package org.magnolialead.daemon.settings;
--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/settings/SettingsReaderTests.java
@@ -0,0 +1,95 @@
+package org.magnolialead.daemon.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+/**
+ * Tests for {@link SettingsReader}.
+ */
+class SettingsReaderTests {
+
+	private static final String VALID = """
+			[daemon]
+			name = "entry-1"
+			role = "entry"
+			availability_zone = "hanoi-1"
+			[peer]
+			host = "127.0.0.1"
+			port = 7000
+			[http]
+			host = "127.0.0.1"
+			port = 8080
+			[session]
+			key_file = "session.key"
+			[control.members]
+			control-1 = "127.0.0.1:7001"
+			""";
+
+	@TempDir
+	private Path folder;
+
+	@ParameterizedTest
+	@MethodSource("examples")
+	void exampleSettingsAreValid(Path example) {
+		assertEquals(4, SettingsReader.read(example).controlMembers().size() + 1);
+	}
+
+	static Stream<Path> examples() throws IOException {
+		try (Stream<Path> files = Files.walk(Path.of("..", "examples"))) {
+			return files.filter((file) -> file.toString().endsWith(".toml")).toList().stream();
+		}
+	}
+
+	// Guards against a daemon that starts with settings other than the operator meant.
+	@ParameterizedTest
+	@CsvSource(delimiter = '|',
+			textBlock = """
+					port = 8080         | port = 99999          | key "http.port": found 99999, allowed is a whole number from 1 to 65535
+					port = 8080         | port = "8080"         | key "http.port": found "8080", allowed is a whole number
+					port = 8080         | port = 7000           | key "http.port": found 7000, allowed is a port other than peer.port
+					port = 8080         | prot = 8080           | key "http.port": found nothing
+					[session]           | [sesion]              | key "sesion"
+					role = "entry"      | role = "proxy"        | key "daemon.role": found proxy, allowed is one of [entry, control]
+					role = "entry"      | role = "control"      | key "control.data_folder": found nothing
+					name = "entry-1"    | name = "entry 1"      | key "daemon.name"
+					host = "127.0.0.1"  | host = "db.internal"  | allowed is an IP number
+					127.0.0.1:7001      | 127.0.0.1             | key "control.members.control-1"
+					session.key         | missing.key           | key "session.key_file"
+					name = "entry-1"    | name = entry          | is not valid TOML
+					""")
+	void refusesAndNamesTheKey(String original, String replacement, String expected) throws IOException {
+		Path file = write(VALID.replaceFirst(java.util.regex.Pattern.quote(original), replacement));
+		MagnolialeadException failure = assertThrows(MagnolialeadException.class, () -> SettingsReader.read(file));
+		assertEquals(ErrorCode.INVALID_SETTINGS, failure.code());
+		assertTrue(failure.getMessage().startsWith(file.toString()), failure.getMessage());
+		assertTrue(failure.getMessage().contains(expected), failure.getMessage());
+		assertEquals(1, failure.getMessage().lines().count(), "the message must be one line");
+	}
+
+	@Test
+	void refusesMissingFile() {
+		Path file = this.folder.resolve("absent.toml");
+		MagnolialeadException failure = assertThrows(MagnolialeadException.class, () -> SettingsReader.read(file));
+		assertTrue(failure.getMessage().startsWith(file.toString()), failure.getMessage());
+	}
+
+	private Path write(String text) throws IOException {
+		Files.writeString(this.folder.resolve("session.key"), "0123456789abcdef0123456789abcdef");
+		return Files.writeString(this.folder.resolve("settings.toml"), text);
+	}
+
+}
