--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
@@ -0,0 +1,63 @@
+package org.magnolialead.daemon.control;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Settings of a {@link DefaultCommandLog}.
+ *
+ * @param name name of this control daemon
+ * @param peerAddress peer address of this control daemon
+ * @param dataFolder path of its data folder
+ * @param peers peer addresses of all configured control daemons by name
+ * @param heartbeatInterval time between heartbeats of a leader
+ * @param minimumElectionTimeout time without a leader during which votes are refused
+ * @param maximumElectionTimeout upper bound of the random time until an election
+ * @param snapshotThreshold number of applied entries after which a snapshot is taken
+ */
+public record CommandLogSettings(String name, String peerAddress, Path dataFolder, Map<String, String> peers,
+		Duration heartbeatInterval, Duration minimumElectionTimeout, Duration maximumElectionTimeout,
+		int snapshotThreshold) {
+
+	/** Default time between heartbeats of a leader. */
+	public static final Duration DEFAULT_HEARTBEAT_INTERVAL = Duration.ofMillis(100);
+
+	/** Default time without a leader during which votes are refused. */
+	public static final Duration DEFAULT_MINIMUM_ELECTION_TIMEOUT = Duration.ofMillis(500);
+
+	/** Default upper bound of the random time until an election. */
+	public static final Duration DEFAULT_MAXIMUM_ELECTION_TIMEOUT = Duration.ofMillis(1_000);
+
+	/** Default number of applied entries after which a snapshot is taken. */
+	public static final int DEFAULT_SNAPSHOT_THRESHOLD = 10_000;
+
+	public CommandLogSettings {
+		Objects.requireNonNull(name, "name must not be null");
+		Objects.requireNonNull(peerAddress, "peerAddress must not be null");
+		Objects.requireNonNull(dataFolder, "dataFolder must not be null");
+		Objects.requireNonNull(heartbeatInterval, "heartbeatInterval must not be null");
+		Objects.requireNonNull(minimumElectionTimeout, "minimumElectionTimeout must not be null");
+		Objects.requireNonNull(maximumElectionTimeout, "maximumElectionTimeout must not be null");
+		peers = Map.copyOf(peers);
+		if (snapshotThreshold <= 0) {
+			throw new IllegalArgumentException("snapshotThreshold must be positive: " + snapshotThreshold);
+		}
+	}
+
+	/**
+	 * Returns settings with the default timings.
+	 * @param name name of this control daemon
+	 * @param peerAddress peer address of this control daemon
+	 * @param dataFolder path of its data folder
+	 * @param peers peer addresses of all configured control daemons by name
+	 * @return the settings
+	 */
+	public static CommandLogSettings withDefaults(String name, String peerAddress, Path dataFolder,
+			Map<String, String> peers) {
+		return new CommandLogSettings(name, peerAddress, dataFolder, peers, DEFAULT_HEARTBEAT_INTERVAL,
+				DEFAULT_MINIMUM_ELECTION_TIMEOUT, DEFAULT_MAXIMUM_ELECTION_TIMEOUT, DEFAULT_SNAPSHOT_THRESHOLD);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ConsensusTransport.java
@@ -0,0 +1,20 @@
+package org.magnolialead.daemon.control;
+
+import org.magnolialead.api.message.ConsensusMessage;
+
+/**
+ * Sends messages between control daemons. Messages may be lost, delayed, repeated or
+ * reordered.
+ */
+@FunctionalInterface
+public interface ConsensusTransport {
+
+	/**
+	 * Sends a message without waiting. Called by the thread of the control log, which
+	 * must not be blocked.
+	 * @param address peer address of the recipient
+	 * @param message the message
+	 */
+	void send(String address, ConsensusMessage message);
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -0,0 +1,506 @@
+package org.magnolialead.daemon.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.message.ConsensusMessage;
+import org.magnolialead.api.message.ControlIdentity;
+import org.magnolialead.api.message.InitializeAnswer;
+import org.magnolialead.api.message.LogEntry;
+import org.magnolialead.engine.consensus.ConsensusAction;
+import org.magnolialead.engine.consensus.ConsensusNode;
+import org.magnolialead.engine.consensus.ConsensusSettings;
+import org.magnolialead.engine.consensus.ConsensusSnapshot;
+import org.magnolialead.engine.consensus.StoredState;
+import org.magnolialead.storage.DataFolder;
+import org.magnolialead.storage.DurableLog;
+
+/**
+ * Command log that is replicated by a {@link ConsensusNode} and kept in a
+ * {@link DataFolder}. One thread drives the node, writes the files and calls the state
+ * machine; the commands and messages that wait for it share one sync.
+ *
+ * <p>
+ * If a file cannot be written or an invariant does not hold, the log stops for good and
+ * {@link #failure()} tells why.
+ */
+public final class DefaultCommandLog implements CommandLog, AutoCloseable {
+
+	private static final System.Logger logger = System.getLogger(DefaultCommandLog.class.getName());
+
+	private static final int TICKS_PER_HEARTBEAT = 5;
+
+	private static final int QUEUE_LIMIT = 10_000;
+
+	private static final int BATCH_LIMIT = 1_000;
+
+	/** Half of the largest frame of the peer protocol, in bytes. */
+	private static final int COMMAND_LIMIT = 512 * 1024;
+
+	private static final long CLOSE_TIMEOUT_SECONDS = 10;
+
+	private final CommandLogSettings settings;
+
+	private final ReplicatedStateMachine stateMachine;
+
+	private final ConsensusTransport transport;
+
+	private final MonotonicClock clock;
+
+	private final RandomGenerator random;
+
+	private final DataFolder folder;
+
+	private final ConsensusSettings consensusSettings;
+
+	private final ScheduledExecutorService executor;
+
+	private final BlockingQueue<ConsensusMessage> messages = new LinkedBlockingQueue<>(QUEUE_LIMIT);
+
+	private final BlockingQueue<Proposal> proposals = new LinkedBlockingQueue<>(QUEUE_LIMIT);
+
+	private final AtomicBoolean scheduled = new AtomicBoolean();
+
+	private final Map<Long, Proposal> pending = new HashMap<>();
+
+	private final List<Runnable> completions = new ArrayList<>();
+
+	private ConsensusNode node;
+
+	private long appliedIndex;
+
+	private volatile CommandLogStatus status;
+
+	private volatile boolean stopped;
+
+	private volatile Throwable failure;
+
+	/**
+	 * Opens the data folder and restores the state machine from it. Nothing is sent
+	 * before {@link #start()}.
+	 * @param settings the settings
+	 * @param stateMachine the replicated state
+	 * @param transport sends messages to other control daemons
+	 * @param clock clock of this process
+	 * @param random source of election timeouts
+	 * @throws MagnolialeadException of code {@code STORAGE_FAILURE} if the data folder is
+	 * in use, corrupted or cannot be accessed
+	 */
+	public DefaultCommandLog(CommandLogSettings settings, ReplicatedStateMachine stateMachine,
+			ConsensusTransport transport, MonotonicClock clock, RandomGenerator random) {
+		this.settings = Objects.requireNonNull(settings, "settings must not be null");
+		this.stateMachine = Objects.requireNonNull(stateMachine, "stateMachine must not be null");
+		this.transport = Objects.requireNonNull(transport, "transport must not be null");
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		this.random = Objects.requireNonNull(random, "random must not be null");
+		this.folder = new DataFolder(settings.dataFolder());
+		ControlIdentity self = new ControlIdentity(settings.name(), this.folder.incarnation(), settings.peerAddress());
+		this.consensusSettings = ConsensusSettings.of(self, settings.peers(), settings.heartbeatInterval().toNanos(),
+				settings.minimumElectionTimeout().toNanos(), settings.maximumElectionTimeout().toNanos());
+		createNode(this.folder.stored());
+		this.executor = Executors.newSingleThreadScheduledExecutor((task) -> {
+			Thread thread = new Thread(task, "control-log-" + settings.name());
+			thread.setDaemon(true);
+			return thread;
+		});
+	}
+
+	/**
+	 * Starts to take part in the replication.
+	 */
+	public void start() {
+		long interval = this.consensusSettings.heartbeatInterval() / TICKS_PER_HEARTBEAT;
+		this.executor.scheduleAtFixedRate(guarded(this::tick), 0, interval, TimeUnit.NANOSECONDS);
+	}
+
+	/**
+	 * Starts a new cluster with this member as its only voter. The other configured
+	 * control daemons are added once they answer.
+	 * @return whether the cluster was started; refused if the data folder already belongs
+	 * to a cluster
+	 */
+	public InitializeAnswer initialize() {
+		try {
+			return CompletableFuture.supplyAsync(this::startCluster, this.executor).join();
+		}
+		catch (RejectedExecutionException ex) {
+			return new InitializeAnswer(false, "the control log of " + this.settings.name() + " has stopped");
+		}
+	}
+
+	/**
+	 * Handles a message of another control daemon. Does not block; a message that finds
+	 * the queue full is dropped, which the replication tolerates.
+	 * @param message the message
+	 */
+	public void receive(ConsensusMessage message) {
+		if (!this.stopped && this.messages.offer(message)) {
+			wake();
+		}
+	}
+
+	@Override
+	public CompletableFuture<CommandResult> submit(ControlCommand command) {
+		if (this.stopped || !this.status.leader()) {
+			return CompletableFuture.failedFuture(notLeader());
+		}
+		byte[] encoded = CommandCodec.encode(command);
+		if (encoded.length > COMMAND_LIMIT) {
+			return CompletableFuture.failedFuture(new MagnolialeadException(ErrorCode.REQUEST_TOO_LARGE, Step.CONTROL,
+					"", "command has %d bytes, more than %d".formatted(encoded.length, COMMAND_LIMIT)));
+		}
+		Proposal proposal = new Proposal(encoded, new CompletableFuture<>());
+		if (!this.proposals.offer(proposal)) {
+			return CompletableFuture.failedFuture(new MagnolialeadException(ErrorCode.OVERLOADED, Step.CONTROL, "",
+					"%d commands are waiting for the control log".formatted(QUEUE_LIMIT)));
+		}
+		wake();
+		if (this.stopped) {
+			refuseProposals();
+		}
+		return proposal.result();
+	}
+
+	@Override
+	public boolean hasAuthority() {
+		return this.status.hasAuthority(this.clock.nanoseconds());
+	}
+
+	@Override
+	public long leaderSince() {
+		return this.status.leaderSince();
+	}
+
+	@Override
+	public Optional<String> leaderAddress() {
+		return this.status.leaderAddress();
+	}
+
+	@Override
+	public long term() {
+		return this.status.term();
+	}
+
+	@Override
+	public long commitIndex() {
+		return this.status.commitIndex();
+	}
+
+	@Override
+	public long appliedIndex() {
+		return this.status.appliedIndex();
+	}
+
+	@Override
+	public List<String> voters() {
+		return voterIdentities().stream().map(ControlIdentity::name).toList();
+	}
+
+	/**
+	 * Returns the voting members with their incarnations.
+	 * @return the voters
+	 */
+	public List<ControlIdentity> voterIdentities() {
+		return this.status.voters();
+	}
+
+	/**
+	 * Returns the identity of this member.
+	 * @return the identity
+	 */
+	public ControlIdentity identity() {
+		return this.consensusSettings.self();
+	}
+
+	/**
+	 * Returns the identifier of the cluster.
+	 * @return the identifier, or an empty string if this member belongs to no cluster
+	 */
+	public String cluster() {
+		return this.status.cluster();
+	}
+
+	/**
+	 * Returns why the log stopped by itself.
+	 * @return the error, or empty if it has not failed
+	 */
+	public Optional<Throwable> failure() {
+		return Optional.ofNullable(this.failure);
+	}
+
+	/**
+	 * Stops and closes the data folder. Commands in progress have an unknown outcome.
+	 */
+	@Override
+	public void close() {
+		this.stopped = true;
+		this.executor.shutdown();
+		try {
+			if (!this.executor.awaitTermination(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+				throw new MagnolialeadException(ErrorCode.STORAGE_FAILURE, Step.STORAGE, "",
+						"the control log did not stop within %d s".formatted(CLOSE_TIMEOUT_SECONDS));
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		release();
+		this.folder.close();
+	}
+
+	private void createNode(StoredState stored) {
+		if (stored.snapshot() != null) {
+			this.stateMachine.restore(stored.snapshot().data());
+		}
+		this.appliedIndex = (stored.snapshot() != null) ? stored.snapshot().lastIndex() : 0;
+		long now = this.clock.nanoseconds();
+		this.node = new ConsensusNode(this.consensusSettings, stored, now, this.random);
+		publish();
+	}
+
+	private InitializeAnswer startCluster() {
+		if (this.stopped) {
+			return new InitializeAnswer(false, "the control log of " + this.settings.name() + " has stopped");
+		}
+		if (!this.node.cluster().isEmpty()) {
+			return new InitializeAnswer(false, "the data folder of %s already belongs to cluster %s"
+				.formatted(this.settings.name(), this.node.cluster()));
+		}
+		StoredState state = StoredState.bootstrap(UUID.randomUUID().toString(), this.consensusSettings.self(),
+				this.stateMachine.snapshot());
+		this.folder.startCluster(state);
+		createNode(state);
+		return new InitializeAnswer(true, "");
+	}
+
+	private void wake() {
+		if (this.scheduled.compareAndSet(false, true)) {
+			try {
+				this.executor.execute(guarded(this::handleQueues));
+			}
+			catch (RejectedExecutionException ex) {
+				refuseProposals();
+			}
+		}
+	}
+
+	private Runnable guarded(Runnable task) {
+		return () -> {
+			if (this.stopped) {
+				return;
+			}
+			try {
+				task.run();
+			}
+			catch (Throwable ex) {
+				fail(ex);
+			}
+		};
+	}
+
+	private void tick() {
+		carryOut(this.node.tick(this.clock.nanoseconds()));
+		finishBatch();
+	}
+
+	private void handleQueues() {
+		this.scheduled.set(false);
+		handleMessages();
+		handleProposals();
+		finishBatch();
+		if (!this.messages.isEmpty() || !this.proposals.isEmpty()) {
+			wake();
+		}
+	}
+
+	private void handleMessages() {
+		for (int count = 0; count < BATCH_LIMIT; count++) {
+			ConsensusMessage message = this.messages.poll();
+			if (message == null) {
+				return;
+			}
+			carryOut(this.node.receive(message, this.clock.nanoseconds()));
+		}
+	}
+
+	private void handleProposals() {
+		List<Proposal> batch = new ArrayList<>();
+		this.proposals.drainTo(batch, BATCH_LIMIT);
+		if (batch.isEmpty()) {
+			return;
+		}
+		long firstIndex = this.node.lastIndex() + 1;
+		List<ConsensusAction> actions;
+		try {
+			actions = this.node.propose(batch.stream().map(Proposal::command).toList(), this.clock.nanoseconds());
+		}
+		catch (MagnolialeadException ex) {
+			if (ex.code() != ErrorCode.NOT_LEADER) {
+				throw ex;
+			}
+			batch.forEach((proposal) -> this.completions.add(() -> proposal.result().completeExceptionally(ex)));
+			return;
+		}
+		for (int position = 0; position < batch.size(); position++) {
+			this.pending.put(firstIndex + position, batch.get(position));
+		}
+		carryOut(actions);
+	}
+
+	private void finishBatch() {
+		if (this.folder.log().hasUnsynced()) {
+			this.folder.log().sync();
+			persisted();
+		}
+		if (this.node.commitIndex() - this.node.snapshotIndex() >= this.settings.snapshotThreshold()) {
+			takeSnapshot();
+		}
+		publish();
+		complete();
+	}
+
+	private void persisted() {
+		carryOut(this.node.persisted(this.node.lastIndex(), this.node.lastTerm(), this.clock.nanoseconds()));
+	}
+
+	private void takeSnapshot() {
+		ConsensusSnapshot snapshot = this.node.snapshot(this.stateMachine.snapshot(),
+				this.settings.snapshotThreshold() / 2);
+		saveSnapshot(snapshot);
+		persisted();
+	}
+
+	private void saveSnapshot(ConsensusSnapshot snapshot) {
+		StoredState state = this.node.storedState();
+		this.folder.saveSnapshot(snapshot,
+				new DurableLog.Content(state.baseIndex(), state.baseTerm(), state.entries()));
+	}
+
+	private void carryOut(List<ConsensusAction> actions) {
+		for (ConsensusAction action : actions) {
+			carryOut(action);
+		}
+	}
+
+	private void carryOut(ConsensusAction action) {
+		if (action instanceof ConsensusAction.Send send) {
+			this.transport.send(send.address(), send.message());
+		}
+		else if (action instanceof ConsensusAction.AppendEntries append) {
+			this.folder.log().append(append.entries());
+		}
+		else if (action instanceof ConsensusAction.ApplyEntries apply) {
+			apply.entries().forEach(this::apply);
+		}
+		else if (action instanceof ConsensusAction.SaveVote save) {
+			this.folder.saveVote(save.vote());
+		}
+		else if (action instanceof ConsensusAction.JoinCluster join) {
+			this.folder.joinCluster(join.cluster());
+			logger.log(System.Logger.Level.INFO, "4101 {0} joined cluster {1}", this.settings.name(), join.cluster());
+		}
+		else if (action instanceof ConsensusAction.InstallSnapshot install) {
+			saveSnapshot(install.snapshot());
+			this.stateMachine.restore(install.snapshot().data());
+			this.appliedIndex = install.snapshot().lastIndex();
+		}
+		else if (action instanceof ConsensusAction.BecomeLeader leader) {
+			logger.log(System.Logger.Level.INFO, "4102 {0} became leader of term {1}", this.settings.name(),
+					leader.term());
+		}
+		else if (action instanceof ConsensusAction.StepDown stepDown) {
+			stepDown(stepDown.term());
+		}
+	}
+
+	// Published at once, because the next action may be a vote for another leader.
+	private void stepDown(long term) {
+		publish();
+		abandonPending();
+		logger.log(System.Logger.Level.INFO, "4103 {0} stepped down as leader of term {1}", this.settings.name(), term);
+	}
+
+	private void apply(LogEntry entry) {
+		this.appliedIndex = entry.index();
+		if (entry.kind() != LogEntry.Kind.COMMAND) {
+			return;
+		}
+		CommandResult result = this.stateMachine.apply(CommandCodec.decode(entry.command()));
+		Proposal proposal = this.pending.remove(entry.index());
+		if (proposal != null) {
+			this.completions.add(() -> proposal.result().complete(result));
+		}
+	}
+
+	private void publish() {
+		this.status = CommandLogStatus.of(this.node, this.appliedIndex, this.clock.nanoseconds());
+	}
+
+	// Continuations of callers run on another thread, because they may block.
+	private void complete() {
+		if (this.completions.isEmpty()) {
+			return;
+		}
+		List<Runnable> batch = List.copyOf(this.completions);
+		this.completions.clear();
+		CompletableFuture.runAsync(() -> batch.forEach(Runnable::run));
+	}
+
+	private void abandonPending() {
+		this.pending.values()
+			.forEach((proposal) -> this.completions.add(() -> proposal.result()
+				.completeExceptionally(new MagnolialeadException(ErrorCode.COMMAND_UNKNOWN, Step.CONTROL, "",
+						"leadership was lost before the command was committed"))));
+		this.pending.clear();
+	}
+
+	private void fail(Throwable cause) {
+		this.failure = cause;
+		this.stopped = true;
+		logger.log(System.Logger.Level.ERROR, "4104 control log of " + this.settings.name() + " stopped", cause);
+		release();
+		this.executor.shutdown();
+	}
+
+	private void release() {
+		this.status = this.status.stopped();
+		abandonPending();
+		complete();
+		refuseProposals();
+	}
+
+	private void refuseProposals() {
+		List<Proposal> refused = new ArrayList<>();
+		this.proposals.drainTo(refused);
+		refused.forEach((proposal) -> proposal.result().completeExceptionally(notLeader()));
+	}
+
+	private MagnolialeadException notLeader() {
+		return new MagnolialeadException(ErrorCode.NOT_LEADER, Step.CONTROL, this.status.leaderAddress().orElse(""),
+				"this control daemon is not the leader");
+	}
+
+	private record Proposal(byte[] command, CompletableFuture<CommandResult> result) {
+	}
+
+}
--- /dev/null
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/SnapshotFile.java
@@ -0,0 +1,49 @@
+package org.magnolialead.storage;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.magnolialead.engine.consensus.ConsensusSnapshot;
+
+/**
+ * File with the latest snapshot of the state.
+ */
+public final class SnapshotFile {
+
+	private final Path path;
+
+	/**
+	 * Creates an access to a snapshot file.
+	 * @param path path of the file
+	 */
+	public SnapshotFile(Path path) {
+		this.path = Objects.requireNonNull(path, "path must not be null");
+	}
+
+	/**
+	 * Reads the snapshot.
+	 * @return the snapshot, or empty if the file does not exist
+	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
+	 * if the file is corrupted or cannot be read
+	 */
+	public Optional<ConsensusSnapshot> read() {
+		if (!Files.exists(this.path)) {
+			return Optional.empty();
+		}
+		return Optional
+			.of(MessagePack.decode(this.path, SyncedFiles.readWithChecksum(this.path), ConsensusSnapshot.class));
+	}
+
+	/**
+	 * Replaces the snapshot and syncs the file.
+	 * @param snapshot the snapshot
+	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
+	 * if the file cannot be written
+	 */
+	public void write(ConsensusSnapshot snapshot) {
+		SyncedFiles.replaceWithChecksum(this.path, MessagePack.encode(snapshot));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/SyncedFiles.java
@@ -0,0 +1,103 @@
+package org.magnolialead.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.zip.CRC32C;
+
+/**
+ * Replaces whole files so that a crash leaves either the old or the new content.
+ */
+final class SyncedFiles {
+
+	private static final String TEMPORARY_SUFFIX = ".tmp";
+
+	private static final int CHECKSUM_BYTES = Integer.BYTES;
+
+	private SyncedFiles() {
+	}
+
+	/**
+	 * Replaces a file and syncs it and its directory.
+	 * @param path the file
+	 * @param content the new content
+	 */
+	static void replace(Path path, ByteBuffer content) {
+		Path temporary = path.resolveSibling(path.getFileName() + TEMPORARY_SUFFIX);
+		try {
+			try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+					StandardOpenOption.TRUNCATE_EXISTING)) {
+				writeFully(channel, content);
+				channel.force(true);
+			}
+			Files.move(temporary, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+			syncDirectory(path.getParent());
+		}
+		catch (IOException ex) {
+			throw StorageErrors.failure(path, "cannot be replaced", ex);
+		}
+	}
+
+	/**
+	 * Replaces a file by content with a checksum.
+	 * @param path the file
+	 * @param content the new content
+	 */
+	static void replaceWithChecksum(Path path, byte[] content) {
+		ByteBuffer buffer = ByteBuffer.allocate(CHECKSUM_BYTES + content.length);
+		buffer.putInt(checksum(content, 0, content.length)).put(content).flip();
+		replace(path, buffer);
+	}
+
+	/**
+	 * Reads a file written by {@link #replaceWithChecksum}.
+	 * @param path the file
+	 * @return the content
+	 */
+	static byte[] readWithChecksum(Path path) {
+		byte[] bytes = read(path);
+		if (bytes.length < CHECKSUM_BYTES) {
+			throw StorageErrors.failure(path, "is corrupted: it is too short");
+		}
+		ByteBuffer buffer = ByteBuffer.wrap(bytes);
+		int expected = buffer.getInt();
+		if (expected != checksum(bytes, CHECKSUM_BYTES, bytes.length - CHECKSUM_BYTES)) {
+			throw StorageErrors.failure(path, "is corrupted: the checksum does not match");
+		}
+		byte[] content = new byte[buffer.remaining()];
+		buffer.get(content);
+		return content;
+	}
+
+	static byte[] read(Path path) {
+		try {
+			return Files.readAllBytes(path);
+		}
+		catch (IOException ex) {
+			throw StorageErrors.failure(path, "cannot be read", ex);
+		}
+	}
+
+	static void syncDirectory(Path directory) throws IOException {
+		try (FileChannel channel = FileChannel.open(directory, StandardOpenOption.READ)) {
+			channel.force(true);
+		}
+	}
+
+	static void writeFully(FileChannel channel, ByteBuffer content) throws IOException {
+		while (content.hasRemaining()) {
+			channel.write(content);
+		}
+	}
+
+	static int checksum(byte[] bytes, int offset, int length) {
+		CRC32C checksum = new CRC32C();
+		checksum.update(bytes, offset, length);
+		return (int) checksum.getValue();
+	}
+
+}
--- /dev/null
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/VoteFile.java
@@ -0,0 +1,48 @@
+package org.magnolialead.storage;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.magnolialead.engine.consensus.Vote;
+
+/**
+ * File with the term and the vote of a member.
+ */
+public final class VoteFile {
+
+	private final Path path;
+
+	/**
+	 * Creates an access to a vote file.
+	 * @param path path of the file
+	 */
+	public VoteFile(Path path) {
+		this.path = Objects.requireNonNull(path, "path must not be null");
+	}
+
+	/**
+	 * Reads the vote.
+	 * @return the vote, or empty if the file does not exist
+	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
+	 * if the file is corrupted or cannot be read
+	 */
+	public Optional<Vote> read() {
+		if (!Files.exists(this.path)) {
+			return Optional.empty();
+		}
+		return Optional.of(MessagePack.decode(this.path, SyncedFiles.readWithChecksum(this.path), Vote.class));
+	}
+
+	/**
+	 * Replaces the vote and syncs the file.
+	 * @param vote the vote
+	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
+	 * if the file cannot be written
+	 */
+	public void write(Vote vote) {
+		SyncedFiles.replaceWithChecksum(this.path, MessagePack.encode(vote));
+	}
+
+}
