Decide failovers of a group's owner

FailoverDecision only reported the confirmed primary. It now detects silent and leaving primaries, seals the term, collects positions of a majority, reserves, promotes, confirms and orders the other members to follow. Replicas of an earlier term serve no reads, because they may hold writes that will be removed.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/FailoverDecision.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/FailoverDecision.java
@@ -6,14 +6,21 @@
 import org.magnolialead.api.GroupView;
 
 /**
- * State of the failover of one group.
+ * Decides on the primary of one group on behalf of its owner. Immutable: each call of
+ * {@link #next} returns a new state and the actions that lead to it.
+ * <p>
+ * Every term has at most one primary, because control reserves each term once, an owner
+ * promotes only the member of its own accepted reservation, and a reservation of an
+ * earlier owner is never used. No acknowledged write is lost, because acknowledgement
+ * stops with the seal and the candidate is the most advanced of a majority of members
+ * that were asked after the seal; one of them holds every acknowledged write.
  */
 public final class FailoverDecision {
 
-	private final GroupView view;
+	private final FailoverState state;
 
-	private FailoverDecision(GroupView view) {
-		this.view = view;
+	private FailoverDecision(FailoverState state) {
+		this.state = state;
 	}
 
 	/**
@@ -23,7 +30,11 @@
 	 * @return the first state
 	 */
 	public static FailoverDecision takeOver(GroupView view, long now) {
-		return new FailoverDecision(view);
+		return takeOver(view, QuorumRule.MAJORITY, now);
+	}
+
+	static FailoverDecision takeOver(GroupView view, QuorumRule quorum, long now) {
+		return new FailoverDecision(FailoverState.takeOver(view, quorum, now));
 	}
 
 	/**
@@ -34,7 +45,9 @@
 	 * @return the new state and what to do
 	 */
 	public Transition next(List<FailoverEvent> events, long now) {
-		return new Transition(this, List.of());
+		FailoverState changed = this.state.copy();
+		List<FailoverAction> actions = changed.advance(events, now);
+		return new Transition(new FailoverDecision(changed), actions);
 	}
 
 	/**
@@ -42,8 +55,16 @@
 	 * @return the primary, or empty while no confirmed primary is in force
 	 */
 	public Optional<Primary> primary() {
-		return this.view.primary().isEmpty() ? Optional.empty()
-				: Optional.of(new Primary(this.view.primary(), this.view.term()));
+		return Optional.ofNullable(this.state.inForce());
+	}
+
+	/**
+	 * Tells whether writes of a term may be acknowledged.
+	 * @param term the term
+	 * @return {@code true} if it is the term of the primary in force
+	 */
+	public boolean mayAcknowledge(long term) {
+		return primary().filter((primary) -> primary.term() == term).isPresent();
 	}
 
 	/**
@@ -51,7 +72,7 @@
 	 * @return the phase
 	 */
 	public FailoverPhase phase() {
-		return FailoverPhase.STEADY;
+		return this.state.phase();
 	}
 
 	/**
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/FailoverState.java
@@ -0,0 +1,543 @@
+package org.magnolialead.engine.owner;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.MemberRole;
+import org.magnolialead.api.Step;
+import org.magnolialead.engine.owner.FailoverDecision.Primary;
+
+/**
+ * State behind a {@link FailoverDecision}. It is changed only during the one transition
+ * that creates it.
+ */
+final class FailoverState {
+
+	private static final int PHASES_PER_CALL = 4;
+
+	private final QuorumRule quorum;
+
+	private final long ownedSince;
+
+	private final Map<String, FailoverEvent.StatusAnswered> statuses;
+
+	private final Map<String, Long> followedAt;
+
+	private GroupView view;
+
+	private FailoverPhase phase;
+
+	private Primary inForce;
+
+	private Primary former;
+
+	private Primary target;
+
+	private long calledAt;
+
+	private long membersChangedAt;
+
+	private long primaryAnsweredAt;
+
+	private long collectingSince;
+
+	private long phaseSince;
+
+	private long orderedAt;
+
+	private long plannedNotBefore;
+
+	private long sealedTerm;
+
+	private long attemptedTerm;
+
+	private long promotedTerm;
+
+	private String failedCandidate = "";
+
+	private boolean planned;
+
+	private boolean sealDue;
+
+	private List<FailoverAction> actions = new ArrayList<>();
+
+	private FailoverState(QuorumRule quorum, GroupView view, long now) {
+		this.quorum = quorum;
+		this.view = view;
+		this.ownedSince = now;
+		this.statuses = new HashMap<>();
+		this.followedAt = new HashMap<>();
+		this.calledAt = now;
+		this.membersChangedAt = now;
+		this.primaryAnsweredAt = now;
+		this.collectingSince = now;
+		this.phaseSince = now;
+		this.plannedNotBefore = now;
+		this.attemptedTerm = view.reservedTerm();
+	}
+
+	private FailoverState(FailoverState other) {
+		this.quorum = other.quorum;
+		this.ownedSince = other.ownedSince;
+		this.statuses = new HashMap<>(other.statuses);
+		this.followedAt = new HashMap<>(other.followedAt);
+		this.view = other.view;
+		this.phase = other.phase;
+		this.inForce = other.inForce;
+		this.former = other.former;
+		this.target = other.target;
+		this.calledAt = other.calledAt;
+		this.membersChangedAt = other.membersChangedAt;
+		this.primaryAnsweredAt = other.primaryAnsweredAt;
+		this.collectingSince = other.collectingSince;
+		this.phaseSince = other.phaseSince;
+		this.orderedAt = other.orderedAt;
+		this.plannedNotBefore = other.plannedNotBefore;
+		this.sealedTerm = other.sealedTerm;
+		this.attemptedTerm = other.attemptedTerm;
+		this.promotedTerm = other.promotedTerm;
+		this.failedCandidate = other.failedCandidate;
+		this.planned = other.planned;
+		this.sealDue = other.sealDue;
+	}
+
+	static FailoverState takeOver(GroupView view, QuorumRule quorum, long now) {
+		FailoverState state = new FailoverState(quorum, view, now);
+		if (view.primary().isEmpty()) {
+			state.phase = FailoverPhase.FIRST_START;
+			return state;
+		}
+		Primary confirmed = new Primary(view.primary(), view.term());
+		if (view.reservedTerm() == view.term()) {
+			state.phase = FailoverPhase.STEADY;
+			state.inForce = confirmed;
+			return state;
+		}
+		// An earlier owner may have ordered the reserved promotion, so a member may
+		// already
+		// act as primary of that term. Only a later term is certain to have one primary.
+		state.phase = FailoverPhase.COLLECTING;
+		state.former = confirmed;
+		state.sealedTerm = view.reservedTerm();
+		state.sealDue = true;
+		return state;
+	}
+
+	FailoverState copy() {
+		return new FailoverState(this);
+	}
+
+	Primary inForce() {
+		return this.inForce;
+	}
+
+	FailoverPhase phase() {
+		return this.phase;
+	}
+
+	/**
+	 * Applies events and the passing of time.
+	 * @param events the events in order
+	 * @param now present time
+	 * @return the actions in order
+	 */
+	List<FailoverAction> advance(List<FailoverEvent> events, long now) {
+		if (now - this.calledAt >= FailoverTiming.STALL_NANOSECONDS) {
+			long grace = now - FailoverTiming.SUSPICION_NANOSECONDS / 2;
+			this.primaryAnsweredAt = later(this.primaryAnsweredAt, grace);
+		}
+		this.calledAt = now;
+		if (this.sealDue) {
+			this.sealDue = false;
+			this.collectingSince = now;
+			this.actions.add(new FailoverAction.Seal(this.sealedTerm));
+		}
+		events.forEach((event) -> accept(event, now));
+		for (int i = 0; i < PHASES_PER_CALL; i++) {
+			FailoverPhase before = this.phase;
+			advancePhase(now);
+			if (this.phase == before) {
+				break;
+			}
+		}
+		orderFollowers(now);
+		return this.actions;
+	}
+
+	private void accept(FailoverEvent event, long now) {
+		if (event instanceof FailoverEvent.StatusAnswered answered) {
+			acceptStatus(answered, now);
+		}
+		else if (event instanceof FailoverEvent.GroupChanged changed) {
+			acceptView(changed.view(), now);
+		}
+		else if (event instanceof FailoverEvent.ReserveAnswered answered) {
+			acceptReservation(answered, now);
+		}
+		else if (event instanceof FailoverEvent.PromoteAnswered answered) {
+			acceptPromotion(answered, now);
+		}
+		else if (event instanceof FailoverEvent.ConfirmAnswered answered) {
+			acceptConfirmation(answered);
+		}
+	}
+
+	private void acceptStatus(FailoverEvent.StatusAnswered answered, long now) {
+		String member = answered.status().member();
+		FailoverEvent.StatusAnswered known = this.statuses.get(member);
+		if (known != null && answered.sentAt() - known.sentAt() < 0) {
+			return;
+		}
+		this.statuses.put(member, answered);
+		Primary expected = (this.inForce != null) ? this.inForce : this.target;
+		if (expected != null && actsAs(answered, expected)) {
+			this.primaryAnsweredAt = later(this.primaryAnsweredAt, answered.answeredAt());
+		}
+		if (this.phase == FailoverPhase.PROMOTING && actsAs(answered, this.target)) {
+			promoted(now);
+		}
+	}
+
+	private void acceptView(GroupView changed, long now) {
+		if (changed.version() < this.view.version()) {
+			return;
+		}
+		if (!changed.members().keySet().equals(this.view.members().keySet())) {
+			this.membersChangedAt = now;
+		}
+		this.view = changed;
+		this.statuses.keySet().retainAll(changed.members().keySet());
+		boolean reserved = this.phase == FailoverPhase.RESERVING && changed.reservedTerm() == this.target.term();
+		if (reserved && changed.candidate().equals(this.target.member())) {
+			promote(now);
+		}
+		boolean confirmed = this.phase == FailoverPhase.CONFIRMING && changed.term() == this.target.term();
+		if (confirmed && changed.primary().equals(this.target.member())) {
+			confirmed();
+		}
+	}
+
+	private void acceptReservation(FailoverEvent.ReserveAnswered answered, long now) {
+		if (this.phase != FailoverPhase.RESERVING || answered.newTerm() != this.target.term()) {
+			return;
+		}
+		if (answered.accepted()) {
+			promote(now);
+		}
+		else {
+			long pause = FailoverTiming.RESERVATION_LIMIT_NANOSECONDS - FailoverTiming.RESERVATION_PAUSE_NANOSECONDS;
+			this.phaseSince = earlier(this.phaseSince, now - pause);
+		}
+	}
+
+	private void acceptPromotion(FailoverEvent.PromoteAnswered answered, long now) {
+		boolean expected = this.phase == FailoverPhase.PROMOTING && answered.term() == this.target.term()
+				&& answered.member().equals(this.target.member());
+		if (!expected) {
+			return;
+		}
+		if (answered.accepted()) {
+			promoted(now);
+		}
+		else {
+			giveUpPromotion(now);
+		}
+	}
+
+	private void acceptConfirmation(FailoverEvent.ConfirmAnswered answered) {
+		// A refusal may mean that an earlier submission was accepted; the view then shows
+		// it.
+		boolean expected = this.phase == FailoverPhase.CONFIRMING && answered.term() == this.target.term();
+		if (expected && answered.accepted()) {
+			confirmed();
+		}
+	}
+
+	private void advancePhase(long now) {
+		switch (this.phase) {
+			case FIRST_START -> advanceFirstStart(now);
+			case STEADY, WAITING_FOR_MAJORITY -> advanceSteady(now);
+			case COLLECTING -> advanceCollecting(now);
+			case RESERVING -> advanceReserving(now);
+			case PROMOTING -> advancePromoting(now);
+			case CONFIRMING -> advanceConfirming(now);
+		}
+	}
+
+	private void advanceFirstStart(long now) {
+		List<FailoverEvent.StatusAnswered> answered = answeredSince(this.collectingSince, now);
+		boolean settled = now - this.membersChangedAt >= FailoverTiming.FIRST_START_SETTLE_NANOSECONDS;
+		boolean all = answered.size() == this.view.members().size();
+		boolean limit = now - this.ownedSince >= FailoverTiming.FIRST_START_LIMIT_NANOSECONDS;
+		boolean enough = all || (limit && answered.size() >= this.quorum.required(this.view));
+		if (answered.isEmpty() || !settled || !enough) {
+			return;
+		}
+		Comparator<FailoverEvent.StatusAnswered> byRole = Comparator
+			.comparing((status) -> status.status().role() == MemberRole.PRIMARY);
+		Comparator<FailoverEvent.StatusAnswered> byTerm = Comparator
+			.comparingLong((status) -> (status.status().role() == MemberRole.PRIMARY) ? status.status().term() : 0);
+		answered.stream()
+			.max(byRole.thenComparing(byTerm).thenComparing(preference()))
+			.ifPresent((best) -> reserve(best.status().member(), now));
+	}
+
+	private void advanceSteady(long now) {
+		boolean silent = now - this.primaryAnsweredAt >= FailoverTiming.SUSPICION_NANOSECONDS;
+		if (silent && reachable(now).size() < this.quorum.required(this.view)) {
+			enter(FailoverPhase.WAITING_FOR_MAJORITY, now);
+			return;
+		}
+		enter(FailoverPhase.STEADY, now);
+		if (silent) {
+			startFailover(false, now);
+		}
+		else if (plannedChangeIsDue(now)) {
+			startFailover(true, now);
+		}
+	}
+
+	private boolean plannedChangeIsDue(long now) {
+		FailoverEvent.StatusAnswered primary = this.statuses.get(this.inForce.member());
+		boolean leaving = this.view.member(this.inForce.member()).filter(MemberDescription::leaving).isPresent();
+		if (!leaving || primary == null || now - this.plannedNotBefore < 0) {
+			return false;
+		}
+		return reachable(now).size() >= this.quorum.required(this.view)
+				&& reachable(now).stream().anyMatch((status) -> mayReplace(status, primary));
+	}
+
+	private boolean mayReplace(FailoverEvent.StatusAnswered replica, FailoverEvent.StatusAnswered primary) {
+		LogPosition position = replica.status().position();
+		LogPosition wanted = primary.status().position();
+		boolean near = position.term() == wanted.term()
+				&& wanted.index() - position.index() <= FailoverTiming.PLANNED_LAG_RECORDS;
+		return near && !isLeaving(replica);
+	}
+
+	private void startFailover(boolean isPlanned, long now) {
+		this.former = this.inForce;
+		this.planned = isPlanned;
+		this.plannedNotBefore = isPlanned ? now + FailoverTiming.PLANNED_PAUSE_NANOSECONDS : this.plannedNotBefore;
+		this.failedCandidate = "";
+		seal(this.inForce.term(), now);
+	}
+
+	private void seal(long term, long now) {
+		this.inForce = null;
+		this.target = null;
+		this.sealedTerm = Math.max(this.sealedTerm, term);
+		this.collectingSince = now;
+		this.actions.add(new FailoverAction.Seal(this.sealedTerm));
+		enter(this.view.primary().isEmpty() ? FailoverPhase.FIRST_START : FailoverPhase.COLLECTING, now);
+	}
+
+	private void advanceCollecting(long now) {
+		List<FailoverEvent.StatusAnswered> answered = answeredSince(this.collectingSince, now);
+		if (answered.size() < this.quorum.required(this.view)) {
+			return;
+		}
+		if (this.planned && now - this.collectingSince < FailoverTiming.CATCH_UP_LIMIT_NANOSECONDS) {
+			successor(answered).ifPresent((member) -> reserve(member, now));
+			return;
+		}
+		candidate(answered).ifPresent((member) -> reserve(member, now));
+	}
+
+	// A leaving primary is replaced by a member that holds its whole log.
+	private Optional<String> successor(List<FailoverEvent.StatusAnswered> answered) {
+		Optional<LogPosition> wanted = answered.stream()
+			.filter((status) -> status.status().member().equals(this.former.member()))
+			.map((status) -> status.status().position())
+			.findFirst();
+		return wanted.flatMap((position) -> answered.stream()
+			.filter((status) -> !isLeaving(status) && status.status().position().includes(position))
+			.max(preference())
+			.map((status) -> status.status().member()));
+	}
+
+	// A member whose log has a later term than any reserved one belongs to another
+	// history.
+	// A member that failed to be promoted is left out if the others form a majority,
+	// whose
+	// most advanced member is as safe a choice.
+	private Optional<String> candidate(List<FailoverEvent.StatusAnswered> answered) {
+		List<FailoverEvent.StatusAnswered> others = answered.stream()
+			.filter((status) -> !status.status().member().equals(this.failedCandidate))
+			.toList();
+		boolean enough = others.size() >= this.quorum.required(this.view);
+		long highestTerm = Math.max(this.view.reservedTerm(), this.attemptedTerm);
+		return (enough ? others : answered).stream()
+			.filter((status) -> status.status().position().term() <= highestTerm)
+			.max(preference())
+			.map((status) -> status.status().member());
+	}
+
+	private Comparator<FailoverEvent.StatusAnswered> preference() {
+		return Comparator.<FailoverEvent.StatusAnswered, LogPosition>comparing((status) -> status.status().position())
+			.thenComparing((status) -> !isLeaving(status))
+			.thenComparing((status) -> !status.status().member().equals(this.failedCandidate))
+			.thenComparing((status) -> this.former == null || !status.status().member().equals(this.former.member()))
+			.thenComparing((status) -> status.status().member());
+	}
+
+	// Each attempt uses a new term, so that the answer to an earlier attempt cannot be
+	// taken
+	// for the answer to this one.
+	private void reserve(String member, long now) {
+		long highest = Math.max(this.view.reservedTerm(), this.attemptedTerm);
+		for (FailoverEvent.StatusAnswered status : this.statuses.values()) {
+			highest = Math.max(highest, status.status().term());
+		}
+		this.attemptedTerm = highest + 1;
+		this.target = new Primary(member, this.attemptedTerm);
+		this.actions.add(new FailoverAction.Reserve(this.view.reservedTerm(), this.attemptedTerm, member));
+		enter(FailoverPhase.RESERVING, now);
+	}
+
+	private void advanceReserving(long now) {
+		if (now - this.phaseSince >= FailoverTiming.RESERVATION_LIMIT_NANOSECONDS) {
+			seal(this.target.term(), now);
+		}
+	}
+
+	private void promote(long now) {
+		Invariants.check(this.target.term() > this.promotedTerm && this.target.term() > this.sealedTerm, Step.PROMOTE,
+				this.target.member(), "a term must be used for one promotion only");
+		this.promotedTerm = this.target.term();
+		enter(FailoverPhase.PROMOTING, now);
+		orderPromotion(now);
+	}
+
+	private void orderPromotion(long now) {
+		this.orderedAt = now;
+		this.view.member(this.target.member())
+			.ifPresent((member) -> this.actions
+				.add(new FailoverAction.Promote(member.member(), member.address(), this.target.term())));
+	}
+
+	private void advancePromoting(long now) {
+		if (now - this.phaseSince >= FailoverTiming.PROMOTION_LIMIT_NANOSECONDS) {
+			giveUpPromotion(now);
+		}
+		else if (now - this.orderedAt >= FailoverTiming.ORDER_REPEAT_NANOSECONDS) {
+			orderPromotion(now);
+		}
+	}
+
+	private void giveUpPromotion(long now) {
+		this.failedCandidate = this.target.member();
+		seal(this.target.term(), now);
+	}
+
+	private void promoted(long now) {
+		this.primaryAnsweredAt = now;
+		enter(FailoverPhase.CONFIRMING, now);
+		orderConfirmation(now);
+	}
+
+	private void orderConfirmation(long now) {
+		Invariants.check(this.target.term() == this.promotedTerm, Step.PROMOTE, this.target.member(),
+				"only a member that was promoted for a term may be confirmed for it");
+		this.orderedAt = now;
+		this.actions.add(new FailoverAction.Confirm(this.target.term(), this.target.member()));
+	}
+
+	private void advanceConfirming(long now) {
+		if (now - this.phaseSince >= FailoverTiming.CONFIRMATION_LIMIT_NANOSECONDS) {
+			giveUpPromotion(now);
+		}
+		else if (now - this.orderedAt >= FailoverTiming.CONFIRMATION_REPEAT_NANOSECONDS) {
+			orderConfirmation(now);
+		}
+	}
+
+	private void confirmed() {
+		Invariants.check(this.target.term() > this.sealedTerm, Step.PROMOTE, this.target.member(),
+				"a sealed term must not come into force");
+		this.inForce = this.target;
+		this.target = null;
+		this.former = null;
+		this.planned = false;
+		this.failedCandidate = "";
+		this.phase = FailoverPhase.STEADY;
+	}
+
+	private void orderFollowers(long now) {
+		boolean confirming = this.phase == FailoverPhase.CONFIRMING;
+		Primary primary = confirming ? this.target : this.inForce;
+		Optional<MemberDescription> leader = Optional.ofNullable(primary)
+			.flatMap((present) -> this.view.member(present.member()));
+		if (leader.isEmpty()) {
+			return;
+		}
+		for (FailoverEvent.StatusAnswered status : reachable(now)) {
+			String member = status.status().member();
+			if (mustFollow(status, primary) && mayOrder(status, now)) {
+				this.followedAt.put(member, now);
+				this.view.member(member)
+					.ifPresent((description) -> this.actions.add(new FailoverAction.Follow(member,
+							description.address(), primary.term(), leader.get().address())));
+			}
+		}
+	}
+
+	private static boolean mustFollow(FailoverEvent.StatusAnswered status, Primary primary) {
+		boolean other = !status.status().member().equals(primary.member());
+		boolean behind = status.status().term() < primary.term();
+		return other && (behind || status.status().role() == MemberRole.PRIMARY);
+	}
+
+	private boolean mayOrder(FailoverEvent.StatusAnswered status, long now) {
+		Long last = this.followedAt.get(status.status().member());
+		return last == null || now - last >= FailoverTiming.ORDER_REPEAT_NANOSECONDS;
+	}
+
+	private List<FailoverEvent.StatusAnswered> reachable(long now) {
+		return this.statuses.values()
+			.stream()
+			.filter((status) -> now - status.answeredAt() < FailoverTiming.REACHABLE_NANOSECONDS)
+			.sorted(Comparator.comparing((status) -> status.status().member()))
+			.toList();
+	}
+
+	private List<FailoverEvent.StatusAnswered> answeredSince(long since, long now) {
+		return reachable(now).stream()
+			.filter((status) -> status.sentAt() - since >= 0)
+			.filter((status) -> this.view.members().containsKey(status.status().member()))
+			.toList();
+	}
+
+	private boolean isLeaving(FailoverEvent.StatusAnswered status) {
+		return this.view.member(status.status().member()).filter(MemberDescription::leaving).isPresent();
+	}
+
+	private static boolean actsAs(FailoverEvent.StatusAnswered answered, Primary primary) {
+		return answered.status().role() == MemberRole.PRIMARY && answered.status().term() == primary.term()
+				&& Objects.equals(answered.status().member(), primary.member());
+	}
+
+	private void enter(FailoverPhase next, long now) {
+		if (this.phase != next) {
+			this.phase = next;
+			this.phaseSince = now;
+		}
+	}
+
+	private static long later(long first, long second) {
+		return (first - second >= 0) ? first : second;
+	}
+
+	private static long earlier(long first, long second) {
+		return (first - second <= 0) ? first : second;
+	}
+
+}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
@@ -119,7 +119,7 @@
 		}
 		List<String> eligible = item.choice().eligible(now);
 		if (!hasFreeSlot(eligible)) {
-			Admission.Refused refusal = refusal(item, eligible);
+			Admission.Refused refusal = refusal(item, eligible, now);
 			if (refusal != null) {
 				return refusal;
 			}
@@ -252,13 +252,13 @@
 				: OptionalLong.of(this.byDeadline.first().item().deadline());
 	}
 
-	private Admission.Refused refusal(WorkItem<W> item, List<String> eligible) {
+	private Admission.Refused refusal(WorkItem<W> item, List<String> eligible, long now) {
 		double wait = expectedWait(item, eligible);
 		int length = this.policy.queueLength(waiting(item.rank()), this.entries.size());
 		if (length >= this.policy.queueLimit(this.settings)) {
 			return new Admission.Refused(ErrorCode.OVERLOADED, milliseconds(wait));
 		}
-		double late = item.arrival() + wait + serviceTime(item.rank(), eligible) - item.deadline();
+		double late = wait + serviceTime(item.rank(), eligible) - (item.deadline() - now);
 		if (this.policy.refusesEarly() && late > 0) {
 			return new Admission.Refused(ErrorCode.OVERLOADED, milliseconds(late));
 		}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/MemberPositions.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/MemberPositions.java
@@ -186,13 +186,23 @@
 			if (known == null || known.status().role() != MemberRole.REPLICA || member.equals(view.primary())) {
 				return false;
 			}
-			if (!mayReceiveWork(member, known, view, now) || !known.status().position().includes(required)) {
+			if (!followsPresentTerm(known.status(), view) || !mayReceiveWork(member, known, view, now)
+					|| !known.status().position().includes(required)) {
 				return false;
 			}
 			long limit = profile.maximumAgeMilliseconds() * 1_000_000L;
 			return !profile.freshness().boundsAge() || ageNanoseconds(member, now) <= limit;
 		}
 
+		// A replica that still takes part in an earlier term may follow the replaced
+		// primary
+		// and hold writes that were never acknowledged and will be removed. A replica of
+		// a
+		// reserved term holds every acknowledged write.
+		private static boolean followsPresentTerm(MemberStatus status, GroupView view) {
+			return status.term() >= view.term() && status.term() <= view.reservedTerm();
+		}
+
 		private static boolean mayReceiveWork(String member, KnownMember known, GroupView view, long now) {
 			boolean present = view.member(member).filter((description) -> !description.leaving()).isPresent();
 			return present && known.answeredRecently(now);
