Check damaged peer frames before parsing and add transport tests

The MessagePack parser allocates binary values by their stated length, so a damaged frame could demand 2 GiB; its structure is now checked first. A null reply of an HTTP handler left the caller without an answer; it is now reported as an internal error.

--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServer.java
@@ -136,10 +136,10 @@
 
 	private void handle(HttpCall call, CompletableFuture<HttpReply> reply) {
 		try {
-			this.handler.handle(call).whenComplete((result, failure) -> {
-				HttpReply known = (failure != null) ? HttpErrors.reply(failure) : result;
-				reply.complete(known);
-			});
+			this.handler.handle(call)
+				.thenApply((result) -> Objects.requireNonNull(result, "reply must not be null"))
+				.exceptionally(HttpErrors::reply)
+				.thenAccept(reply::complete);
 		}
 		catch (RuntimeException ex) {
 			reply.complete(HttpErrors.reply(ex));
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerCodec.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerCodec.java
@@ -13,6 +13,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import org.magnolialead.api.message.MessageKind;
+import org.msgpack.core.MessageFormatException;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
@@ -66,7 +70,6 @@
 		return JsonMapper.builder(new MessagePackFactory())
 			.disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
 			.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-			.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
 			.build();
 	}
 
@@ -148,9 +151,10 @@
 	private Object decodeBody(MessageKind kind, byte[] body) {
 		Object message;
 		try {
+			checkStructure(body);
 			message = this.readers.get(kind).readValue(body);
 		}
-		catch (IOException ex) {
+		catch (IOException | MessagePackException ex) {
 			throw new IllegalArgumentException("body of kind %s cannot be decoded".formatted(kind), ex);
 		}
 		if (message == null) {
@@ -159,4 +163,19 @@
 		return message;
 	}
 
+	/**
+	 * Checks that a body is exactly one complete value. The parser allocates a binary
+	 * value by its stated length, so a few damaged bytes could demand 2 GiB.
+	 * @param body the body
+	 * @throws IOException if the body cannot be read
+	 */
+	private static void checkStructure(byte[] body) throws IOException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
+			unpacker.skipValue();
+			if (unpacker.hasNext()) {
+				throw new MessageFormatException("the body has bytes after its value");
+			}
+		}
+	}
+
 }
--- /dev/null
+++ b/magnolialead-transport/src/test/java/org/magnolialead/transport/member/ConnectionPoolTests.java
@@ -0,0 +1,230 @@
+package org.magnolialead.transport.member;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Step;
+import org.magnolialead.transport.TestChecks;
+
+class ConnectionPoolTests {
+
+	private static final int LIMIT = 4;
+
+	private static final long FAR = TimeUnit.SECONDS.toNanos(60);
+
+	private static final long SEED = 7_431;
+
+	private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+
+	private final ExecutorService openers = Executors.newFixedThreadPool(4);
+
+	private final AtomicInteger open = new AtomicInteger();
+
+	private final AtomicInteger mostOpen = new AtomicInteger();
+
+	private final AtomicBoolean failing = new AtomicBoolean();
+
+	private final AtomicLong clockOffset = new AtomicLong();
+
+	@AfterEach
+	void close() {
+		this.timer.shutdownNow();
+		this.openers.shutdownNow();
+	}
+
+	/**
+	 * Guards against more connections than the member accepts, connections used twice at
+	 * once, and waiting callers that are forgotten, under random use by several threads.
+	 */
+	@Test
+	void limitHoldsUnderRandomUse() throws Exception {
+		System.out.println("seed " + SEED);
+		ConnectionPool pool = pool(2, TimeUnit.MILLISECONDS.toNanos(1));
+		ExecutorService users = Executors.newFixedThreadPool(12);
+		List<Future<?>> running = new ArrayList<>();
+		for (int user = 0; user < 12; user++) {
+			Random random = new Random(SEED + user);
+			running.add(users.submit(() -> useRandomly(pool, random)));
+		}
+		for (Future<?> user : running) {
+			user.get();
+		}
+		users.shutdown();
+		TestChecks.checkTrue(this.mostOpen.get() <= LIMIT, () -> this.mostOpen + " connections were open");
+		TestChecks.checkTrue(pool.connectionCount() <= LIMIT, () -> "pool counts " + pool.connectionCount());
+		List<MemberConnection> all = new ArrayList<>();
+		for (int count = 0; count < LIMIT; count++) {
+			all.add(pool.acquire(now() + FAR).get());
+		}
+		all.forEach((connection) -> pool.release(connection, false));
+		pool.close();
+	}
+
+	/**
+	 * Guards against a caller that waits past its deadline and against its place being
+	 * lost to others.
+	 */
+	@Test
+	void waitingEndsAtTheDeadline() throws Exception {
+		ConnectionPool pool = pool(0, FAR);
+		List<MemberConnection> used = new ArrayList<>();
+		for (int count = 0; count < LIMIT; count++) {
+			used.add(pool.acquire(now() + FAR).get());
+		}
+		CompletableFuture<MemberConnection> hurried = pool.acquire(now() + TimeUnit.MILLISECONDS.toNanos(20));
+		CompletableFuture<MemberConnection> patient = pool.acquire(now() + FAR);
+		checkFailure(ErrorCode.DEADLINE_EXCEEDED, hurried);
+		pool.release(used.get(0), true);
+		TestChecks.checkTrue(patient.get() == used.get(0), () -> "the released connection must be handed on");
+		pool.close();
+	}
+
+	/**
+	 * Guards against a failed attempt that occupies a place for ever.
+	 */
+	@Test
+	void failedAttemptsFreeTheirPlace() throws Exception {
+		ConnectionPool pool = pool(0, FAR);
+		this.failing.set(true);
+		for (int count = 0; count < 3 * LIMIT; count++) {
+			checkFailure(ErrorCode.UNREACHABLE, pool.acquire(now() + FAR));
+		}
+		this.failing.set(false);
+		TestChecks.checkTrue(pool.acquire(now() + FAR).get().isOpen(), () -> "must be open");
+		TestChecks.checkEquals(1, pool.connectionCount());
+		pool.close();
+	}
+
+	/**
+	 * Guards against unused connections that occupy a member, and against a pool without
+	 * any warm connection.
+	 */
+	@Test
+	void idleConnectionsAreClosedExceptWarmOnes() throws Exception {
+		ConnectionPool pool = pool(1, FAR);
+		List<MemberConnection> used = new ArrayList<>();
+		for (int count = 0; count < LIMIT; count++) {
+			used.add(pool.acquire(now() + FAR).get());
+		}
+		used.forEach((connection) -> pool.release(connection, true));
+		pool.maintain();
+		TestChecks.checkEquals(LIMIT, pool.connectionCount());
+		this.clockOffset.addAndGet(2 * FAR);
+		pool.maintain();
+		TestChecks.checkEquals(1, pool.connectionCount());
+		pool.close();
+		TestChecks.checkEquals(0, pool.connectionCount());
+	}
+
+	private void useRandomly(ConnectionPool pool, Random random) {
+		for (int round = 0; round < 400; round++) {
+			this.failing.set(random.nextInt(50) == 0);
+			long patience = TimeUnit.MICROSECONDS.toNanos(1 + random.nextInt(3_000));
+			try {
+				MemberConnection connection = pool.acquire(now() + patience).join();
+				((StandIn) connection).use();
+				Thread.yield();
+				((StandIn) connection).endUse();
+				if (random.nextInt(8) == 0) {
+					connection.close();
+				}
+				pool.release(connection, random.nextInt(5) != 0);
+			}
+			catch (CompletionException ex) {
+				MagnolialeadException cause = (MagnolialeadException) ex.getCause();
+				TestChecks.checkTrue(cause.code() != ErrorCode.INVARIANT_VIOLATED, cause::toString);
+			}
+		}
+		this.failing.set(false);
+	}
+
+	private ConnectionPool pool(int warm, long idleTime) {
+		return new ConnectionPool(this::connect, this.timer, "m", LIMIT, warm, idleTime, this::now);
+	}
+
+	private long now() {
+		return System.nanoTime() + this.clockOffset.get();
+	}
+
+	private CompletableFuture<MemberConnection> connect(String address, long deadline) {
+		return CompletableFuture.supplyAsync(() -> {
+			if (this.failing.get()) {
+				throw new MagnolialeadException(ErrorCode.UNREACHABLE, Step.CONNECT, address, "refused by the test");
+			}
+			return new StandIn();
+		}, this.openers);
+	}
+
+	private static void checkFailure(ErrorCode code, CompletableFuture<MemberConnection> result) {
+		CompletionException failure = TestChecks.checkThrows(CompletionException.class, result::join);
+		TestChecks.checkEquals(code, ((MagnolialeadException) failure.getCause()).code());
+	}
+
+	/**
+	 * Connection that counts how many are open and detects use by two callers at once.
+	 */
+	private final class StandIn implements MemberConnection {
+
+		private final AtomicBoolean used = new AtomicBoolean();
+
+		private final CompletableFuture<Void> closed = new CompletableFuture<>();
+
+		StandIn() {
+			int now = ConnectionPoolTests.this.open.incrementAndGet();
+			ConnectionPoolTests.this.mostOpen.accumulateAndGet(now, Math::max);
+		}
+
+		void use() {
+			TestChecks.checkTrue(this.used.compareAndSet(false, true), () -> "used by two callers at once");
+		}
+
+		void endUse() {
+			this.used.set(false);
+		}
+
+		@Override
+		public CompletableFuture<MemberReply> exchange(MemberCall call, long deadline) {
+			throw new UnsupportedOperationException();
+		}
+
+		@Override
+		public boolean isOpen() {
+			return !this.closed.isDone();
+		}
+
+		@Override
+		public synchronized void close() {
+			if (isOpen()) {
+				ConnectionPoolTests.this.open.decrementAndGet();
+				this.closed.complete(null);
+			}
+		}
+
+		@Override
+		public CompletableFuture<Void> closed() {
+			return this.closed;
+		}
+
+		@Override
+		public String address() {
+			return "m";
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-transport/src/test/java/org/magnolialead/transport/peer/PeerClientServerTests.java
@@ -0,0 +1,248 @@
+package org.magnolialead.transport.peer;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.message.InitializeAnswer;
+import org.magnolialead.api.message.InitializeRequest;
+import org.magnolialead.api.message.ViewQuery;
+import org.magnolialead.transport.TestChecks;
+
+class PeerClientServerTests {
+
+	private static final String HOST = "127.0.0.1";
+
+	private final ExecutorService executor = Executors.newCachedThreadPool();
+
+	private final PeerClient client = new PeerClient(MonotonicClock.SYSTEM);
+
+	private final PeerCodec codec = new PeerCodec();
+
+	private final List<AutoCloseable> resources = new ArrayList<>(List.of(this.client));
+
+	@AfterEach
+	void close() throws Exception {
+		for (AutoCloseable resource : this.resources) {
+			resource.close();
+		}
+		this.executor.shutdownNow();
+	}
+
+	/**
+	 * Guards against requests of one connection that wait for each other.
+	 */
+	@Test
+	void quickRequestOvertakesSlowOne() throws Exception {
+		CompletableFuture<Object> slow = new CompletableFuture<>();
+		PeerServer server = server((message) -> (message instanceof InitializeRequest) ? slow
+				: CompletableFuture.completedFuture(named("quick")));
+		CompletableFuture<Object> first = request(server.port(), new InitializeRequest(), 10_000);
+		TestChecks.checkEquals(named("quick"), request(server.port(), new ViewQuery(), 10_000).get());
+		slow.complete(named("slow"));
+		TestChecks.checkEquals(named("slow"), first.get());
+	}
+
+	/**
+	 * Guards against answers handed to the wrong request when they arrive reordered, late
+	 * or twice.
+	 */
+	@Test
+	void reorderedLateAndDuplicatedAnswersAreMatchedOrDropped() throws Exception {
+		CountDownLatch timedOut = new CountDownLatch(1);
+		int port = rawServer((socket) -> {
+			DataInputStream input = new DataInputStream(socket.getInputStream());
+			long late = readCorrelationId(input);
+			timedOut.await();
+			long second = readCorrelationId(input);
+			long third = readCorrelationId(input);
+			OutputStream output = socket.getOutputStream();
+			output.write(answer(third, "third"));
+			output.write(answer(late, "late"));
+			output.write(answer(third, "duplicate"));
+			output.write(answer(second, "second"));
+			output.write(answer(second, "duplicate"));
+			long fourth = readCorrelationId(input);
+			output.write(answer(fourth, "fourth"));
+			input.read();
+		});
+		assertFailure(ErrorCode.NO_ANSWER, request(port, new ViewQuery(), 100));
+		timedOut.countDown();
+		CompletableFuture<Object> second = request(port, new ViewQuery(), 10_000);
+		CompletableFuture<Object> third = request(port, new ViewQuery(), 10_000);
+		TestChecks.checkEquals(named("second"), second.get());
+		TestChecks.checkEquals(named("third"), third.get());
+		TestChecks.checkEquals(named("fourth"), request(port, new ViewQuery(), 10_000).get());
+	}
+
+	/**
+	 * Guards against an unsent request that is reported as possibly executed, and the
+	 * opposite.
+	 */
+	@Test
+	void failureTellsWhetherTheRequestLeft() throws Exception {
+		int unused;
+		try (ServerSocket socket = new ServerSocket(0)) {
+			unused = socket.getLocalPort();
+		}
+		assertFailure(ErrorCode.UNREACHABLE, request(unused, new ViewQuery(), 10_000));
+		assertFailure(ErrorCode.UNREACHABLE, request(unused, new ViewQuery(), -1));
+		int closing = rawServer((socket) -> readCorrelationId(new DataInputStream(socket.getInputStream())));
+		assertFailure(ErrorCode.NO_ANSWER, request(closing, new ViewQuery(), 10_000));
+	}
+
+	/**
+	 * Guards against damaged input that stops the server or disturbs other connections.
+	 */
+	@Test
+	void damagedFramesCloseOnlyTheirConnection() throws Exception {
+		PeerServer server = server((message) -> CompletableFuture.completedFuture(named("ok")));
+		TestChecks.checkEquals(named("ok"), request(server.port(), new ViewQuery(), 10_000).get());
+		ByteBuf oversized = Unpooled.buffer().writeInt(PeerCodec.MAXIMUM_FRAME_BYTES).writeZero(64);
+		ByteBuf negative = Unpooled.buffer().writeInt(-1).writeZero(64);
+		ByteBuf unknownKind = Unpooled.buffer().writeInt(9).writeByte(99).writeLong(1);
+		ByteBuf undecodable = Unpooled.buffer().writeInt(10).writeByte(1).writeLong(1).writeByte(0xC1);
+		for (ByteBuf damaged : List.of(oversized, negative, unknownKind, undecodable)) {
+			try (Socket socket = new Socket(HOST, server.port())) {
+				socket.getOutputStream().write(damaged.array(), 0, damaged.readableBytes());
+				TestChecks.checkEquals(-1, readOrEnd(socket));
+			}
+		}
+		TestChecks.checkEquals(named("ok"), request(server.port(), new ViewQuery(), 10_000).get());
+	}
+
+	/**
+	 * Guards against handler failures that leave the caller waiting.
+	 */
+	@Test
+	void handlerFailureIsSentWithCodeAndStep() throws Exception {
+		PeerServer server = server((message) -> {
+			throw new MagnolialeadException(ErrorCode.NOT_OWNER, Step.QUEUE, "", "not here");
+		});
+		ExecutionException failure = TestChecks.checkThrows(ExecutionException.class,
+				request(server.port(), new ViewQuery(), 10_000)::get);
+		MagnolialeadException cause = (MagnolialeadException) failure.getCause();
+		TestChecks.checkEquals(ErrorCode.NOT_OWNER, cause.code());
+		TestChecks.checkEquals(Step.QUEUE, cause.step());
+		TestChecks.checkEquals(HOST + ":" + server.port(), cause.peer());
+	}
+
+	/**
+	 * Guards against memory that grows while a peer does not read, and against a silently
+	 * cut connection that is used for ever.
+	 */
+	@Test
+	void silentPeerIsBoundedAndGivenUp() throws Exception {
+		CountDownLatch end = new CountDownLatch(1);
+		int port = rawServer((socket) -> end.await());
+		List<CompletableFuture<Object>> requests = new ArrayList<>();
+		Object large = new InitializeAnswer(false, "x".repeat(1_000_000));
+		for (int count = 0; count < 40; count++) {
+			requests.add(request(port, large, 60_000));
+		}
+		assertFailure(ErrorCode.OVERLOADED, requests.get(39));
+		assertFailure(ErrorCode.NO_ANSWER, requests.get(0));
+		end.countDown();
+	}
+
+	/**
+	 * Guards against answers to messages that expect none.
+	 */
+	@Test
+	void messageWithoutAnswerIsHandled() throws Exception {
+		CompletableFuture<Object> handled = new CompletableFuture<>();
+		PeerServer server = server((message) -> {
+			handled.complete(message);
+			return null;
+		});
+		this.client.send(HOST + ":" + server.port(), new ViewQuery());
+		TestChecks.checkEquals(new ViewQuery(), handled.get(10, TimeUnit.SECONDS));
+	}
+
+	private PeerServer server(PeerHandler handler) {
+		PeerServer server = new PeerServer(HOST, 0, handler, this.executor);
+		this.resources.add(server);
+		return server;
+	}
+
+	private int rawServer(RawPeer peer) throws IOException {
+		ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName(HOST));
+		this.resources.add(listener);
+		this.executor.execute(() -> {
+			try (Socket socket = listener.accept()) {
+				peer.run(socket);
+			}
+			catch (Exception ex) {
+				// The test closes the listener when it ends.
+			}
+		});
+		return listener.getLocalPort();
+	}
+
+	private CompletableFuture<Object> request(int port, Object message, long milliseconds) {
+		return this.client.request(HOST + ":" + port, message,
+				System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(milliseconds));
+	}
+
+	private byte[] answer(long correlationId, String name) {
+		ByteBuf frame = this.codec.encode(correlationId, named(name));
+		byte[] bytes = new byte[frame.readableBytes()];
+		frame.readBytes(bytes);
+		return bytes;
+	}
+
+	private static InitializeAnswer named(String name) {
+		return new InitializeAnswer(true, name);
+	}
+
+	private static long readCorrelationId(DataInputStream input) throws IOException {
+		int length = input.readInt();
+		input.readByte();
+		long correlationId = input.readLong();
+		input.skipNBytes(length - Byte.BYTES - Long.BYTES);
+		return correlationId;
+	}
+
+	private static int readOrEnd(Socket socket) {
+		try {
+			return socket.getInputStream().read();
+		}
+		catch (IOException ex) {
+			return -1;
+		}
+	}
+
+	private static void assertFailure(ErrorCode code, CompletableFuture<Object> answer) {
+		ExecutionException failure = TestChecks.checkThrows(ExecutionException.class, answer::get);
+		TestChecks.checkTrue(failure.getCause() instanceof MagnolialeadException, failure::toString);
+		MagnolialeadException cause = (MagnolialeadException) failure.getCause();
+		TestChecks.checkEquals(code, cause.code(), cause.toString());
+		TestChecks.checkEquals(Step.FORWARD, cause.step());
+	}
+
+	private interface RawPeer {
+
+		void run(Socket socket) throws Exception;
+
+	}
+
+}
