Add magnolialead-ctl with load generator and control commands

Operators need to change the configuration and measurements need offered load that does not slow down with the answers. The control commands use a small connection interface until the peer protocol client exists.

--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/InitializeCommand.java
@@ -0,0 +1,28 @@
+package org.magnolialead.ctl;
+
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.message.InitializeAnswer;
+import org.magnolialead.api.message.InitializeRequest;
+
+/**
+ * Starts a new cluster of control daemons, once.
+ */
+final class InitializeCommand extends ControlOptions {
+
+	@Override
+	public void run(CtlContext context) {
+		String address = addresses().get(0);
+		try {
+			InitializeAnswer answer = ControlClient.expect(InitializeAnswer.class,
+					client(context).request(address, new InitializeRequest()));
+			if (!answer.accepted()) {
+				throw CtlException.failure("refused: " + answer.message());
+			}
+			context.output().println("initialized");
+		}
+		catch (MagnolialeadException ex) {
+			throw CtlException.failure(address + ": " + ex.getMessage());
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
@@ -0,0 +1,103 @@
+package org.magnolialead.ctl;
+
+import java.io.PrintStream;
+
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Step;
+
+/**
+ * Command line for operators.
+ */
+public final class MagnolialeadCtl {
+
+	private final ControlConnectionFactory connections;
+
+	private final PrintStream output;
+
+	private final PrintStream errors;
+
+	/**
+	 * Creates the command line.
+	 * @param connections opens connections to control daemons
+	 * @param output receives results
+	 * @param errors receives one line for each failure
+	 */
+	public MagnolialeadCtl(ControlConnectionFactory connections, PrintStream output, PrintStream errors) {
+		this.connections = connections;
+		this.output = output;
+		this.errors = errors;
+	}
+
+	/**
+	 * Runs one command and ends the process with its exit code.
+	 * @param arguments command line arguments
+	 */
+	public static void main(String[] arguments) {
+		InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+		System.exit(new MagnolialeadCtl(MagnolialeadCtl::unavailable, System.out, System.err).run(arguments));
+	}
+
+	/**
+	 * Runs one command.
+	 * @param arguments command line arguments
+	 * @return the exit code: 0 on success, 1 on failure and 2 for wrong arguments
+	 */
+	public int run(String... arguments) {
+		Root root = new Root();
+		try {
+			new CmdLineParser(root).parseArgument(arguments);
+			root.command.run(new CtlContext(this.connections, this.output));
+			return 0;
+		}
+		catch (CmdLineException ex) {
+			return failed(CtlException.WRONG_ARGUMENTS, ex.getMessage());
+		}
+		catch (CtlException ex) {
+			return failed(ex.exitCode(), ex.getMessage());
+		}
+		catch (RuntimeException ex) {
+			return failed(CtlException.FAILURE, ex.toString());
+		}
+	}
+
+	private int failed(int exitCode, String message) {
+		this.errors.println("magnolialead-ctl: " + String.valueOf(message).replaceAll("\\s*\\R\\s*", " "));
+		return exitCode;
+	}
+
+	/**
+	 * Stands in until the transport module supplies connections to control daemons.
+	 * @param address address of the control daemon
+	 * @return never
+	 */
+	private static ControlConnection unavailable(String address) {
+		throw new MagnolialeadException(ErrorCode.UNREACHABLE, Step.CONTROL, address,
+				"this build has no peer protocol client");
+	}
+
+	/**
+	 * Arguments of the program.
+	 */
+	private static final class Root {
+
+		@Argument(required = true, metaVar = "status|config|initialize|forget-member|load",
+				handler = SubCommandHandler.class)
+		@SubCommands({ @SubCommand(name = "status", impl = StatusCommand.class),
+				@SubCommand(name = "config", impl = ConfigCommand.class),
+				@SubCommand(name = "initialize", impl = InitializeCommand.class),
+				@SubCommand(name = "forget-member", impl = ForgetMemberCommand.class),
+				@SubCommand(name = "load", impl = LoadCommand.class) })
+		private CtlCommand command;
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/LoadAnswer.java
@@ -0,0 +1,47 @@
+package org.magnolialead.ctl.load;
+
+import java.io.IOException;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+
+/**
+ * Answer to a request of the load generator.
+ *
+ * @param result what is known about the request
+ * @param status HTTP status, or 0 without an answer
+ * @param headers headers by name in lower case
+ * @param body body
+ */
+record LoadAnswer(LoadResult result, int status, Map<String, String> headers, byte[] body) {
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	static LoadAnswer without(LoadResult result) {
+		return new LoadAnswer(result, 0, Map.of(), new byte[0]);
+	}
+
+	static LoadAnswer of(int status, Map<String, String> headers, byte[] body) {
+		return new LoadAnswer(LoadResult.of(status, headers.get("magnolialead-outcome")), status, headers, body);
+	}
+
+	String header(String name) {
+		return this.headers.getOrDefault(name, "");
+	}
+
+	/**
+	 * Returns the body as JSON.
+	 * @return the JSON value, or a missing node if the body is not complete JSON
+	 */
+	JsonNode json() {
+		try {
+			return JSON.readTree(this.body);
+		}
+		catch (IOException ex) {
+			return MissingNode.getInstance();
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/LoadChecks.java
@@ -0,0 +1,157 @@
+package org.magnolialead.ctl.load;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.magnolialead.ctl.load.LoadSession.TokenUse;
+
+/**
+ * Expectations collected during a run and violations found. Thread-safe.
+ */
+final class LoadChecks {
+
+	private static final int MAXIMUM_EXAMPLES = 20;
+
+	/**
+	 * Limit of unique keys of each outcome that are remembered; reading more of them at
+	 * the end would take longer than the run.
+	 */
+	private static final int MAXIMUM_INSERTS = 2_000;
+
+	private final Map<Violation, Long> violations = new EnumMap<>(Violation.class);
+
+	private final Map<TokenUse, Long> sessionReads = new EnumMap<>(TokenUse.class);
+
+	private final List<String> examples = new ArrayList<>();
+
+	private final Map<CheckedKey, Counter> counters = new TreeMap<>();
+
+	private final Map<LoadResult, List<CheckedKey>> inserts = new EnumMap<>(LoadResult.class);
+
+	private long unverified;
+
+	synchronized void violated(Violation violation, String example) {
+		this.violations.merge(violation, 1L, Long::sum);
+		if (this.examples.size() < MAXIMUM_EXAMPLES) {
+			this.examples.add(violation + ": " + example);
+		}
+	}
+
+	synchronized void sessionRead(TokenUse tokenUse) {
+		this.sessionReads.merge(tokenUse, 1L, Long::sum);
+	}
+
+	/**
+	 * Records the end of an increment.
+	 * @param key the counter
+	 * @param result what is known about it
+	 * @param count count that was returned, if done
+	 */
+	synchronized void incremented(CheckedKey key, LoadResult result, long count) {
+		Counter counter = this.counters.computeIfAbsent(key, (ignored) -> new Counter());
+		if (result == LoadResult.DONE) {
+			counter.acknowledged++;
+			if (!counter.returned.add(count)) {
+				violated(Violation.FOREIGN_ANSWER, "count %d of %s was returned twice".formatted(count, key.name()));
+			}
+		}
+		else if (result == LoadResult.UNKNOWN) {
+			counter.unknown++;
+		}
+	}
+
+	synchronized void inserted(CheckedKey key, LoadResult result) {
+		List<CheckedKey> keys = this.inserts.computeIfAbsent(result, (ignored) -> new ArrayList<>());
+		if (keys.size() < MAXIMUM_INSERTS) {
+			keys.add(key);
+		}
+	}
+
+	synchronized List<CheckedKey> counterKeys() {
+		return List.copyOf(this.counters.keySet());
+	}
+
+	synchronized List<CheckedKey> insertKeys(LoadResult result) {
+		return List.copyOf(this.inserts.getOrDefault(result, List.of()));
+	}
+
+	synchronized void verifyCounter(CheckedKey key, long count) {
+		Counter counter = this.counters.get(key);
+		String example = "%s is %d with %d acknowledged and %d unknown increments".formatted(key.name(), count,
+				counter.acknowledged, counter.unknown);
+		if (count < counter.acknowledged) {
+			violated(Violation.LOST_WRITE, example);
+		}
+		if (count > counter.acknowledged + counter.unknown) {
+			violated(Violation.EXECUTED_TWICE, example);
+		}
+	}
+
+	synchronized void notVerified() {
+		this.unverified++;
+	}
+
+	synchronized LoadReport.CheckReport report() {
+		Map<String, Long> found = new TreeMap<>();
+		for (Violation violation : Violation.values()) {
+			found.put(violation.name(), this.violations.getOrDefault(violation, 0L));
+		}
+		Map<String, Long> reads = new TreeMap<>();
+		this.sessionReads.forEach((tokenUse, count) -> reads.put(tokenUse.name(), count));
+		return new LoadReport.CheckReport(found, List.copyOf(this.examples), reads, this.counters.size(),
+				insertKeys(LoadResult.DONE).size(), insertKeys(LoadResult.NOT_RUN).size(), this.unverified);
+	}
+
+	/**
+	 * Kinds of violations.
+	 */
+	enum Violation {
+
+		/** A read did not return the last acknowledged write of its session. */
+		STALE_READ,
+		/** An answer belongs to another request or is not complete. */
+		FOREIGN_ANSWER,
+		/** A counter is greater than the increments sent. */
+		EXECUTED_TWICE,
+		/** An acknowledged write is missing. */
+		LOST_WRITE,
+		/** A write that was reported as not run was executed. */
+		RUN_AFTER_NOT_RUN
+
+	}
+
+	/**
+	 * Key that is read at the end of the run.
+	 *
+	 * @param group database group
+	 * @param name name of the key
+	 */
+	record CheckedKey(String group, String name) implements Comparable<CheckedKey> {
+
+		@Override
+		public int compareTo(CheckedKey other) {
+			int byGroup = this.group.compareTo(other.group);
+			return (byGroup != 0) ? byGroup : this.name.compareTo(other.name);
+		}
+
+	}
+
+	/**
+	 * What is known about a shared counter.
+	 */
+	private static final class Counter {
+
+		private long acknowledged;
+
+		private long unknown;
+
+		private final Set<Long> returned = new HashSet<>();
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/LoadGenerator.java
@@ -0,0 +1,126 @@
+package org.magnolialead.ctl.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import java.util.random.RandomGenerator;
+
+import org.magnolialead.ctl.load.LoadSession.TokenUse;
+
+/**
+ * Open-loop load generator: requests are due at random times of a stated mean rate, and a
+ * slow answer delays no later request. Latency counts from the time a request is due.
+ */
+public final class LoadGenerator {
+
+	private static final double NANOSECONDS_PER_SECOND = 1e9;
+
+	private final LoadSettings settings;
+
+	/**
+	 * Random source that several threads use; {@link Random} is thread-safe.
+	 */
+	private final RandomGenerator random;
+
+	private final LoadChecks checks = new LoadChecks();
+
+	private final WriteGaps gaps = new WriteGaps();
+
+	private final AtomicInteger inFlight = new AtomicInteger();
+
+	private final List<MixDriver> drivers = new ArrayList<>();
+
+	/**
+	 * Creates a load generator.
+	 * @param settings settings of the run
+	 */
+	public LoadGenerator(LoadSettings settings) {
+		this.settings = settings;
+		this.random = new Random(settings.seed());
+	}
+
+	/**
+	 * Runs the load, waits for the last answers and checks the result.
+	 * @return the report
+	 */
+	public LoadReport run() {
+		try (HttpLoadClient client = new HttpLoadClient(this.settings.connections())) {
+			client.holdIdle(this.settings.addresses(), this.settings.idleConnections());
+			String runName = "run" + Long.toString(System.currentTimeMillis(), Character.MAX_RADIX);
+			RequestFactory requests = new RequestFactory(this.settings, runName, this.random);
+			generate(client, requests, runName);
+			int idleOpen = client.openIdleConnections();
+			new LoadVerifier(this.settings, client, requests, this.checks).verify();
+			return report(idleOpen);
+		}
+	}
+
+	private void generate(HttpLoadClient client, RequestFactory requests, String runName) {
+		long start = System.nanoTime();
+		long measureFrom = start + nanoseconds(this.settings.warmUpSeconds());
+		long end = start + nanoseconds(this.settings.seconds());
+		List<LoadSession> sessions = sessions(runName);
+		List<Thread> threads = new ArrayList<>();
+		for (int i = 0; i < this.settings.mixes().size(); i++) {
+			LoadMix mix = this.settings.mixes().get(i);
+			MixDriver driver = new MixDriver(mix, runName + "-m" + i, this.settings, sessions, client, requests,
+					this.checks, this.gaps, this.random, this.inFlight, measureFrom);
+			this.drivers.add(driver);
+			Thread thread = new Thread(() -> pace(driver, mix.rate(), start, end), "load-" + mix.profile());
+			thread.start();
+			threads.add(thread);
+		}
+		threads.forEach(LoadGenerator::join);
+		this.gaps.finish(end);
+		while (this.inFlight.get() > 0) {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
+		}
+	}
+
+	private List<LoadSession> sessions(String runName) {
+		int keys = this.settings.mixes().stream().mapToInt(LoadMix::keys).max().orElse(1);
+		List<LoadSession> sessions = new ArrayList<>();
+		for (int i = 0; i < this.settings.sessions(); i++) {
+			TokenUse tokenUse = TokenUse.values()[i % TokenUse.values().length];
+			sessions.add(new LoadSession(runName + "-s" + i, tokenUse, keys, this.settings.groups()));
+		}
+		return sessions;
+	}
+
+	private void pace(MixDriver driver, double rate, long start, long end) {
+		long due = start;
+		while (due - end < 0) {
+			for (long wait = due - System.nanoTime(); wait > 0; wait = due - System.nanoTime()) {
+				LockSupport.parkNanos(wait);
+			}
+			driver.sendNext(due);
+			due += Math.max(1, (long) (-Math.log(1 - this.random.nextDouble()) / rate * NANOSECONDS_PER_SECOND));
+		}
+	}
+
+	private LoadReport report(int idleOpen) {
+		double measured = this.settings.seconds() - this.settings.warmUpSeconds();
+		long answered = this.drivers.stream().mapToLong((driver) -> driver.meter().answeredCount()).sum();
+		return new LoadReport(measured, answered / measured,
+				this.drivers.stream().map((driver) -> driver.meter().report()).toList(), this.gaps.report(),
+				this.settings.idleConnections(), idleOpen, this.checks.report());
+	}
+
+	private static long nanoseconds(double seconds) {
+		return (long) (seconds * NANOSECONDS_PER_SECOND);
+	}
+
+	private static void join(Thread thread) {
+		try {
+			thread.join();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("interrupted during the load", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/LoadVerifier.java
@@ -0,0 +1,93 @@
+package org.magnolialead.ctl.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BiConsumer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.magnolialead.ctl.load.LoadChecks.CheckedKey;
+import org.magnolialead.ctl.load.LoadChecks.Violation;
+import org.magnolialead.ctl.load.RequestFactory.Target;
+
+/**
+ * Reads counters and unique keys after a run and compares them with what was reported.
+ */
+final class LoadVerifier {
+
+	private static final long TIMEOUT_MILLISECONDS = 5_000;
+
+	private static final int ATTEMPTS = 10;
+
+	private static final long RETRY_MILLISECONDS = 300;
+
+	private static final int BATCH = 16;
+
+	private final LoadSettings settings;
+
+	private final HttpLoadClient client;
+
+	private final RequestFactory requests;
+
+	private final LoadChecks checks;
+
+	LoadVerifier(LoadSettings settings, HttpLoadClient client, RequestFactory requests, LoadChecks checks) {
+		this.settings = settings;
+		this.client = client;
+		this.requests = requests;
+		this.checks = checks;
+	}
+
+	void verify() {
+		verify(this.checks.counterKeys(), (key, value) -> this.checks.verifyCounter(key, value.asLong(0)));
+		verify(this.checks.insertKeys(LoadResult.DONE), (key, value) -> {
+			if (!value.asText().equals(key.name())) {
+				this.checks.violated(Violation.LOST_WRITE, "acknowledged key " + key.name() + " is " + value);
+			}
+		});
+		verify(this.checks.insertKeys(LoadResult.NOT_RUN), (key, value) -> {
+			if (!value.isNull()) {
+				this.checks.violated(Violation.RUN_AFTER_NOT_RUN, "key " + key.name() + " is " + value);
+			}
+		});
+	}
+
+	private void verify(List<CheckedKey> keys, BiConsumer<CheckedKey, JsonNode> comparison) {
+		for (int from = 0; from < keys.size(); from += BATCH) {
+			List<CheckedKey> remaining = keys.subList(from, Math.min(keys.size(), from + BATCH));
+			for (int attempt = 1; attempt <= ATTEMPTS && !remaining.isEmpty(); attempt++) {
+				remaining = verifyOnce(remaining, comparison);
+				if (!remaining.isEmpty()) {
+					LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(RETRY_MILLISECONDS));
+				}
+			}
+			remaining.forEach((key) -> this.checks.notVerified());
+		}
+	}
+
+	private List<CheckedKey> verifyOnce(List<CheckedKey> keys, BiConsumer<CheckedKey, JsonNode> comparison) {
+		List<CompletableFuture<LoadAnswer>> answers = keys.stream().map(this::read).toList();
+		List<CheckedKey> failed = new ArrayList<>();
+		for (int i = 0; i < keys.size(); i++) {
+			LoadAnswer answer = answers.get(i).join();
+			JsonNode value = answer.json().path("value");
+			if (answer.result() != LoadResult.DONE || value.isMissingNode()) {
+				failed.add(keys.get(i));
+			}
+			else {
+				comparison.accept(keys.get(i), value);
+			}
+		}
+		return failed;
+	}
+
+	private CompletableFuture<LoadAnswer> read(CheckedKey key) {
+		CompletableFuture<LoadAnswer> future = new CompletableFuture<>();
+		Target target = new Target(key.group(), false, this.settings.verifyProfile(), null, "", TIMEOUT_MILLISECONDS);
+		this.client.send(this.requests.build(target, RequestFactory.statement("get", key.name())), future::complete);
+		return future;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/MixDriver.java
@@ -0,0 +1,223 @@
+package org.magnolialead.ctl.load;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.magnolialead.ctl.load.LoadChecks.CheckedKey;
+import org.magnolialead.ctl.load.LoadChecks.Violation;
+import org.magnolialead.ctl.load.LoadMix.Operation;
+import org.magnolialead.ctl.load.RequestFactory.Target;
+import org.magnolialead.ctl.load.SessionKey.Version;
+
+/**
+ * Sends the requests of one class and checks their answers.
+ */
+final class MixDriver {
+
+	private static final Operation[] WRITES = { Operation.PUT, Operation.INCREMENT, Operation.INSERT };
+
+	private final LoadMix mix;
+
+	private final String keyPrefix;
+
+	private final LoadSettings settings;
+
+	private final List<LoadSession> sessions;
+
+	private final HttpLoadClient client;
+
+	private final RequestFactory requests;
+
+	private final LoadChecks checks;
+
+	private final WriteGaps gaps;
+
+	private final RandomGenerator random;
+
+	private final AtomicInteger inFlight;
+
+	private final long measureFrom;
+
+	private final MixMeter meter;
+
+	private final AtomicLong inserts = new AtomicLong();
+
+	MixDriver(LoadMix mix, String keyPrefix, LoadSettings settings, List<LoadSession> sessions, HttpLoadClient client,
+			RequestFactory requests, LoadChecks checks, WriteGaps gaps, RandomGenerator random, AtomicInteger inFlight,
+			long measureFrom) {
+		this.mix = mix;
+		this.keyPrefix = keyPrefix;
+		this.settings = settings;
+		this.sessions = sessions;
+		this.client = client;
+		this.requests = requests;
+		this.checks = checks;
+		this.gaps = gaps;
+		this.random = random;
+		this.inFlight = inFlight;
+		this.measureFrom = measureFrom;
+		this.meter = new MixMeter(mix);
+	}
+
+	MixMeter meter() {
+		return this.meter;
+	}
+
+	/**
+	 * Sends the next request.
+	 * @param due time at which it is due
+	 */
+	void sendNext(long due) {
+		LoadSession session = this.sessions.get(this.random.nextInt(this.sessions.size()));
+		Operation operation = (this.mix.operation() != Operation.MIXED) ? this.mix.operation()
+				: WRITES[this.random.nextInt(WRITES.length)];
+		switch (operation) {
+			case GET -> get(session, due);
+			case PUT -> put(session, due);
+			case INCREMENT -> increment(session, due);
+			default -> insert(session, due);
+		}
+	}
+
+	private void get(LoadSession session, long due) {
+		SessionKey key = session.key(this.random.nextInt(this.mix.keys()));
+		Version least = key.leastVersion();
+		Target target = target(key.group(), session, "");
+		send(target, RequestFactory.statement("get", least.name()), due, (answer) -> {
+			if (answer.result() == LoadResult.DONE) {
+				checkRead(session, key, least, answer);
+			}
+		});
+	}
+
+	private void checkRead(LoadSession session, SessionKey key, Version least, LoadAnswer answer) {
+		JsonNode value = answer.json().path("value");
+		Version found = value.isNull() ? new Version(least.name(), 0) : Version.parse(least.name(), value.asText());
+		if (found == null) {
+			this.checks.violated(Violation.FOREIGN_ANSWER, "read of %s returned %s".formatted(least.name(), value));
+			return;
+		}
+		if (least.sequence() > 0) {
+			this.checks.sessionRead(session.tokenUse());
+		}
+		if (found.sequence() < least.sequence()) {
+			this.checks.violated(Violation.STALE_READ,
+					"read of %s by session with token %s at %s served by %s returned write %d after write %d".formatted(
+							least.name(), session.tokenUse(), answer.header("magnolialead-member"),
+							answer.header("magnolialead-served-by"), found.sequence(), least.sequence()));
+		}
+		if (key.wasToldNotRun(found)) {
+			this.checks.violated(Violation.RUN_AFTER_NOT_RUN, "value " + found.value() + " was read");
+		}
+	}
+
+	private void put(LoadSession session, long due) {
+		SessionKey key = session.key(this.random.nextInt(this.mix.keys()));
+		Version version = key.beginWrite();
+		if (version == null) {
+			insert(session, due);
+			return;
+		}
+		ObjectNode statement = RequestFactory.statement("put", version.name()).put("value", version.value());
+		write(key.group(), session, statement, due, (answer) -> {
+			checkValue(version.value(), answer);
+			key.endWrite(version, answer.result());
+		});
+	}
+
+	private void insert(LoadSession session, long due) {
+		long number = this.inserts.incrementAndGet();
+		CheckedKey key = new CheckedKey(group(number), this.keyPrefix + "-u" + number);
+		ObjectNode statement = RequestFactory.statement("put", key.name()).put("value", key.name());
+		write(key.group(), session, statement, due, (answer) -> {
+			checkValue(key.name(), answer);
+			this.checks.inserted(key, answer.result());
+		});
+	}
+
+	private void increment(LoadSession session, long due) {
+		int number = this.random.nextInt(this.mix.keys());
+		CheckedKey key = new CheckedKey(group(number), this.keyPrefix + "-c" + number);
+		write(key.group(), session, RequestFactory.statement("increment", key.name()), due, (answer) -> {
+			JsonNode count = answer.json().path("value");
+			if (answer.result() == LoadResult.DONE && !count.isIntegralNumber()) {
+				this.checks.violated(Violation.FOREIGN_ANSWER,
+						"increment of %s returned %s".formatted(key.name(), count));
+			}
+			this.checks.incremented(key, answer.result(), count.asLong());
+		});
+	}
+
+	private void checkValue(String expected, LoadAnswer answer) {
+		if (answer.result() == LoadResult.DONE && !answer.json().path("value").asText().equals(expected)) {
+			this.checks.violated(Violation.FOREIGN_ANSWER,
+					"write of %s returned %s".formatted(expected, answer.json()));
+		}
+	}
+
+	private void write(String group, LoadSession session, ObjectNode statement, long due,
+			Consumer<LoadAnswer> completion) {
+		Target target = target(group, session, this.requests.nextId());
+		boolean resend = !this.settings.direct() && this.random.nextDouble() < this.mix.resend();
+		send(target, statement, due, (answer) -> {
+			if (answer.result() == LoadResult.DONE) {
+				this.gaps.acknowledged(group, System.nanoTime());
+			}
+			if (resend && answer.result() != LoadResult.NOT_SENT) {
+				resend(target, statement, answer, completion);
+			}
+			else {
+				completion.accept(answer);
+			}
+		});
+	}
+
+	/**
+	 * Sends a write again with the same idempotency key. An acknowledgement of either
+	 * attempt is one; otherwise the write is unknown if either attempt is.
+	 * @param target target of the request
+	 * @param statement statement of the request
+	 * @param first answer to the first attempt
+	 * @param completion receives the answer that counts
+	 */
+	private void resend(Target target, ObjectNode statement, LoadAnswer first, Consumer<LoadAnswer> completion) {
+		this.inFlight.incrementAndGet();
+		this.client.send(this.requests.build(target, statement), (second) -> {
+			boolean secondCounts = first.result() != LoadResult.DONE && (second.result() == LoadResult.DONE
+					|| (first.result() == LoadResult.NOT_RUN && second.result() == LoadResult.UNKNOWN));
+			completion.accept(secondCounts ? second : first);
+			this.inFlight.decrementAndGet();
+		});
+	}
+
+	private void send(Target target, ObjectNode statement, long due, Consumer<LoadAnswer> completion) {
+		boolean measured = due - this.measureFrom >= 0;
+		if (measured) {
+			this.meter.offered();
+		}
+		this.inFlight.incrementAndGet();
+		this.client.send(this.requests.build(target, statement), (answer) -> {
+			if (measured) {
+				this.meter.answered(answer, System.nanoTime() - due);
+			}
+			target.session().receivedToken(answer.header("magnolialead-session-token"));
+			completion.accept(answer);
+			this.inFlight.decrementAndGet();
+		});
+	}
+
+	private Target target(String group, LoadSession session, String idempotencyKey) {
+		return new Target(group, this.mix.isWrite(), this.mix.profile(), session, idempotencyKey,
+				this.mix.timeoutMilliseconds());
+	}
+
+	private String group(long number) {
+		return this.settings.groups().get((int) (number % this.settings.groups().size()));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/WriteGaps.java
@@ -0,0 +1,39 @@
+package org.magnolialead.ctl.load;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Longest time between acknowledged writes of each group. Thread-safe.
+ */
+final class WriteGaps {
+
+	private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
+
+	private final Map<String, Long> latest = new HashMap<>();
+
+	private final Map<String, Long> longest = new TreeMap<>();
+
+	synchronized void acknowledged(String group, long time) {
+		Long previous = this.latest.put(group, time);
+		if (previous != null) {
+			this.longest.merge(group, time - previous, Math::max);
+		}
+	}
+
+	/**
+	 * Counts the time from the last acknowledged write to the end of the run as a gap.
+	 * @param time end of the run
+	 */
+	synchronized void finish(long time) {
+		this.latest.forEach((group, last) -> this.longest.merge(group, time - last, Math::max));
+	}
+
+	synchronized Map<String, Double> report() {
+		Map<String, Double> report = new TreeMap<>();
+		this.longest.forEach((group, gap) -> report.put(group, gap / NANOSECONDS_PER_MILLISECOND));
+		return report;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Open-loop load generator with checks of the answers.
+ */
+package org.magnolialead.ctl.load;
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Command line for operators.
+ */
+package org.magnolialead.ctl;
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/Flow.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/Flow.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelOption;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -45,8 +46,8 @@
 		this.mode = newMode;
 		this.delayNanoseconds = newDelayNanoseconds;
 		if (newMode != FaultMode.CUT && this.lostBytes) {
-			this.source.close();
-			this.destination.close();
+			reset(this.source);
+			reset(this.destination);
 			return;
 		}
 		this.source.config().setAutoRead(newMode != FaultMode.HOLD && this.destination.isWritable());
@@ -90,6 +91,15 @@
 		this.source.config().setAutoRead(this.mode != FaultMode.HOLD && this.destination.isWritable());
 	}
 
+	/**
+	 * Closes a channel with a reset segment instead of an orderly end of the stream.
+	 * @param channel the channel
+	 */
+	static void reset(Channel channel) {
+		channel.config().setOption(ChannelOption.SO_LINGER, 0);
+		channel.close();
+	}
+
 	private void delay(ByteBuf bytes) {
 		long due = System.nanoTime() + this.delayNanoseconds;
 		this.lastDue = (due - this.lastDue > 0) ? due : this.lastDue;
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/ProxiedConnection.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/ProxiedConnection.java
@@ -47,10 +47,10 @@
 		}
 	}
 
-	void close() {
-		this.client.close();
+	void reset() {
+		Flow.reset(this.client);
 		if (this.target != null) {
-			this.target.close();
+			Flow.reset(this.target);
 		}
 	}
 
@@ -75,7 +75,7 @@
 	private void connected(boolean success) {
 		this.connecting = false;
 		if (!success || !this.client.isOpen()) {
-			close();
+			reset();
 			this.route.remove(this);
 			return;
 		}
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/ProxyRoute.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/ProxyRoute.java
@@ -103,7 +103,7 @@
 	}
 
 	void reset() {
-		List.copyOf(this.connections).forEach(ProxiedConnection::close);
+		List.copyOf(this.connections).forEach(ProxiedConnection::reset);
 		this.connections.clear();
 	}
 
@@ -117,7 +117,6 @@
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.AUTO_READ, false)
 			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childOption(ChannelOption.SO_LINGER, 0)
 			.childHandler(new ChannelInitializer<Channel>() {
 
 				@Override
