--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -157,6 +157,13 @@
 	}
 
 	private HeartbeatAnswer grant(Leadership current, HeartbeatRequest request) {
+		// Checked before the grant: a lease noted for a daemon that receives none would
+		// keep
+		// its groups from moving. A daemon with a later view has heard from a later
+		// leader.
+		if (request.viewVersion() > this.machine.state().viewVersion()) {
+			return withoutLease(null);
+		}
 		long now = this.clock.nanoseconds();
 		if (!current.grant(request, now)) {
 			return withoutLease(null);
@@ -166,9 +173,7 @@
 		// one that was forgotten earlier is no longer registered in this state.
 		ControlState state = this.machine.state();
 		DaemonView registered = state.daemons().get(request.daemon());
-		boolean isRegistered = registered != null && registered.incarnation().equals(request.incarnation());
-		// A daemon with a later view has heard from a later leader.
-		if (!isRegistered || request.viewVersion() > state.viewVersion()) {
+		if (registered == null || !registered.incarnation().equals(request.incarnation())) {
 			return withoutLease(null);
 		}
 		current.report(state, request, now);
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/LeaseTable.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/LeaseTable.java
@@ -15,6 +15,13 @@
  */
 public final class LeaseTable {
 
+	/**
+	 * Time after a heartbeat during which a daemon may be given groups, in nanoseconds.
+	 * The daemons of a failed availability zone stop together; without this bound the
+	 * groups of the first to expire would go to others that are dead as well.
+	 */
+	static final long FRESH_NANOSECONDS = 1_000_000_000L;
+
 	private final LeaseTiming timing;
 
 	private final long inheritedExpiry;
@@ -46,7 +53,8 @@
 		if (this.suspensions.containsKey(holder)) {
 			return false;
 		}
-		this.leases.put(holder, new Lease(this.timing.expiryOfLeaseGrantedAt(now), viewVersion));
+		this.leases.put(holder,
+				new Lease(this.timing.expiryOfLeaseGrantedAt(now), now + FRESH_NANOSECONDS, viewVersion));
 		return true;
 	}
 
@@ -93,7 +101,7 @@
 	public boolean isLive(DaemonView daemon, long now) {
 		Holder holder = new Holder(daemon.daemon(), daemon.incarnation());
 		Lease lease = this.leases.get(holder);
-		return lease != null && now - lease.expiry() <= 0 && !this.suspensions.containsKey(holder);
+		return lease != null && now - lease.freshUntil() <= 0 && !this.suspensions.containsKey(holder);
 	}
 
 	/**
@@ -122,7 +130,7 @@
 	private record Holder(String daemon, String incarnation) {
 	}
 
-	private record Lease(long expiry, long viewVersion) {
+	private record Lease(long expiry, long freshUntil, long viewVersion) {
 	}
 
 }
--- /dev/null
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateTests.java
@@ -0,0 +1,331 @@
+package org.magnolialead.engine.control;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.FleetViewChange;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.Rank;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.command.ControlCommand.AnnounceMember;
+import org.magnolialead.api.command.ControlCommand.AssignOwner;
+import org.magnolialead.api.command.ControlCommand.BeginRequest;
+import org.magnolialead.api.command.ControlCommand.ChangeConfiguration;
+import org.magnolialead.api.command.ControlCommand.ConfirmPrimary;
+import org.magnolialead.api.command.ControlCommand.FinishRequest;
+import org.magnolialead.api.command.ControlCommand.ForgetDaemon;
+import org.magnolialead.api.command.ControlCommand.ForgetMember;
+import org.magnolialead.api.command.ControlCommand.ForgetRequests;
+import org.magnolialead.api.command.ControlCommand.RegisterDaemon;
+import org.magnolialead.api.command.ControlCommand.ReleaseOwner;
+import org.magnolialead.api.command.ControlCommand.ReservePromotion;
+
+/**
+ * Guards against commands that break the rules of the control state.
+ */
+class ControlStateTests {
+
+	private ControlState state = ControlState.initial();
+
+	private CommandResult apply(ControlCommand command) {
+		Applied applied = this.state.apply(command);
+		this.state = applied.state();
+		return applied.result();
+	}
+
+	private void ownedGroup() {
+		apply(new RegisterDaemon("d1", "first", "a:1", "z1", false));
+		List.of("m1", "m2", "m3").forEach((name) -> apply(new AnnounceMember(member(name))));
+		TestChecks.check(apply(new AssignOwner("g", "d1", 0)).isAccepted(), context());
+	}
+
+	private void moveOwner() {
+		apply(new RegisterDaemon("d2", "first", "a:2", "z2", false));
+		apply(new ForgetDaemon("d1", "first"));
+		apply(new AssignOwner("g", "d2", 1));
+	}
+
+	private GroupView group() {
+		return this.state.group("g").orElseThrow();
+	}
+
+	private static MemberDescription member(String name) {
+		return new MemberDescription("g", name, "h:1", "z1", 2, 20, false);
+	}
+
+	private static ChangeConfiguration queueLimit(String requestId, long expectedVersion, int limit) {
+		return new ChangeConfiguration(requestId, expectedVersion, null, null, null, limit);
+	}
+
+	private String context() {
+		return "view version " + this.state.viewVersion();
+	}
+
+	private ControlState state() {
+		return this.state;
+	}
+
+	@Nested
+	class Configuration {
+
+		/**
+		 * Guards against two operators' changes to one version both taking effect.
+		 */
+		@Test
+		void oneOfTwoChangesWithEqualVersionsWins() {
+			TestChecks.check(apply(queueLimit("first", 0, 100)).isAccepted(), context());
+			CommandResult loser = apply(queueLimit("second", 0, 200));
+			TestChecks.checkEqual(ErrorCode.VERSION_CONFLICT, loser.error(), context());
+			TestChecks.check(loser.message().contains("version 0") && loser.message().contains("version 1"),
+					loser.message());
+			TestChecks.checkEqual(100, state().configuration().queueLimit(), context());
+		}
+
+		/**
+		 * Guards against a resend after a lost answer being refused, or undoing a later
+		 * change.
+		 */
+		@Test
+		void resendReceivesFirstAnswerAndChangesNothing() {
+			CommandResult first = apply(queueLimit("first", 0, 100));
+			CommandResult conflict = apply(queueLimit("second", 0, 150));
+			apply(queueLimit("third", 1, 200));
+			TestChecks.checkEqual(first, apply(queueLimit("first", 0, 100)), context());
+			TestChecks.checkEqual(conflict, apply(queueLimit("second", 0, 150)), context());
+			TestChecks.checkEqual(200, state().configuration().queueLimit(), context());
+		}
+
+		/**
+		 * Guards against a growing table of answers, and against forgetting answers
+		 * early.
+		 */
+		@Test
+		void latestAnswersAreKept() {
+			for (int number = 0; number <= RecordedAnswers.LIMIT; number++) {
+				apply(queueLimit("request-" + number, number, 100 + number));
+			}
+			TestChecks.checkEqual(RecordedAnswers.LIMIT, state().answers().byRequest().size(), context());
+			TestChecks.check(apply(queueLimit("request-1", 1, 101)).isAccepted(), context());
+			TestChecks.checkEqual(ErrorCode.VERSION_CONFLICT, apply(queueLimit("request-0", 0, 100)).error(),
+					context());
+		}
+
+		/**
+		 * Guards against a bad command in the log stopping every control daemon.
+		 */
+		@Test
+		void badCommandsAreRefused() {
+			List<ControlCommand> bad = List.of(queueLimit("limit", 0, 0), queueLimit(" ", 0, 5),
+					new ChangeConfiguration("floors", 0, null, null, Map.of(Rank.STANDARD, 0.6), null),
+					new ChangeConfiguration("profile", 0, null, List.of("missing"), null, null),
+					new AnnounceMember(null), new RegisterDaemon(null, "i", "a", "z", false),
+					new ForgetMember(null, null), new ConfirmPrimary("missing", 1, 1, null),
+					new BeginRequest("missing", 1, null, null, 1), new AssignOwner(null, null, 0));
+			bad.forEach((command) -> TestChecks.check(!apply(command).isAccepted(), command.toString()));
+			TestChecks.checkEqual(ControlState.initial().view(), state().view(), context());
+		}
+
+	}
+
+	@Nested
+	class Owners {
+
+		/**
+		 * Guards against a restarted process taking over groups of its frozen
+		 * predecessor, whose lease may still run.
+		 */
+		@Test
+		void newIncarnationIsRefusedUntilOldOneIsForgotten() {
+			ownedGroup();
+			CommandResult early = apply(new RegisterDaemon("d1", "second", "a:1", "z1", false));
+			TestChecks.checkEqual(ErrorCode.STALE_COMMAND, early.error(), context());
+			TestChecks.check(!apply(new ForgetDaemon("d1", "second")).isAccepted(), context());
+			TestChecks.check(apply(new ForgetDaemon("d1", "first")).isAccepted(), context());
+			TestChecks.checkEqual("", group().owner(), context());
+			TestChecks.check(apply(new RegisterDaemon("d1", "second", "a:1", "z1", false)).isAccepted(), context());
+			TestChecks.check(apply(new AssignOwner("g", "d1", 1)).isAccepted(), context());
+			TestChecks.checkEqual(2, group().ownerEpoch(), context());
+		}
+
+		/**
+		 * Guards against a frozen owner that returns and acts under its released epoch.
+		 */
+		@Test
+		void commandsOfReleasedEpochAreRefused() {
+			ownedGroup();
+			apply(new ConfirmPrimary("g", 1, 1, "m1"));
+			apply(new ForgetDaemon("d1", "first"));
+			apply(new RegisterDaemon("d1", "first", "a:1", "z1", false));
+			List<ControlCommand> stale = List.of(new ReservePromotion("g", 1, 1, 2, "m2"),
+					new ConfirmPrimary("g", 1, 1, "m1"), new BeginRequest("g", 1, "k", "x", 1),
+					new AssignOwner("g", "d1", 0));
+			stale.forEach((command) -> TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(command).error(), state()));
+			apply(new AssignOwner("g", "d1", 1));
+			stale.forEach((command) -> TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(command).error(), state()));
+			TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(new ReleaseOwner("g", 1)).error(), context());
+			TestChecks.checkEqual("d1", group().owner(), context());
+		}
+
+		/**
+		 * Guards against a delayed heartbeat giving new groups to a process that stops.
+		 */
+		@Test
+		void drainingDaemonStaysDrainingAndReceivesNoGroup() {
+			ownedGroup();
+			apply(new RegisterDaemon("d1", "first", "a:1", "z1", true));
+			apply(new RegisterDaemon("d1", "first", "a:1", "z1", false));
+			apply(new ReleaseOwner("g", 1));
+			TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(new AssignOwner("g", "d1", 1)).error(), context());
+		}
+
+	}
+
+	@Nested
+	class Promotions {
+
+		/**
+		 * Guards against a term with two primaries, and against a term that moves back.
+		 */
+		@Test
+		void onlyReservedPromotionIsConfirmed() {
+			ownedGroup();
+			TestChecks.check(!apply(new ConfirmPrimary("g", 1, 0, "m1")).isAccepted(), context());
+			TestChecks.check(apply(new ConfirmPrimary("g", 1, 3, "m1")).isAccepted(), context());
+			TestChecks.check(!apply(new ConfirmPrimary("g", 1, 4, "m2")).isAccepted(), context());
+			TestChecks.check(apply(new ReservePromotion("g", 1, 3, 4, "m2")).isAccepted(), context());
+			TestChecks.check(!apply(new ReservePromotion("g", 1, 3, 5, "m3")).isAccepted(), context());
+			TestChecks.check(!apply(new ConfirmPrimary("g", 1, 4, "m3")).isAccepted(), context());
+			TestChecks.check(apply(new ConfirmPrimary("g", 1, 4, "m2")).isAccepted(), context());
+			TestChecks.check(!apply(new ConfirmPrimary("g", 1, 3, "m1")).isAccepted(), context());
+			TestChecks.check(!apply(new ConfirmPrimary("g", 1, 4, "m1")).isAccepted(), context());
+			TestChecks.checkEqual(4, group().term(), context());
+			TestChecks.checkEqual("m2", group().primary(), context());
+		}
+
+		/**
+		 * Guards against forgetting a member that counts for the choice of a candidate.
+		 */
+		@Test
+		void memberIsKeptWhileItMayBePrimary() {
+			ownedGroup();
+			apply(new ConfirmPrimary("g", 1, 1, "m1"));
+			TestChecks.check(!apply(new ForgetMember("g", "m1")).isAccepted(), context());
+			apply(new ReservePromotion("g", 1, 1, 2, "m2"));
+			TestChecks.check(!apply(new ForgetMember("g", "m3")).isAccepted(), context());
+			apply(new ConfirmPrimary("g", 1, 2, "m2"));
+			TestChecks.check(apply(new ForgetMember("g", "m3")).isAccepted(), context());
+			TestChecks.checkEqual(2, group().members().size(), context());
+		}
+
+	}
+
+	@Nested
+	class Requests {
+
+		/**
+		 * Guards against a non-repeatable request that runs under two owners.
+		 */
+		@Test
+		void requestBeginsOnceAcrossEpochs() {
+			ownedGroup();
+			TestChecks.check(apply(new BeginRequest("g", 1, "k", "x", 100)).request().newlyBegun(), context());
+			TestChecks.check(!apply(new BeginRequest("g", 1, "k", "x", 100)).request().newlyBegun(), context());
+			moveOwner();
+			CommandResult again = apply(new BeginRequest("g", 2, "k", "x", 100));
+			TestChecks.check(!again.request().newlyBegun(), context());
+			TestChecks.checkEqual(1, again.request().ownerEpoch(), context());
+			TestChecks.check(!apply(new FinishRequest("g", 2, "k", false, null)).isAccepted(), context());
+			TestChecks.check(apply(new FinishRequest("g", 1, "k", true, new byte[] { 7 })).isAccepted(), context());
+			CommandResult done = apply(new BeginRequest("g", 2, "k", "x", 100));
+			TestChecks.check(done.request().finished() && !done.request().newlyBegun(), context());
+			TestChecks.check(Arrays.equals(new byte[] { 7 }, done.request().answer()), context());
+			TestChecks.check(!apply(new FinishRequest("g", 1, "k", false, null)).isAccepted(), context());
+		}
+
+		/**
+		 * Guards against a key that stays taken after a request that was never sent, and
+		 * against a key that is reused for another request.
+		 */
+		@Test
+		void keyIsFreedOnlyByItsOwnRequest() {
+			ownedGroup();
+			apply(new BeginRequest("g", 1, "k", "x", 100));
+			TestChecks.checkEqual(ErrorCode.INVALID_IDEMPOTENCY_KEY,
+					apply(new BeginRequest("g", 1, "k", "y", 100)).error(), context());
+			TestChecks.check(apply(new FinishRequest("g", 1, "k", false, null)).isAccepted(), context());
+			TestChecks.check(apply(new BeginRequest("g", 1, "k", "y", 100)).request().newlyBegun(), context());
+		}
+
+		/**
+		 * Guards against forgetting a request before its deadline, also after a ledger
+		 * time from an earlier leader.
+		 */
+		@Test
+		void requestIsForgottenAfterItsDeadline() {
+			ownedGroup();
+			apply(new BeginRequest("g", 1, "k", "x", 100));
+			apply(new ForgetRequests(100));
+			TestChecks.check(state().request("g", "k").isPresent(), context());
+			apply(new ForgetRequests(101));
+			TestChecks.check(state().request("g", "k").isEmpty(), context());
+			TestChecks.checkEqual(0, state().ledger().size(), context());
+			apply(new ForgetRequests(50));
+			TestChecks.checkEqual(101, state().ledger().time(), context());
+		}
+
+	}
+
+	@Nested
+	class Views {
+
+		/**
+		 * Guards against a daemon that missed hundreds of changes keeping daemons that
+		 * are gone, or losing one that left and returned.
+		 */
+		@Test
+		void daemonFarBehindReceivesEverythingItMissed() {
+			ownedGroup();
+			FleetView old = state().view();
+			for (int number = 0; number < RemovedDaemons.LIMIT + 2; number++) {
+				apply(new RegisterDaemon("x" + number, "i", "a:1", "z1", false));
+				apply(new ForgetDaemon("x" + number, "i"));
+				if (number == 300) {
+					apply(new ForgetDaemon("d1", "first"));
+					apply(new RegisterDaemon("d1", "second", "a:1", "z1", false));
+					FleetViewChange change = state().changeSince(old.version());
+					TestChecks.check(!change.complete(), context());
+					TestChecks.checkEqual(state().view(), old.with(change), context());
+				}
+			}
+			FleetViewChange change = state().changeSince(old.version());
+			TestChecks.check(change.complete(), context());
+			TestChecks.checkEqual(state().view(), old.with(change), context());
+		}
+
+		/**
+		 * Guards against answers that grow with the fleet when one group changes.
+		 */
+		@Test
+		void changeHoldsOnlyWhatChanged() {
+			ownedGroup();
+			long version = state().viewVersion();
+			ControlState before = state();
+			apply(new AnnounceMember(member("m1")));
+			TestChecks.check(before == state(), context());
+			apply(new ConfirmPrimary("g", 1, 1, "m1"));
+			FleetViewChange change = state().changeSince(version);
+			TestChecks.checkEqual(1, change.groups().size(), context());
+			TestChecks.check(change.daemons().isEmpty(), context());
+			TestChecks.checkEqual(null, change.configuration(), context());
+		}
+
+	}
+
+}
