--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -86,8 +86,8 @@
 
 	private void open() {
 		this.peerServer = Listeners.peer(this.settings, this::handle, this.executor);
-		this.httpServer = Listeners.http(this.settings,
-				new ControlHttpHandler(this.controller, this.log, this.metrics), this.executor);
+		this.httpServer = Listeners.http(this.settings, new ControlHttpHandler(this.controller, this.log, this.metrics),
+				this.executor);
 		this.log.start();
 		this.controller.start();
 		LogEvent.DAEMON_STARTED.log(LOGGER, this.settings.name(), this.settings.role(), this.settings.peer().address(),
@@ -119,6 +119,7 @@
 	/**
 	 * Starts a new cluster unless another control daemon already belongs to one, because
 	 * two clusters would each grant leases.
+	 * @return the answer to the operator
 	 */
 	private CompletableFuture<InitializeAnswer> initialize() {
 		long deadline = this.clock.nanoseconds() + PEER_QUERY_NANOSECONDS;
@@ -135,7 +136,8 @@
 	private CompletableFuture<InitializeAnswer> checkPeer(String address, long deadline) {
 		return this.peerClient.request(address, new ViewQuery(), deadline).handle((answer, failure) -> {
 			if (!(answer instanceof ViewAnswer view)) {
-				return new InitializeAnswer(false, "control daemon %s does not answer; start all of them first".formatted(address));
+				return new InitializeAnswer(false,
+						"control daemon %s does not answer; start all of them first".formatted(address));
 			}
 			return view.voters().isEmpty() ? new InitializeAnswer(true, "")
 					: new InitializeAnswer(false, "control daemon %s already belongs to a cluster".formatted(address));
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlHttpHandler.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlHttpHandler.java
@@ -41,18 +41,19 @@
 
 	@Override
 	public CompletableFuture<HttpReply> handle(HttpCall call) {
-		return CompletableFuture.completedFuture(switch (call.path()) {
+		HttpReply reply = switch (call.path()) {
 			case "/health" -> health();
 			case "/readiness" -> reply(this.log.leaderAddress().isPresent() ? OK : UNAVAILABLE,
 					MAPPER.createObjectNode().put("leader", this.log.leaderAddress().orElse("")));
 			case "/metrics" -> reply(OK, metrics());
 			default -> reply(NOT_FOUND, MAPPER.createObjectNode().put("message", "no such path: " + call.path()));
-		});
+		};
+		return CompletableFuture.completedFuture(reply);
 	}
 
 	private HttpReply health() {
 		boolean healthy = this.log.failure().isEmpty();
-		String status = this.log.failure().map(RuntimeException::toString).orElse("healthy");
+		String status = this.log.failure().map(String::valueOf).orElse("healthy");
 		return reply(healthy ? OK : UNAVAILABLE, MAPPER.createObjectNode().put("status", status));
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/EntryDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/EntryDaemon.java
@@ -4,7 +4,9 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HexFormat;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -14,15 +16,18 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.magnolialead.api.ErrorCode;
-import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Rank;
 import org.magnolialead.api.Step;
 import org.magnolialead.api.message.ErrorAnswer;
 import org.magnolialead.api.message.ExecuteRequest;
 import org.magnolialead.daemon.entry.ControlLink;
 import org.magnolialead.daemon.entry.DefaultGroupDispatcher;
 import org.magnolialead.daemon.entry.EntryServices;
+import org.magnolialead.daemon.filter.AdmissionControl;
 import org.magnolialead.daemon.filter.CallerRouter;
+import org.magnolialead.daemon.filter.RequestFilters;
+import org.magnolialead.daemon.filter.ServedRequestMetrics;
 import org.magnolialead.daemon.filter.SessionTokenCodec;
 import org.magnolialead.daemon.log.LogEvent;
 import org.magnolialead.daemon.owner.OwnershipController;
@@ -75,8 +80,12 @@
 
 	private final OwnershipController ownership;
 
+	private final AdmissionControl admission;
+
 	private final CallerRouter router;
 
+	private volatile boolean draining;
+
 	private PeerServer peerServer;
 
 	private HttpServer httpServer;
@@ -97,8 +106,12 @@
 		this.entry.ownership(this.ownership);
 		DefaultGroupDispatcher dispatcher = new DefaultGroupDispatcher(settings.name(), this.entry.view(),
 				this.entry.leaseGate(), this.clock, this.timer, this.peerClient, this.ownership);
-		this.router = CallerRouter.create(this.clock, this.entry.view(), this.entry.leaseGate(),
-				new SessionTokenCodec(sessionKey(settings)), dispatcher, this.entry::announce, this.metrics);
+		this.admission = new AdmissionControl(AdmissionControl.DEFAULT_MAXIMUM_IN_PROGRESS);
+		this.router = new CallerRouter(
+				RequestFilters.chain(this.clock, this.entry.leaseGate(), this.entry.view(),
+						new SessionTokenCodec(sessionKey(settings)), this.admission,
+						new ServedRequestMetrics(this.metrics), dispatcher),
+				this.entry::announce, this::isReady, this.metrics);
 		registerGauges();
 	}
 
@@ -133,8 +146,8 @@
 
 	@Override
 	public void shutDown() {
-		LogEvent.SHUTDOWN_STARTED.log(LOGGER, this.router.requestsInProgress());
-		this.router.drain();
+		LogEvent.SHUTDOWN_STARTED.log(LOGGER, requestsInProgress());
+		this.draining = true;
 		this.entry.drain();
 		this.ownership.drain();
 		long deadline = this.clock.nanoseconds() + TimeUnit.MILLISECONDS.toNanos(DRAIN_TIME_MILLISECONDS);
@@ -143,11 +156,11 @@
 			pause(POLL_MILLISECONDS);
 		}
 		this.httpServer.stopAccepting();
-		while (this.router.requestsInProgress() > 0 && deadline - this.clock.nanoseconds() > 0) {
+		while (requestsInProgress() > 0 && deadline - this.clock.nanoseconds() > 0) {
 			pause(POLL_MILLISECONDS);
 		}
 		this.httpServer.drained().completeOnTimeout(null, 1, TimeUnit.SECONDS).join();
-		LogEvent.SHUTDOWN_FINISHED.log(LOGGER, this.router.requestsInProgress());
+		LogEvent.SHUTDOWN_FINISHED.log(LOGGER, requestsInProgress());
 		close();
 	}
 
@@ -166,13 +179,21 @@
 		this.executor.shutdownNow();
 	}
 
+	private boolean isReady() {
+		return !this.draining && this.entry.leaseGate().isHeld(this.clock.nanoseconds());
+	}
+
+	private int requestsInProgress() {
+		return Arrays.stream(Rank.values()).mapToInt(this.admission::inProgress).sum();
+	}
+
 	private void registerGauges() {
 		Gauge<Integer> owned = this.ownership::ownedCount;
-		this.metrics.registerAll("ownership", () -> java.util.Map.of("groups", owned));
+		this.metrics.registerAll("ownership", () -> Map.of("groups", owned));
 		Gauge<Long> viewVersion = () -> this.entry.view().get().version();
 		Gauge<Long> configurationVersion = () -> this.entry.view().get().configuration().version();
 		this.metrics.registerAll("view",
-				() -> java.util.Map.of("version", viewVersion, "configuration_version", configurationVersion));
+				() -> Map.of("version", viewVersion, "configuration_version", configurationVersion));
 	}
 
 	private static byte[] sessionKey(DaemonSettings settings) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Listeners.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Listeners.java
@@ -43,7 +43,8 @@
 		}
 	}
 
-	private static MagnolialeadException portInUse(DaemonSettings settings, String key, int port, RuntimeException cause) {
+	private static MagnolialeadException portInUse(DaemonSettings settings, String key, int port,
+			RuntimeException cause) {
 		Throwable root = cause;
 		while (root.getCause() != null) {
 			root = root.getCause();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/CommandSubmitter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/CommandSubmitter.java
@@ -12,14 +12,14 @@
 public interface CommandSubmitter {
 
 	/**
-	 * Submits a command. It may be appended more than once if answers are lost, so it must
-	 * be guarded against that by its own preconditions.
+	 * Submits a command. It may be appended more than once if answers are lost, so it
+	 * must be guarded against that by its own preconditions.
 	 * @param command the command
 	 * @param deadline time of the monotonic clock in nanoseconds after which no further
 	 * attempt is made
-	 * @return the result; fails with a
-	 * {@link org.magnolialead.api.MagnolialeadException} of code {@code UNREACHABLE} if
-	 * the command surely was not appended, or {@code COMMAND_UNKNOWN}
+	 * @return the result; fails with a {@link org.magnolialead.api.MagnolialeadException}
+	 * of code {@code UNREACHABLE} if the command surely was not appended, or
+	 * {@code COMMAND_UNKNOWN}
 	 */
 	CompletableFuture<CommandResult> submit(ControlCommand command, long deadline);
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -36,8 +36,8 @@
 
 	/**
 	 * A heartbeat without an answer for this long is tried with the next control daemon.
-	 * Short against the lease of 2,500 ms, so that all control daemons can be tried before
-	 * it runs out.
+	 * Short against the lease of 2,500 ms, so that all control daemons can be tried
+	 * before it runs out.
 	 */
 	private static final long HEARTBEAT_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(350);
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/DefaultGroupDispatcher.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/DefaultGroupDispatcher.java
@@ -151,6 +151,9 @@
 	/**
 	 * A write is acknowledged only while this daemon holds its lease and knows of no
 	 * later primary.
+	 * @param request the request
+	 * @param answer the answer
+	 * @return the answer, or a failure with an unknown outcome
 	 */
 	private ExecuteAnswer checked(ExecuteRequest request, ExecuteAnswer answer) {
 		boolean acknowledges = request.kind().changesData() && answer.outcome() == Outcome.DONE && !answer.repeated();
@@ -171,8 +174,10 @@
 	}
 
 	/**
-	 * Reads and repeatable writes may run twice. A non-repeatable write may be sent to the
-	 * owner again, because its idempotency key is recorded before it runs.
+	 * Reads and repeatable writes may run twice. A non-repeatable write may be sent to
+	 * the owner again, because its idempotency key is recorded before it runs.
+	 * @param request the request
+	 * @return {@code true} if so
 	 */
 	private boolean mayBeSentAgain(ExecuteRequest request) {
 		if (request.kind() == StatementKind.READ) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/SerialExecutor.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/SerialExecutor.java
@@ -16,8 +16,8 @@
 	private static final System.Logger LOGGER = System.getLogger(SerialExecutor.class.getName());
 
 	/**
-	 * Tasks that run before the thread is given back, so that one busy group does not keep
-	 * a shared thread for itself.
+	 * Tasks that run before the thread is given back, so that one busy group does not
+	 * keep a shared thread for itself.
 	 */
 	private static final int MAXIMUM_BATCH = 64;
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupContext.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupContext.java
@@ -130,6 +130,7 @@
 
 	/**
 	 * Tells whether this daemon may act as owner at this moment.
+	 * @return {@code true} if so
 	 */
 	boolean mayAct() {
 		return !this.stopped && this.services.holdsLease();
@@ -137,6 +138,8 @@
 
 	/**
 	 * Returns the primary that may receive work and whose writes may be acknowledged.
+	 * @param now present time of the monotonic clock in nanoseconds
+	 * @return the primary, or empty
 	 */
 	Optional<FailoverDecision.Primary> servingPrimary(long now) {
 		if (!mayAct()) {
@@ -148,6 +151,8 @@
 
 	/**
 	 * Tells whether a write of a term may be acknowledged at this moment.
+	 * @param term the term
+	 * @return {@code true} if so
 	 */
 	boolean mayAcknowledge(long term) {
 		return mayAct() && !this.confirmations.isSealed(term)
@@ -157,11 +162,13 @@
 	/**
 	 * Takes over a newer view. The term that this owner has confirmed may be ahead of the
 	 * view that the last heartbeat brought.
+	 * @param fleetView the fleet view
+	 * @param incoming the view of the group
 	 * @return writes that are confirmed because the members changed
 	 */
 	List<Pending<PendingRequest>> viewChanged(FleetView fleetView, GroupView incoming) {
-		this.view = (incoming.term() < this.view.term())
-				? withPrimary(incoming, this.view.term(), this.view.primary()) : incoming;
+		this.view = (incoming.term() < this.view.term()) ? withPrimary(incoming, this.view.term(), this.view.primary())
+				: incoming;
 		this.configuration = fleetView.configuration();
 		this.scheduler.settings(SchedulerSettings.of(this.configuration));
 		return applyMembers();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupMembers.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupMembers.java
@@ -44,6 +44,8 @@
 	 * Returns how many connections the owner may use for statements: half of the member's
 	 * limit, so that a successor can connect while this owner's connections close, less
 	 * the connection of the poller.
+	 * @param member the member
+	 * @return the number of connections
 	 */
 	static int statementConnections(MemberDescription member) {
 		return Math.max(1, member.connectionLimit() / 2 - 1);
@@ -67,6 +69,7 @@
 
 	/**
 	 * Closes all statement connections to a member, which ends what is in progress there.
+	 * @param member the member
 	 */
 	void reconnect(String member) {
 		ConnectionPool pool = this.pools.get(member);
@@ -96,6 +99,9 @@
 
 	/**
 	 * Compares all but the leaving flag, which does not concern connections.
+	 * @param known the known member
+	 * @param view the view of the group
+	 * @return {@code true} if so
 	 */
 	private static boolean isSame(MemberDescription known, GroupView view) {
 		return view.member(known.member())
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupOwnerController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupOwnerController.java
@@ -81,6 +81,9 @@
 
 	/**
 	 * Executes a request of a caller.
+	 * @param request the request
+	 * @param deadline time of the monotonic clock in nanoseconds at which waiting ends
+	 * @return the answer
 	 */
 	CompletableFuture<ExecuteAnswer> execute(ExecuteRequest request, long deadline) {
 		CompletableFuture<ExecuteAnswer> answer = new CompletableFuture<>();
@@ -111,6 +114,7 @@
 
 	/**
 	 * Ends the ownership at once. After this call returns nothing is acknowledged.
+	 * @param reason why the ownership ends, for the log
 	 */
 	void stop(String reason) {
 		if (this.context.isStopped()) {
@@ -186,6 +190,8 @@
 	 * The floor counts for every session that this owner does not know. Only a status
 	 * that was asked for after the ownership began includes all writes acknowledged by
 	 * earlier owners.
+	 * @param status answer of a member
+	 * @param sentAt time at which the status was asked for
 	 */
 	private void setSessionFloor(MemberStatus status, long sentAt) {
 		boolean fromPrimary = this.context.servingPrimary(this.context.now())
@@ -279,8 +285,8 @@
 	private CompletableFuture<MemberReply> order(String member, String path, byte[] body) {
 		MemberPoller poller = this.members.poller(member);
 		if (poller == null) {
-			return CompletableFuture.failedFuture(new MagnolialeadException(ErrorCode.UNREACHABLE, Step.PROMOTE, member,
-					"the member is gone"));
+			return CompletableFuture.failedFuture(
+					new MagnolialeadException(ErrorCode.UNREACHABLE, Step.PROMOTE, member, "the member is gone"));
 		}
 		return poller.order(path, body, this.context.now() + ORDER_TIMEOUT_NANOSECONDS);
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberCalls.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberCalls.java
@@ -43,6 +43,8 @@
 
 	/**
 	 * Tells whether the member refused because it is not the primary.
+	 * @param reply the member's answer
+	 * @return {@code true} if so
 	 */
 	static boolean isNotPrimary(MemberReply reply) {
 		return reply.status() == CONFLICT;
@@ -50,6 +52,8 @@
 
 	/**
 	 * Tells whether the member refused the statement before it executed anything.
+	 * @param reply the member's answer
+	 * @return {@code true} if so
 	 */
 	static boolean isRejectedStatement(MemberReply reply) {
 		return reply.status() == UNPROCESSABLE || reply.status() == BAD_REQUEST;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberPoller.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberPoller.java
@@ -153,8 +153,8 @@
 		MemberStatus status = STATUS_READER.readValue(reply.body());
 		boolean sameMember = status.group().equals(this.member.group()) && status.member().equals(this.member.member());
 		if (!sameMember) {
-			throw new IOException("member %s/%s answered at %s".formatted(status.group(), status.member(),
-					this.member.address()));
+			throw new IOException(
+					"member %s/%s answered at %s".formatted(status.group(), status.member(), this.member.address()));
 		}
 		return status;
 	}
@@ -183,6 +183,10 @@
 
 	/**
 	 * Sends one order to the member over a new connection.
+	 * @param path path of the order
+	 * @param body JSON body
+	 * @param deadline time of the monotonic clock in nanoseconds at which waiting ends
+	 * @return the member's answer
 	 */
 	CompletableFuture<MemberReply> order(String path, byte[] body, long deadline) {
 		return this.services.connector()
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OnceRequests.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OnceRequests.java
@@ -28,7 +28,8 @@
 
 /**
  * Requests that run at most once. The intent is committed to the control log before a
- * statement leaves, and the result after it. Confined to the serial executor of the group.
+ * statement leaves, and the result after it. Confined to the serial executor of the
+ * group.
  */
 final class OnceRequests {
 
@@ -66,6 +67,7 @@
 
 	/**
 	 * Decides on a request that has arrived.
+	 * @param request the request
 	 */
 	void arrived(PendingRequest request) {
 		String key = request.request().idempotencyKey();
@@ -110,6 +112,9 @@
 	/**
 	 * Ends a request that surely was not executed. The caller is answered after its key
 	 * is free, so that an immediate resend through another owner may run.
+	 * @param request the request
+	 * @param failure the failure
+	 * @param retryAfterMilliseconds when the request may be tried again, 0 if not stated
 	 */
 	void notRun(PendingRequest request, MagnolialeadException failure, long retryAfterMilliseconds) {
 		Entry entry = entryOf(request);
@@ -169,6 +174,8 @@
 	/**
 	 * The statement was not sent, so the request was not run. If the command may have
 	 * been committed, the key is freed.
+	 * @param entry the entry
+	 * @param failure the failure
 	 */
 	private void beginFailed(Entry entry, MagnolialeadException failure) {
 		MagnolialeadException notRun = new MagnolialeadException(ErrorCode.UNREACHABLE, Step.RECORD, "control",
@@ -202,6 +209,7 @@
 
 	/**
 	 * Returns the number of results that control has not yet recorded.
+	 * @return the number
 	 */
 	int unrecorded() {
 		return this.unrecorded;
@@ -260,8 +268,8 @@
 			if (encoded.length <= MAXIMUM_KEPT_ANSWER_BYTES) {
 				return encoded;
 			}
-			return MAPPER.writeValueAsBytes(ExecuteAnswer.done(new byte[0], answer.term(), answer.position(),
-					answer.member(), false, ""));
+			return MAPPER.writeValueAsBytes(
+					ExecuteAnswer.done(new byte[0], answer.term(), answer.position(), answer.member(), false, ""));
 		}
 		catch (IOException ex) {
 			throw new UncheckedIOException(ex);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OpenTransaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OpenTransaction.java
@@ -63,6 +63,7 @@
 
 	/**
 	 * Tells whether a commit was sent whose outcome may not be known.
+	 * @return {@code true} if so
 	 */
 	boolean isCommitSent() {
 		return this.inProgress != null && this.inProgress.request().kind() == StatementKind.COMMIT
@@ -75,6 +76,7 @@
 
 	/**
 	 * Reserves the transaction for one statement.
+	 * @param statement the statement
 	 * @return {@code false} if another statement is in progress or the transaction ended
 	 */
 	boolean begin(PendingRequest statement) {
@@ -95,6 +97,7 @@
 
 	/**
 	 * Records how the transaction ended, for resends of the commit.
+	 * @param answer the answer
 	 */
 	void ended(ExecuteAnswer answer) {
 		this.closed = true;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OwnershipController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OwnershipController.java
@@ -68,7 +68,8 @@
 	public void viewChanged(FleetView view) {
 		this.owned.forEach((group, controller) -> {
 			GroupView groupView = view.groups().get(group);
-			if (groupView == null || !isOwnedHere(view, groupView) || groupView.ownerEpoch() != controller.ownerEpoch()) {
+			if (groupView == null || !isOwnedHere(view, groupView)
+					|| groupView.ownerEpoch() != controller.ownerEpoch()) {
 				this.owned.remove(group, controller);
 				controller.stop("the group is assigned to another owner");
 			}
@@ -101,8 +102,8 @@
 	/**
 	 * Executes a request of a caller for a group owned here.
 	 * @param request the request
-	 * @param deadline time of the monotonic clock in nanoseconds at which the caller stops
-	 * waiting
+	 * @param deadline time of the monotonic clock in nanoseconds at which the caller
+	 * stops waiting
 	 * @return the answer
 	 */
 	public CompletableFuture<ExecuteAnswer> execute(ExecuteRequest request, long deadline) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/PendingRequest.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/PendingRequest.java
@@ -82,6 +82,7 @@
 	/**
 	 * Tells whether the request was sent to a database in an attempt that may have been
 	 * executed.
+	 * @return {@code true} if so
 	 */
 	boolean wasSent() {
 		return this.sent;
@@ -104,6 +105,7 @@
 
 	/**
 	 * Returns the answer that is passed on once the write is confirmed.
+	 * @return the answer
 	 */
 	ExecuteAnswer confirmationAnswer() {
 		return this.confirmationAnswer;
@@ -119,6 +121,7 @@
 
 	/**
 	 * Tells whether the request runs at most once, which the control log guards.
+	 * @return {@code true} if so
 	 */
 	boolean isOnce() {
 		return !this.profile.repeatable() && this.request.kind().changesData();
@@ -136,6 +139,10 @@
 	/**
 	 * Completes the answer with an error. An error that says "not run" becomes unknown if
 	 * the request was sent.
+	 * @param code the error code
+	 * @param step step at which the error arose
+	 * @param peer the peer, or an empty string
+	 * @param message what went wrong
 	 */
 	void fail(ErrorCode code, Step step, String peer, String message) {
 		fail(new MagnolialeadException(code, step, peer, message), 0);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/StatementRunner.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/StatementRunner.java
@@ -31,7 +31,6 @@
 import org.magnolialead.engine.owner.RetryBudget;
 import org.magnolialead.engine.owner.WorkItem;
 import org.magnolialead.transport.member.ConnectionPool;
-import org.magnolialead.transport.member.MemberCall;
 import org.magnolialead.transport.member.MemberConnection;
 import org.magnolialead.transport.member.MemberReply;
 
@@ -82,6 +81,7 @@
 
 	/**
 	 * Takes a request of a caller.
+	 * @param request the request
 	 */
 	void submit(PendingRequest request) {
 		this.inProgress++;
@@ -102,6 +102,7 @@
 
 	/**
 	 * Returns the number of requests without an answer.
+	 * @return the number
 	 */
 	int inProgress() {
 		return this.inProgress + this.context.transactions().openCount() + this.executions.size()
@@ -114,7 +115,8 @@
 	void pump() {
 		long now = this.context.now();
 		for (PendingRequest expired : this.context.scheduler().removeExpired(now)) {
-			notRun(expired, ErrorCode.DEADLINE_EXCEEDED, Step.QUEUE, "", "the deadline passed while waiting for a slot");
+			notRun(expired, ErrorCode.DEADLINE_EXCEEDED, Step.QUEUE, "",
+					"the deadline passed while waiting for a slot");
 		}
 		this.context.confirmations().expired(now).forEach(this::confirmationEnded);
 		answerOverdue(now);
@@ -129,6 +131,7 @@
 
 	/**
 	 * Ends everything that depends on a term that is sealed.
+	 * @param term the term
 	 */
 	void sealed(long term) {
 		this.context.confirmations().sealed(term).forEach(this::confirmationEnded);
@@ -213,7 +216,8 @@
 		if (found.isEmpty()) {
 			boolean unknown = commits && !this.context.transactions().belongsHere(identifier);
 			notRun(request, unknown ? ErrorCode.EARLIER_ATTEMPT_UNKNOWN : ErrorCode.UNKNOWN_TRANSACTION,
-					Step.TRANSACTION, "", "transaction \"%s\" is not open at the owner of the group".formatted(identifier));
+					Step.TRANSACTION, "",
+					"transaction \"%s\" is not open at the owner of the group".formatted(identifier));
 			return;
 		}
 		OpenTransaction transaction = found.get();
@@ -231,8 +235,7 @@
 					"another statement of the transaction is in progress");
 			return;
 		}
-		request.answer()
-			.whenComplete((answer, failure) -> this.context.serial().execute(transaction::statementEnded));
+		request.answer().whenComplete((answer, failure) -> this.context.serial().execute(transaction::statementEnded));
 		if (request.isOnce()) {
 			this.once.arrived(request);
 			return;
@@ -250,8 +253,9 @@
 				choiceOf(request));
 		Admission admission = this.context.scheduler().offer(item, now);
 		if (admission instanceof Admission.Refused refused) {
-			notRun(request, new MagnolialeadException(refused.code(), Step.ADMISSION, "",
-					"the request cannot be finished before its deadline at the present load"),
+			notRun(request,
+					new MagnolialeadException(refused.code(), Step.ADMISSION, "",
+							"the request cannot be finished before its deadline at the present load"),
 					refused.retryAfterMilliseconds());
 			return;
 		}
@@ -480,6 +484,8 @@
 	/**
 	 * A write's position is a sample of the primary, which keeps the known age of
 	 * replicas low without further status requests.
+	 * @param execution the execution
+	 * @param reply the member's answer
 	 */
 	private void learnPrimaryPosition(Execution execution, MemberReply reply) {
 		MemberStatus status = new MemberStatus(this.context.group(), execution.dispatch.member(), MemberRole.PRIMARY,
@@ -493,9 +499,10 @@
 			acknowledge(request, request.confirmationAnswer());
 		}
 		else if (pending.state() == State.REPLACED) {
-			unknown(request, new MagnolialeadException(ErrorCode.PRIMARY_REPLACED, Step.CONFIRM, pending.primary(),
-					"the primary of term %d was replaced before the write was confirmed"
-						.formatted(pending.position().term())));
+			unknown(request,
+					new MagnolialeadException(ErrorCode.PRIMARY_REPLACED, Step.CONFIRM, pending.primary(),
+							"the primary of term %d was replaced before the write was confirmed"
+								.formatted(pending.position().term())));
 		}
 		else if (pending.state() == State.EXPIRED) {
 			unknown(request, new MagnolialeadException(ErrorCode.NOT_CONFIRMED, Step.CONFIRM, pending.primary(),
@@ -506,6 +513,8 @@
 	/**
 	 * Passes on a confirmed write. The term and the lease are checked again at the last
 	 * moment, so that no write of a replaced primary is acknowledged.
+	 * @param request the request
+	 * @param answer the answer
 	 */
 	private void acknowledge(PendingRequest request, ExecuteAnswer answer) {
 		if (!this.context.mayAcknowledge(answer.term())) {
@@ -556,9 +565,11 @@
 
 	private void expire(OpenTransaction transaction) {
 		MagnolialeadException failure = new MagnolialeadException(ErrorCode.UNKNOWN_TRANSACTION, Step.TRANSACTION,
-				transaction.member(), "the transaction was rolled back: it lasted too long or its primary was replaced");
-		ExecuteAnswer end = transaction.isCommitSent() ? ExecuteAnswer.failed(new MagnolialeadException(
-				ErrorCode.NO_ANSWER, Step.TRANSACTION, transaction.member(), "the commit was not answered"))
+				transaction.member(),
+				"the transaction was rolled back: it lasted too long or its primary was replaced");
+		ExecuteAnswer end = transaction.isCommitSent()
+				? ExecuteAnswer.failed(new MagnolialeadException(ErrorCode.NO_ANSWER, Step.TRANSACTION,
+						transaction.member(), "the commit was not answered"))
 				: ExecuteAnswer.failed(failure);
 		endTransaction(transaction, end);
 	}
@@ -595,6 +606,8 @@
 	/**
 	 * A request that was never sent may wait for its deadline, as it puts no load on a
 	 * database.
+	 * @param request the request
+	 * @return {@code true} if so
 	 */
 	private boolean mayRetryUnsent(PendingRequest request) {
 		return request.deadline() - this.context.now() > TimeUnit.MILLISECONDS.toNanos(RETRY_DELAY_MILLISECONDS);
@@ -653,6 +666,7 @@
 	/**
 	 * Answers callers whose deadline has passed while their statement is in progress. The
 	 * statement goes on; only requests that were never sent are removed.
+	 * @param now present time of the monotonic clock in nanoseconds
 	 */
 	private void answerOverdue(long now) {
 		List<PendingRequest> overdue = new ArrayList<>();
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/demo/DemoMain.java
@@ -0,0 +1,184 @@
+package org.magnolialead.testsupport.demo;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.testsupport.fleet.Fleet;
+import org.magnolialead.testsupport.fleet.FleetShape;
+import org.magnolialead.testsupport.process.ManagedProcess;
+
+/**
+ * Starts three control daemons, two entry daemons and one database group of three
+ * stand-ins, kills the primary under a mixed load, floods the group with the least and
+ * then the most urgent work, and prints the four measures and the state of each
+ * invariant. Exits with 0 only if no violation was found.
+ */
+public final class DemoMain {
+
+	private static final String GROUP = "group-1";
+
+	private static final String CTL_CLASS = "org.magnolialead.ctl.MagnolialeadCtl";
+
+	private static final long KILL_AFTER_MILLISECONDS = 5_000;
+
+	private static final int READ_MILLISECONDS = 8;
+
+	private static final int WRITE_MILLISECONDS = 8;
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private final Path folder;
+
+	private final Fleet fleet;
+
+	private final List<Result> results = new ArrayList<>();
+
+	private DemoMain(Path folder) {
+		this.folder = folder;
+		this.fleet = new Fleet(folder, FleetShape.small().withServiceTimes(READ_MILLISECONDS, WRITE_MILLISECONDS));
+	}
+
+	/**
+	 * Runs the demonstration.
+	 * @param arguments folder for logs and settings
+	 * @throws IOException if the folder cannot be written
+	 * @throws InterruptedException if the run is interrupted
+	 */
+	public static void main(String[] arguments) throws IOException, InterruptedException {
+		Path folder = (arguments.length > 0) ? Path.of(arguments[0]) : Files.createTempDirectory("magnolialead-demo");
+		DemoMain demo = new DemoMain(folder);
+		boolean held = false;
+		try {
+			held = demo.run();
+		}
+		finally {
+			demo.fleet.close();
+		}
+		System.exit(held ? 0 : 1);
+	}
+
+	private boolean run() throws IOException, InterruptedException {
+		System.out
+			.println("starting 3 control daemons, 2 entry daemons and 3 database members; logs in " + this.folder);
+		this.fleet.start();
+		failover();
+		flood("flood of browsing", "profile=browsing,rate=4000,kind=read,timeout=500",
+				"profile=confirmation,rate=30,kind=write,operation=insert,timeout=1000");
+		flood("flood of urgent work", "profile=confirmation,rate=1500,kind=write,operation=insert,timeout=500",
+				"profile=scheduling,rate=40,kind=write,operation=insert,timeout=1000",
+				"profile=browsing,rate=40,kind=read,timeout=1000");
+		print();
+		return this.results.stream().allMatch(Result::passed);
+	}
+
+	private void failover() throws IOException, InterruptedException {
+		System.out.println("mixed load; the primary is killed after 5 s");
+		ManagedProcess load = load("failover", 14, "profile=confirmation,rate=30,kind=write,timeout=4000,resend=0.2",
+				"profile=scheduling,rate=20,kind=write,timeout=4000",
+				"profile=browsing,rate=150,kind=read,timeout=2000");
+		Thread.sleep(KILL_AFTER_MILLISECONDS);
+		String primary = this.fleet.primary(GROUP).orElseThrow();
+		this.fleet.process(GROUP + "/" + primary).kill();
+		System.out.println("killed primary " + primary);
+		finish("failover", load);
+		Optional<String> successor = this.fleet.primary(GROUP);
+		System.out.println("new primary: " + successor.orElse("none"));
+		this.fleet.startMember(GROUP, primary);
+	}
+
+	private void flood(String name, String... mixes) throws IOException {
+		System.out.println(name);
+		finish(name, load(name, 7, mixes));
+	}
+
+	private ManagedProcess load(String name, int seconds, String... mixes) {
+		List<String> arguments = new ArrayList<>(List.of("load", "--entry", this.fleet.entryAddresses(), "--group",
+				GROUP, "--seconds", String.valueOf(seconds), "--json", report(name).toString()));
+		for (String mix : mixes) {
+			arguments.add("--mix");
+			arguments.add(mix);
+		}
+		return this.fleet.startOther("load-" + name.replace(' ', '-'), CTL_CLASS, arguments);
+	}
+
+	private void finish(String name, ManagedProcess load) throws IOException {
+		long deadline = MonotonicClock.SYSTEM.nanoseconds() + TimeUnit.SECONDS.toNanos(60);
+		int exitCode = load.awaitExit(deadline).orElse(-1);
+		JsonNode report = Files.exists(report(name)) ? JSON.readTree(report(name).toFile()) : JSON.createObjectNode();
+		this.results.add(new Result(name, exitCode, report, load.output()));
+	}
+
+	private Path report(String name) {
+		return this.folder.resolve(name.replace(' ', '-') + ".json");
+	}
+
+	private void print() {
+		System.out.println();
+		System.out.println("Measures");
+		Result failover = this.results.get(0);
+		line("share of browsing reads from replicas", "%.4f", failover.mix("browsing").path("replicaShare").asDouble());
+		line("gap in writes during the failover", "%.0f ms",
+				failover.report().path("longestWriteGap").path(GROUP).asDouble());
+		for (Result result : this.results) {
+			result.report()
+				.path("mixes")
+				.forEach((mix) -> line(
+						"%s: %s done within deadline".formatted(result.name(), mix.path("profile").asText()),
+						"%.4f of %d", mix.path("doneWithinDeadline").asDouble(), mix.path("offered").asLong()));
+		}
+		System.out.println();
+		System.out.println("Invariants");
+		for (Result result : this.results) {
+			System.out.println("  %s: %s".formatted(result.name(), result.passed() ? "held" : "VIOLATED"));
+			result.report()
+				.path("checks")
+				.path("violations")
+				.fields()
+				.forEachRemaining((violation) -> System.out
+					.println("    %s: %s".formatted(violation.getKey(), (violation.getValue().asLong() == 0) ? "held"
+							: violation.getValue().asLong() + " violations")));
+			if (!result.passed()) {
+				System.out.println(result.output());
+			}
+		}
+	}
+
+	private static void line(String name, String format, Object... values) {
+		System.out.println("  %-60s %s".formatted(name, String.format(Locale.ROOT, format, values)));
+	}
+
+	/**
+	 * Result of one run of the load generator.
+	 *
+	 * @param name name of the run
+	 * @param exitCode exit code of the load generator
+	 * @param report its report
+	 * @param output its output
+	 */
+	private record Result(String name, int exitCode, JsonNode report, String output) {
+
+		boolean passed() {
+			return this.exitCode == 0;
+		}
+
+		JsonNode mix(String profile) {
+			for (JsonNode mix : this.report.path("mixes")) {
+				if (mix.path("profile").asText().equals(profile)) {
+					return mix;
+				}
+			}
+			return JSON.createObjectNode();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/demo/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Demonstration of a small fleet under load, failure and floods.
+ */
+package org.magnolialead.testsupport.demo;
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/fleet/Fleet.java
@@ -0,0 +1,391 @@
+package org.magnolialead.testsupport.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
+
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.message.InitializeAnswer;
+import org.magnolialead.api.message.InitializeRequest;
+import org.magnolialead.api.message.ViewAnswer;
+import org.magnolialead.api.message.ViewQuery;
+import org.magnolialead.testsupport.process.FreePorts;
+import org.magnolialead.testsupport.process.ManagedProcess;
+import org.magnolialead.testsupport.process.ProcessHarness;
+import org.magnolialead.transport.peer.PeerClient;
+
+/**
+ * Fleet of processes on the loopback interface. Closing it kills what it started.
+ */
+public final class Fleet implements AutoCloseable {
+
+	private static final String HOST = "127.0.0.1";
+
+	private static final String DAEMON_CLASS = "org.magnolialead.daemon.MagnolialeadMain";
+
+	private static final String STAND_IN_CLASS = "org.magnolialead.testsupport.standin.DatabaseStandInMain";
+
+	/**
+	 * Longest wait for a step of the start or a change of state. Only a broken fleet
+	 * takes so long.
+	 */
+	private static final long PATIENCE_NANOSECONDS = TimeUnit.SECONDS.toNanos(60);
+
+	private static final long QUERY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
+
+	private static final long POLL_MILLISECONDS = 25;
+
+	private final Path folder;
+
+	private final FleetShape shape;
+
+	private final MonotonicClock clock = MonotonicClock.SYSTEM;
+
+	private final PeerClient client = new PeerClient(this.clock);
+
+	private final ProcessHarness harness;
+
+	private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
+
+	private final Map<String, Integer> peerPorts = new HashMap<>();
+
+	private final Map<String, Integer> httpPorts = new HashMap<>();
+
+	/**
+	 * Creates a fleet that is not running yet.
+	 * @param folder folder for settings, data and logs
+	 * @param shape size of the fleet
+	 */
+	public Fleet(Path folder, FleetShape shape) {
+		this.folder = folder;
+		this.shape = shape;
+		try {
+			Files.createDirectories(folder);
+			Files.writeString(folder.resolve("session.key"), "only for tests: 0123456789abcdef0123456789abcdef");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		this.harness = new ProcessHarness(folder, shape.javaOptions());
+		reservePorts();
+	}
+
+	/**
+	 * Starts all processes and waits until every group has a confirmed primary and an
+	 * owner that can be reached.
+	 */
+	public void start() {
+		controlNames().forEach(this::startDaemon);
+		entryNames().forEach(this::startDaemon);
+		groupNames().forEach((group) -> memberNames().forEach((member) -> startMember(group, member)));
+		controlNames()
+			.forEach((name) -> this.processes.get(name).awaitPort(HOST, this.peerPorts.get(name), patience()));
+		initialize();
+		await("all groups to have a primary",
+				() -> groupNames().stream().allMatch((group) -> primary(group).isPresent()));
+		entryNames().forEach((name) -> this.processes.get(name).awaitPort(HOST, this.httpPorts.get(name), patience()));
+	}
+
+	/**
+	 * Returns the names of the control daemons.
+	 * @return the names
+	 */
+	public List<String> controlNames() {
+		return names("control-", this.shape.controlDaemons());
+	}
+
+	/**
+	 * Returns the names of the entry daemons.
+	 * @return the names
+	 */
+	public List<String> entryNames() {
+		return names("entry-", this.shape.entryDaemons());
+	}
+
+	/**
+	 * Returns the names of the database groups.
+	 * @return the names
+	 */
+	public List<String> groupNames() {
+		return names("group-", this.shape.groups());
+	}
+
+	/**
+	 * Returns the names of the members of each group.
+	 * @return the names
+	 */
+	public List<String> memberNames() {
+		return names("member-", this.shape.membersPerGroup());
+	}
+
+	/**
+	 * Returns a process.
+	 * @param name name of a daemon, or group and member as {@code group-1/member-1}
+	 * @return the process
+	 */
+	public ManagedProcess process(String name) {
+		return this.processes.get(name);
+	}
+
+	/**
+	 * Returns the HTTP address of a daemon or stand-in.
+	 * @param name name of a daemon, or group and member as {@code group-1/member-1}
+	 * @return host and port
+	 */
+	public String httpAddress(String name) {
+		return HOST + ":" + this.httpPorts.get(name);
+	}
+
+	/**
+	 * Returns the peer address of a daemon.
+	 * @param name name of the daemon
+	 * @return host and port
+	 */
+	public String peerAddress(String name) {
+		return HOST + ":" + this.peerPorts.get(name);
+	}
+
+	/**
+	 * Returns the HTTP addresses of all entry daemons.
+	 * @return addresses separated by commas
+	 */
+	public String entryAddresses() {
+		return entryNames().stream().map(this::httpAddress).collect(Collectors.joining(","));
+	}
+
+	/**
+	 * Returns the peer addresses of all control daemons.
+	 * @return addresses separated by commas
+	 */
+	public String controlAddresses() {
+		return controlNames().stream().map(this::peerAddress).collect(Collectors.joining(","));
+	}
+
+	/**
+	 * Asks the control daemons for their states.
+	 * @return the answers by name, without those that do not answer
+	 */
+	public Map<String, ViewAnswer> views() {
+		Map<String, ViewAnswer> views = new LinkedHashMap<>();
+		for (String name : controlNames()) {
+			request(peerAddress(name), new ViewQuery()).filter(ViewAnswer.class::isInstance)
+				.ifPresent((answer) -> views.put(name, (ViewAnswer) answer));
+		}
+		return views;
+	}
+
+	/**
+	 * Returns the control leader with authority.
+	 * @return its name, or empty
+	 */
+	public Optional<String> leader() {
+		return views().entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().leader())
+			.map(Map.Entry::getKey)
+			.findFirst();
+	}
+
+	/**
+	 * Returns the latest view that a control daemon has of a group.
+	 * @param group name of the group
+	 * @return the view, or empty
+	 */
+	public Optional<GroupView> group(String group) {
+		return views().values()
+			.stream()
+			.map((answer) -> answer.view().groups().get(group))
+			.filter((view) -> view != null)
+			.max(Comparator.comparingLong(GroupView::version));
+	}
+
+	/**
+	 * Returns the confirmed primary of a group.
+	 * @param group name of the group
+	 * @return name of the member, or empty
+	 */
+	public Optional<String> primary(String group) {
+		return group(group).map(GroupView::primary).filter((primary) -> !primary.isEmpty());
+	}
+
+	/**
+	 * Returns the owner of a group.
+	 * @param group name of the group
+	 * @return name of the entry daemon, or empty
+	 */
+	public Optional<String> owner(String group) {
+		return group(group).map(GroupView::owner).filter((owner) -> !owner.isEmpty());
+	}
+
+	/**
+	 * Waits for a condition.
+	 * @param what the condition in words
+	 * @param condition the condition
+	 * @throws IllegalStateException if it does not come true within 60 s
+	 */
+	public void await(String what, BooleanSupplier condition) {
+		long deadline = patience();
+		while (!condition.getAsBoolean()) {
+			if (deadline - this.clock.nanoseconds() <= 0) {
+				throw new IllegalStateException("gave up waiting for " + what + "; logs are in " + this.folder);
+			}
+			try {
+				Thread.sleep(POLL_MILLISECONDS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				throw new IllegalStateException("interrupted while waiting for " + what, ex);
+			}
+		}
+	}
+
+	/**
+	 * Starts a stand-in, or starts it again with an empty log.
+	 * @param group name of the group
+	 * @param member name of the member
+	 */
+	public void startMember(String group, String member) {
+		String name = group + "/" + member;
+		String address = HOST + ":" + this.httpPorts.get(name);
+		boolean first = !this.processes.containsKey(name) && member.equals(memberNames().get(0));
+		List<String> arguments = new ArrayList<>(List.of("--group", group, "--member", member, "--address", address,
+				"--zone", "zone-" + zone(member), "--announce", entryAddresses(), "--slots",
+				String.valueOf(this.shape.slots()), "--connection-limit", String.valueOf(this.shape.connectionLimit()),
+				"--read-milliseconds", String.valueOf(this.shape.readMilliseconds()), "--write-milliseconds",
+				String.valueOf(this.shape.writeMilliseconds()), "--lag-milliseconds",
+				String.valueOf(this.shape.lagMilliseconds())));
+		if (first) {
+			arguments.addAll(List.of("--role", "PRIMARY", "--term", "1"));
+		}
+		this.processes.put(name, this.harness.start(group + "-" + member, STAND_IN_CLASS, arguments));
+	}
+
+	/**
+	 * Starts a daemon with its settings, again after it has ended.
+	 * @param name name of the daemon
+	 */
+	public void startDaemon(String name) {
+		Path file = writeSettings(name);
+		this.processes.put(name, this.harness.start(name, DAEMON_CLASS, List.of("--settings", file.toString())));
+	}
+
+	/**
+	 * Starts another main class with the class path of this process.
+	 * @param name name of the process
+	 * @param mainClass name of the class
+	 * @param arguments command line
+	 * @return the process
+	 */
+	public ManagedProcess startOther(String name, String mainClass, List<String> arguments) {
+		ManagedProcess process = this.harness.start(name, mainClass, arguments);
+		this.processes.put(name, process);
+		return process;
+	}
+
+	/**
+	 * Removes the data folder of a control daemon that is not running.
+	 * @param name name of the control daemon
+	 */
+	public void loseDisk(String name) {
+		Path data = this.folder.resolve(name + "-data");
+		try (java.util.stream.Stream<Path> files = Files.walk(data)) {
+			for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+				Files.delete(file);
+			}
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.harness.close();
+		this.client.close();
+	}
+
+	private void initialize() {
+		await("the control cluster to start", () -> {
+			Optional<Object> answer = request(peerAddress("control-1"), new InitializeRequest());
+			return answer.filter((message) -> message instanceof InitializeAnswer initialized && initialized.accepted())
+				.isPresent() || leader().isPresent();
+		});
+	}
+
+	private Optional<Object> request(String address, Object message) {
+		try {
+			return Optional
+				.of(this.client.request(address, message, this.clock.nanoseconds() + QUERY_NANOSECONDS).join());
+		}
+		catch (CompletionException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private Path writeSettings(String name) {
+		boolean control = name.startsWith("control-");
+		StringBuilder text = new StringBuilder();
+		text.append("[daemon]\nname = \"%s\"\nrole = \"%s\"\navailability_zone = \"zone-%s\"\nthreads = 4\n"
+			.formatted(name, control ? "control" : "entry", zone(name)));
+		text.append("[peer]\nhost = \"%s\"\nport = %d\n".formatted(HOST, this.peerPorts.get(name)));
+		text.append("[http]\nhost = \"%s\"\nport = %d\n".formatted(HOST, this.httpPorts.get(name)));
+		text.append(control ? "[control]\ndata_folder = \"%s-data\"\nsnapshot_entries = 2000\n".formatted(name)
+				: "[session]\nkey_file = \"session.key\"\n");
+		text.append("[control.members]\n");
+		controlNames().forEach((member) -> text.append("%s = \"%s\"\n".formatted(member, peerAddress(member))));
+		try {
+			return Files.writeString(this.folder.resolve(name + ".toml"), text);
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private void reservePorts() {
+		List<String> daemons = new ArrayList<>(controlNames());
+		daemons.addAll(entryNames());
+		List<String> members = groupNames().stream()
+			.flatMap((group) -> memberNames().stream().map((member) -> group + "/" + member))
+			.toList();
+		List<Integer> ports = FreePorts.find(2 * daemons.size() + members.size());
+		int next = 0;
+		for (String daemon : daemons) {
+			this.peerPorts.put(daemon, ports.get(next++));
+			this.httpPorts.put(daemon, ports.get(next++));
+		}
+		for (String member : members) {
+			this.httpPorts.put(member, ports.get(next++));
+		}
+	}
+
+	private static String zone(String name) {
+		int number = Integer.parseInt(name.substring(name.lastIndexOf('-') + 1));
+		return String.valueOf((number - 1) % 4 + 1);
+	}
+
+	private static List<String> names(String prefix, int count) {
+		List<String> names = new ArrayList<>();
+		for (int number = 1; number <= count; number++) {
+			names.add(prefix + number);
+		}
+		return names;
+	}
+
+	private long patience() {
+		return this.clock.nanoseconds() + PATIENCE_NANOSECONDS;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/fleet/FleetShape.java
@@ -0,0 +1,67 @@
+package org.magnolialead.testsupport.fleet;
+
+import java.util.List;
+
+/**
+ * Size of a fleet and behaviour of its stand-ins.
+ *
+ * @param controlDaemons number of control daemons
+ * @param entryDaemons number of entry daemons
+ * @param groups number of database groups
+ * @param membersPerGroup number of members of each group
+ * @param slots slots of each member
+ * @param connectionLimit connection limit of each member
+ * @param readMilliseconds service time of a read
+ * @param writeMilliseconds service time of a write
+ * @param lagMilliseconds replication lag
+ * @param javaOptions options for each Java process
+ */
+public record FleetShape(int controlDaemons, int entryDaemons, int groups, int membersPerGroup, int slots,
+		int connectionLimit, int readMilliseconds, int writeMilliseconds, int lagMilliseconds,
+		List<String> javaOptions) {
+
+	/**
+	 * Java options that keep many processes small.
+	 */
+	public static final List<String> SMALL_PROCESS = List.of("-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+			"-Xshare:auto");
+
+	public FleetShape {
+		javaOptions = List.copyOf(javaOptions);
+		if (controlDaemons < 1 || entryDaemons < 1 || groups < 1 || membersPerGroup < 1) {
+			throw new IllegalArgumentException("a fleet needs at least one process of each kind");
+		}
+	}
+
+	/**
+	 * Returns the smallest fleet that survives the loss of any one process: 3 control
+	 * daemons, 2 entry daemons and 1 group of 3 members with 2 slots and 20 connections.
+	 * @return the shape
+	 */
+	public static FleetShape small() {
+		return new FleetShape(3, 2, 1, 3, 2, 20, 2, 3, 5, SMALL_PROCESS);
+	}
+
+	/**
+	 * Returns this shape with other service times.
+	 * @param read service time of a read in milliseconds
+	 * @param write service time of a write in milliseconds
+	 * @return the changed shape
+	 */
+	public FleetShape withServiceTimes(int read, int write) {
+		return new FleetShape(this.controlDaemons, this.entryDaemons, this.groups, this.membersPerGroup, this.slots,
+				this.connectionLimit, read, write, this.lagMilliseconds, this.javaOptions);
+	}
+
+	/**
+	 * Returns this shape with another number of entry daemons.
+	 * @param count the number
+	 * @return the changed shape
+	 */
+	public FleetShape withEntryDaemons(int count) {
+		return new FleetShape(this.controlDaemons, count, this.groups, this.membersPerGroup, this.slots,
+				this.connectionLimit, this.readMilliseconds, this.writeMilliseconds, this.lagMilliseconds,
+				this.javaOptions);
+	}
+
+}
