Test the consensus node under random failures

Elections, commits and authority have to hold under loss, delay, partitions, crashes, freezes and lost disks. A simulation with fixed seeds checks them after each event and detects two faults that are injected on purpose.

--- /dev/null
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
@@ -0,0 +1,341 @@
+package org.magnolialead.engine.consensus;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.message.ControlIdentity;
+import org.magnolialead.api.message.LogEntry;
+
+/**
+ * Runs control daemons in simulated time over a network that loses, delays, repeats and
+ * reorders messages, while members crash, freeze, lose their disks or are cut off. Checks
+ * the guarantees of the log after each event.
+ */
+final class ConsensusSimulation {
+
+	private static final long MILLISECOND = 1_000_000;
+
+	private static final long SECOND = 1_000 * MILLISECOND;
+
+	private final long seed;
+
+	private final Fault fault;
+
+	private final Random random;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::time).thenComparingLong(Event::sequence));
+
+	private final List<SimulatedMember> members = new ArrayList<>();
+
+	private final Map<String, String> peers = new HashMap<>();
+
+	private final Set<String> cutLinks = new HashSet<>();
+
+	private final Map<Long, ControlIdentity> leaders = new HashMap<>();
+
+	private final TreeMap<Long, LogEntry> committed = new TreeMap<>();
+
+	private final Map<Long, Long> states = new HashMap<>();
+
+	private final String initialVoter;
+
+	private double lossRate = 0.02;
+
+	private long time;
+
+	private long sequence;
+
+	private long commands;
+
+	private int diskLosses;
+
+	ConsensusSimulation(long seed, int size, Fault fault) {
+		this.seed = seed;
+		this.fault = fault;
+		this.random = new Random(seed);
+		for (int number = 0; number < size; number++) {
+			// Clocks differ by up to 8%, within the margin of the authority duration.
+			double rate = 0.96 + 0.08 * this.random.nextDouble();
+			String name = "m" + number;
+			this.members.add(new SimulatedMember(this, name, this.random.nextLong(), rate));
+			this.peers.put(name, name);
+		}
+		this.initialVoter = this.members.get(0).identity().incarnation();
+	}
+
+	long time() {
+		return this.time;
+	}
+
+	Random random() {
+		return this.random;
+	}
+
+	Fault fault() {
+		return this.fault;
+	}
+
+	int diskLosses() {
+		return this.diskLosses;
+	}
+
+	int elections() {
+		return this.leaders.size();
+	}
+
+	/**
+	 * Runs with failures, then without, and checks that the cluster recovers.
+	 * @param seconds simulated time with failures in seconds
+	 */
+	void run(int seconds) {
+		try {
+			this.members.get(0).bootstrap();
+			this.members.forEach((member) -> member.start(this.peers));
+			propose();
+			runUntil(5 * SECOND);
+			injectFailure(this.time + seconds * SECOND);
+			runUntil(this.time + seconds * SECOND);
+			recover();
+		}
+		catch (RuntimeException | AssertionError ex) {
+			throw new AssertionError("seed %d, time %d ms: %s".formatted(this.seed, this.time / MILLISECOND, ex), ex);
+		}
+	}
+
+	void schedule(long delay, SimulatedMember member, Runnable task) {
+		this.events.add(new Event(this.time + delay, this.sequence++, member, task));
+	}
+
+	void send(SimulatedMember sender, ConsensusAction.Send send) {
+		int copies = (this.random.nextInt(50) == 0) ? 2 : 1;
+		for (int copy = 0; copy < copies; copy++) {
+			boolean slow = this.random.nextInt(100) == 0;
+			long delay = this.random.nextLong(slow ? 500 * MILLISECOND : 5 * MILLISECOND);
+			if (this.random.nextDouble() >= this.lossRate) {
+				schedule(delay, null, () -> arrive(sender.name(), send));
+			}
+		}
+	}
+
+	private void arrive(String sender, ConsensusAction.Send send) {
+		SimulatedMember recipient = member(send.address());
+		if (this.cutLinks.contains(sender + ">" + recipient.name()) || !recipient.isRunning()) {
+			return;
+		}
+		int run = recipient.run();
+		schedule(0, recipient, () -> {
+			if (recipient.isRunning() && recipient.run() == run) {
+				recipient.handle((node) -> node.receive(send.message(), recipient.clock()));
+			}
+		});
+	}
+
+	private SimulatedMember member(String address) {
+		return this.members.stream().filter((member) -> member.name().equals(address)).findFirst().orElseThrow();
+	}
+
+	private void runUntil(long end) {
+		while (this.events.peek().time() <= end) {
+			Event event = this.events.poll();
+			this.time = event.time();
+			if (event.member() != null && event.member().frozenUntil() > this.time) {
+				this.events
+					.add(new Event(event.member().frozenUntil(), event.sequence(), event.member(), event.task()));
+				continue;
+			}
+			event.task().run();
+			checkAuthority();
+		}
+		this.time = end;
+	}
+
+	private void propose() {
+		for (SimulatedMember member : this.members) {
+			if (member.isRunning() && member.frozenUntil() <= this.time && member.node().isLeader()) {
+				proposeTo(member);
+			}
+		}
+		schedule(this.random.nextLong(40 * MILLISECOND), null, this::propose);
+	}
+
+	private void proposeTo(SimulatedMember member) {
+		byte[] command = ByteBuffer.allocate(Long.BYTES).putLong(++this.commands).array();
+		try {
+			member.handle((node) -> node.propose(List.of(command), member.clock()));
+		}
+		catch (MagnolialeadException ex) {
+			if (ex.code() != ErrorCode.NOT_LEADER) {
+				throw ex;
+			}
+		}
+	}
+
+	// Failures
+
+	private void injectFailure(long end) {
+		if (this.time >= end) {
+			return;
+		}
+		SimulatedMember member = this.members.get(this.random.nextInt(this.members.size()));
+		switch (this.random.nextInt(9)) {
+			case 0, 1, 2 -> crash(member, 50 * MILLISECOND);
+			case 3 -> crash(member, 2 * SECOND);
+			case 4 -> member.freezeUntil(this.time + this.random.nextLong(2 * SECOND));
+			case 5 -> isolate(member);
+			case 6, 7 -> cutLinks(member);
+			default -> loseDisk(member);
+		}
+		schedule(this.random.nextLong(600 * MILLISECOND), null, () -> injectFailure(end));
+	}
+
+	private void crash(SimulatedMember member, long longest) {
+		if (member.isRunning()) {
+			member.crash();
+			schedule(this.random.nextLong(longest), null, () -> start(member));
+		}
+	}
+
+	private void start(SimulatedMember member) {
+		if (!member.isRunning()) {
+			member.start(this.peers);
+		}
+	}
+
+	// The log must survive the loss of one disk at a time unless there is only one.
+	private void loseDisk(SimulatedMember member) {
+		Set<String> current = identities();
+		if (this.members.size() > 1 && member.isRunning() && current.equals(committedVoters())) {
+			this.diskLosses++;
+			member.loseDisk();
+			schedule(this.random.nextLong(SECOND), null, () -> start(member));
+		}
+	}
+
+	private Set<String> identities() {
+		return this.members.stream().map((member) -> member.identity().incarnation()).collect(Collectors.toSet());
+	}
+
+	private Set<String> committedVoters() {
+		return this.committed.descendingMap()
+			.values()
+			.stream()
+			.filter((entry) -> entry.kind() == LogEntry.Kind.VOTERS)
+			.findFirst()
+			.map((entry) -> entry.voters().stream().map(ControlIdentity::incarnation).collect(Collectors.toSet()))
+			.orElse(Set.of(this.initialVoter));
+	}
+
+	private void isolate(SimulatedMember member) {
+		for (SimulatedMember other : this.members) {
+			cut(member, other);
+			cut(other, member);
+		}
+	}
+
+	private void cutLinks(SimulatedMember member) {
+		SimulatedMember other = this.members.get(this.random.nextInt(this.members.size()));
+		cut(member, other);
+		if (this.random.nextBoolean()) {
+			cut(other, member);
+		}
+	}
+
+	private void cut(SimulatedMember sender, SimulatedMember recipient) {
+		String link = sender.name() + ">" + recipient.name();
+		this.cutLinks.add(link);
+		schedule(this.random.nextLong(4 * SECOND), null, () -> this.cutLinks.remove(link));
+	}
+
+	private void recover() {
+		this.cutLinks.clear();
+		this.lossRate = 0;
+		this.members.forEach((member) -> member.freezeUntil(0));
+		this.members.forEach(this::start);
+		runUntil(this.time + 20 * SECOND);
+		long lastCommand = this.commands;
+		runUntil(this.time + 2 * SECOND);
+		long applied = this.committed.values()
+			.stream()
+			.filter((entry) -> entry.kind() == LogEntry.Kind.COMMAND)
+			.mapToLong((entry) -> ByteBuffer.wrap(entry.command()).getLong())
+			.max()
+			.orElse(0);
+		require(applied > lastCommand, "no command was committed after the failures ended");
+		require(committedVoters().equals(identities()),
+				"voters are %s instead of %s".formatted(committedVoters(), identities()));
+		for (SimulatedMember member : this.members) {
+			require(this.committed.lastKey() - member.node().commitIndex() < 50, "member %s is at %d of %d"
+				.formatted(member.name(), member.node().commitIndex(), this.committed.lastKey()));
+		}
+	}
+
+	// Checks
+
+	void checkElection(SimulatedMember member, long term) {
+		ControlIdentity other = this.leaders.putIfAbsent(term, member.identity());
+		require(other == null || other.equals(member.identity()), "term %d has two leaders".formatted(term));
+		StoredState state = member.node().storedState();
+		for (LogEntry entry : this.committed.tailMap(state.baseIndex(), false).values()) {
+			int position = (int) (entry.index() - state.baseIndex() - 1);
+			require(position < state.entries().size() && state.entries().get(position).term() == entry.term(),
+					"the leader of term %d lacks the committed entry %d".formatted(term, entry.index()));
+		}
+	}
+
+	void checkApplied(LogEntry entry, long state) {
+		LogEntry other = this.committed.putIfAbsent(entry.index(), entry);
+		require(other == null || other.term() == entry.term(),
+				"entry %d was committed in two versions".formatted(entry.index()));
+		checkState(entry.index(), state);
+	}
+
+	void checkState(long index, long state) {
+		Long other = this.states.putIfAbsent(index, state);
+		require(other == null || other == state, "states differ at entry %d".formatted(index));
+	}
+
+	private void checkAuthority() {
+		List<SimulatedMember> holders = this.members.stream().filter(SimulatedMember::hasAuthority).toList();
+		require(holders.size() <= 1, "two members have authority at the same time");
+		for (SimulatedMember holder : holders) {
+			long commitIndex = holder.node().commitIndex();
+			boolean complete = this.committed.tailMap(commitIndex, false)
+				.values()
+				.stream()
+				.allMatch((entry) -> entry.term() >= holder.node().term());
+			require(complete, "a leader with authority lacks committed entries of earlier terms");
+		}
+	}
+
+	static void require(boolean holds, String message) {
+		if (!holds) {
+			throw new AssertionError(message);
+		}
+	}
+
+	/**
+	 * Faults of the driver that the checks must detect.
+	 */
+	enum Fault {
+
+		NONE, ANSWERS_BEFORE_SYNC, VOTES_AFTER_RESTART
+
+	}
+
+	private record Event(long time, long sequence, SimulatedMember member, Runnable task) {
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
@@ -0,0 +1,210 @@
+package org.magnolialead.engine.consensus;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+import org.magnolialead.api.message.ControlIdentity;
+import org.magnolialead.api.message.LogEntry;
+
+/**
+ * Control daemon of a {@link ConsensusSimulation} with its clock, disk and state, which
+ * is a hash of all commands.
+ */
+final class SimulatedMember {
+
+	private static final long MILLISECOND = 1_000_000;
+
+	private static final int SNAPSHOT_ENTRIES = 40;
+
+	private static final int RETAINED_ENTRIES = 10;
+
+	private static final int SNAPSHOT_BYTES = 100;
+
+	private final ConsensusSimulation simulation;
+
+	private final String name;
+
+	private final long clockOffset;
+
+	private final double clockRate;
+
+	private SimulatedDisk disk = new SimulatedDisk();
+
+	private int incarnation = 1;
+
+	private int run;
+
+	private ConsensusNode node;
+
+	private long state;
+
+	private boolean syncing;
+
+	private long frozenUntil;
+
+	SimulatedMember(ConsensusSimulation simulation, String name, long clockOffset, double clockRate) {
+		this.simulation = simulation;
+		this.name = name;
+		this.clockOffset = clockOffset;
+		this.clockRate = clockRate;
+	}
+
+	String name() {
+		return this.name;
+	}
+
+	int run() {
+		return this.run;
+	}
+
+	ConsensusNode node() {
+		return this.node;
+	}
+
+	boolean isRunning() {
+		return this.node != null;
+	}
+
+	long frozenUntil() {
+		return this.frozenUntil;
+	}
+
+	void freezeUntil(long time) {
+		this.frozenUntil = time;
+	}
+
+	ControlIdentity identity() {
+		return new ControlIdentity(this.name, this.name + "-" + this.incarnation, this.name);
+	}
+
+	long clock() {
+		return this.clockOffset + (long) (this.simulation.time() * this.clockRate);
+	}
+
+	boolean hasAuthority() {
+		return isRunning() && this.node.authorityDeadline(clock()).stream().anyMatch((end) -> clock() - end < 0);
+	}
+
+	void bootstrap() {
+		this.disk.replace(StoredState.bootstrap("cluster", identity(), encodeState()));
+	}
+
+	void start(Map<String, String> peers) {
+		this.run++;
+		this.syncing = false;
+		ConsensusSettings settings = new ConsensusSettings(identity(), peers, 100 * MILLISECOND, 500 * MILLISECOND,
+				1_000 * MILLISECOND, 5, 64, 4, 30);
+		StoredState stored = this.disk.synced();
+		this.state = (stored.snapshot() != null) ? decodeState(stored.snapshot().data()) : 0;
+		long now = clock();
+		if (this.simulation.fault() == ConsensusSimulation.Fault.VOTES_AFTER_RESTART) {
+			now -= settings.minimumElectionTimeout();
+		}
+		this.node = new ConsensusNode(settings, stored, now, this.simulation.random());
+		tick(this.run);
+	}
+
+	/**
+	 * Stops the member without syncing; some of the unsynced records may be on the disk.
+	 */
+	void crash() {
+		this.node = null;
+		this.disk.sync(this.simulation.random().nextInt(this.disk.unsyncedBatches() + 1));
+		this.disk.loseUnsynced();
+		this.frozenUntil = 0;
+	}
+
+	void loseDisk() {
+		crash();
+		this.disk = new SimulatedDisk();
+		this.incarnation++;
+	}
+
+	private void tick(int startedRun) {
+		if (this.run == startedRun && isRunning()) {
+			handle((running) -> running.tick(clock()));
+			this.simulation.schedule(20 * MILLISECOND, this, () -> tick(startedRun));
+		}
+	}
+
+	void handle(Function<ConsensusNode, List<ConsensusAction>> input) {
+		input.apply(this.node).forEach(this::carryOut);
+		if (this.node.commitIndex() - this.node.snapshotIndex() >= SNAPSHOT_ENTRIES && !this.syncing) {
+			this.node.snapshot(encodeState(), RETAINED_ENTRIES);
+			this.disk.replace(this.node.storedState());
+			persisted();
+		}
+		else if (this.disk.unsyncedBatches() > 0 && !this.syncing) {
+			startSync();
+		}
+	}
+
+	private void startSync() {
+		this.syncing = true;
+		int startedRun = this.run;
+		int batches = this.disk.unsyncedBatches();
+		boolean faulty = this.simulation.fault() == ConsensusSimulation.Fault.ANSWERS_BEFORE_SYNC;
+		long duration = faulty ? 300 * MILLISECOND : this.simulation.random().nextLong(5 * MILLISECOND);
+		this.simulation.schedule(duration, this, () -> finishSync(startedRun, batches));
+		if (faulty) {
+			handle((running) -> running.persisted(running.lastIndex(), running.lastTerm(), clock()));
+		}
+	}
+
+	private void finishSync(int startedRun, int batches) {
+		if (this.run == startedRun && isRunning() && this.syncing) {
+			this.disk.sync(batches);
+			this.syncing = false;
+			persisted();
+		}
+	}
+
+	private void persisted() {
+		handle((running) -> running.persisted(this.disk.lastIndex(), this.disk.lastTerm(), clock()));
+	}
+
+	private void carryOut(ConsensusAction action) {
+		if (action instanceof ConsensusAction.Send send) {
+			this.simulation.send(this, send);
+		}
+		else if (action instanceof ConsensusAction.AppendEntries append) {
+			this.disk.append(append.entries());
+		}
+		else if (action instanceof ConsensusAction.SaveVote save) {
+			this.disk.saveVote(save.vote());
+		}
+		else if (action instanceof ConsensusAction.JoinCluster join) {
+			this.disk.joinCluster(join.cluster());
+		}
+		else if (action instanceof ConsensusAction.ApplyEntries apply) {
+			apply.entries().forEach(this::apply);
+		}
+		else if (action instanceof ConsensusAction.InstallSnapshot install) {
+			this.disk.replace(this.node.storedState());
+			this.syncing = false;
+			this.state = decodeState(install.snapshot().data());
+			this.simulation.checkState(install.snapshot().lastIndex(), this.state);
+		}
+		else if (action instanceof ConsensusAction.BecomeLeader leader) {
+			this.simulation.checkElection(this, leader.term());
+		}
+	}
+
+	private void apply(LogEntry entry) {
+		if (entry.kind() == LogEntry.Kind.COMMAND) {
+			this.state = 31 * this.state + ByteBuffer.wrap(entry.command()).getLong();
+		}
+		this.simulation.checkApplied(entry, this.state);
+	}
+
+	private byte[] encodeState() {
+		return ByteBuffer.allocate(SNAPSHOT_BYTES).putLong(this.state).array();
+	}
+
+	private static long decodeState(byte[] snapshot) {
+		return ByteBuffer.wrap(snapshot).getLong();
+	}
+
+}
