--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
@@ -57,7 +57,7 @@
 	private static void requireDetected(ConsensusSimulation.Fault fault) {
 		for (long seed = 1; seed <= FAULT_SEEDS; seed++) {
 			try {
-				new ConsensusSimulation(seed, 3, fault).run(SECONDS);
+				new ConsensusSimulation(seed, 3, fault).runWithoutRecovery(SECONDS);
 			}
 			catch (AssertionError ex) {
 				System.out.printf("%s is detected: %s%n", fault, ex.getMessage());
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
@@ -101,18 +101,39 @@
 	 * @param seconds simulated time with failures in seconds
 	 */
 	void run(int seconds) {
-		try {
-			this.members.get(0).bootstrap();
-			this.members.forEach((member) -> member.start(this.peers));
-			propose();
-			runUntil(5 * SECOND);
-			injectFailure(this.time + seconds * SECOND);
-			runUntil(this.time + seconds * SECOND);
+		guarded(() -> {
+			fail(seconds);
 			recover();
+		});
+	}
+
+	/**
+	 * Runs with failures only.
+	 * @param seconds simulated time with failures in seconds
+	 */
+	void runWithoutRecovery(int seconds) {
+		guarded(() -> fail(seconds));
+	}
+
+	private void guarded(Runnable task) {
+		try {
+			task.run();
 		}
-		catch (RuntimeException | AssertionError ex) {
+		catch (MagnolialeadException | AssertionError ex) {
 			throw new AssertionError("seed %d, time %d ms: %s".formatted(this.seed, this.time / MILLISECOND, ex), ex);
 		}
+		catch (RuntimeException ex) {
+			throw new IllegalStateException("seed %d".formatted(this.seed), ex);
+		}
+	}
+
+	private void fail(int seconds) {
+		this.members.get(0).bootstrap();
+		this.members.forEach((member) -> member.start(this.peers));
+		propose();
+		runUntil(5 * SECOND);
+		injectFailure(this.time + seconds * SECOND);
+		runUntil(this.time + seconds * SECOND);
 	}
 
 	void schedule(long delay, SimulatedMember member, Runnable task) {
