--- a/magnolialead-api/src/main/java/org/magnolialead/api/command/CommandResult.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/command/CommandResult.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import org.magnolialead.api.ErrorCode;
 
 /**
@@ -43,6 +44,7 @@
 	 * Tells whether the command was accepted.
 	 * @return {@code true} if it was accepted
 	 */
+	@JsonIgnore
 	public boolean isAccepted() {
 		return this.error == null;
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -75,6 +75,8 @@
 
 	private final ScheduledExecutorService executor;
 
+	private volatile boolean started;
+
 	private Leadership leadership;
 
 	/**
@@ -103,6 +105,7 @@
 	 * Starts looking for due commands at regular intervals.
 	 */
 	public void start() {
+		this.started = true;
 		this.executor.scheduleWithFixedDelay(this::tickSafely, 0, this.settings.tickMilliseconds(),
 				TimeUnit.MILLISECONDS);
 	}
@@ -282,7 +285,7 @@
 			return;
 		}
 		long now = this.clock.nanoseconds();
-		List<ControlCommand> due = current.due(this.machine.state(), now);
+		List<ControlCommand> due = current.due(this.machine::state, now);
 		List<CompletableFuture<CommandResult>> results = new ArrayList<>();
 		for (ControlCommand command : due) {
 			ControlEvent.of(command).log(LOGGER, command);
@@ -307,6 +310,9 @@
 	}
 
 	private void tickSoon() {
+		if (!this.started) {
+			return;
+		}
 		try {
 			this.executor.execute(this::tickSafely);
 		}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/Leadership.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/Leadership.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.command.ControlCommand.ForgetDaemon;
@@ -76,17 +77,18 @@
 	/**
 	 * Returns the commands that are due and marks them as in progress. The leases of
 	 * daemons to forget are suspended under the same lock that grants them.
-	 * @param state present state
+	 * @param state source of the present state, read when no earlier command is in
+	 * progress
 	 * @param now present time in nanoseconds
 	 * @return the commands
 	 */
-	synchronized List<ControlCommand> due(ControlState state, long now) {
+	synchronized List<ControlCommand> due(Supplier<ControlState> state, long now) {
 		if (!this.dueInProgress.isEmpty()) {
 			// The state does not show the previous decisions yet.
 			return List.of();
 		}
 		this.leases.removeExpired(now);
-		List<ControlCommand> due = this.rules.due(state, this.leases, now);
+		List<ControlCommand> due = this.rules.due(state.get(), this.leases, now);
 		this.dueInProgress.addAll(due);
 		for (ControlCommand command : due) {
 			if (command instanceof ForgetDaemon forget) {
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateTests.java
@@ -166,9 +166,11 @@
 			List<ControlCommand> stale = List.of(new ReservePromotion("g", 1, 1, 2, "m2"),
 					new ConfirmPrimary("g", 1, 1, "m1"), new BeginRequest("g", 1, "k", "x", 1),
 					new AssignOwner("g", "d1", 0));
-			stale.forEach((command) -> TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(command).error(), state()));
+			stale.forEach(
+					(command) -> TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(command).error(), context()));
 			apply(new AssignOwner("g", "d1", 1));
-			stale.forEach((command) -> TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(command).error(), state()));
+			stale.forEach(
+					(command) -> TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(command).error(), context()));
 			TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(new ReleaseOwner("g", 1)).error(), context());
 			TestChecks.checkEqual("d1", group().owner(), context());
 		}
