Add the request filter chain of entry daemons

Requests pass syntax, lease, profile, deadline, session token and admission checks before they are dispatched to the owner of their group. Results are checked against the lease again before the caller sees them.

--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/AdmissionControl.java
@@ -0,0 +1,118 @@
+package org.magnolialead.daemon.filter;
+
+import java.util.Objects;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.magnolialead.api.Rank;
+
+/**
+ * Limits the requests in progress. Each rank has places of its own, and all ranks share
+ * the others; of the shared places a lower rank may fill only a part, so lower ranks are
+ * refused first, and no flood of one rank shuts out another. May be used by any number of
+ * threads.
+ */
+public final class AdmissionControl {
+
+	/**
+	 * Default number of requests in progress. With bodies at the default limit of 256 KiB
+	 * they occupy at most 512 MiB, with usual bodies of 1 KiB about 2 MiB.
+	 */
+	public static final int DEFAULT_MAXIMUM_IN_PROGRESS = 2_048;
+
+	private static final double[] OWN_SHARES = { 0.25, 0.10, 0.05 };
+
+	private static final double[] SHARED_PARTS = { 1.0, 0.8, 0.6 };
+
+	private final AtomicReference<Places> used = new AtomicReference<>(new Places(0, 0, 0));
+
+	private final int[] own = new int[Rank.values().length];
+
+	private final int[] sharedLimits = new int[Rank.values().length];
+
+	/**
+	 * Creates an admission control.
+	 * @param maximumInProgress greatest number of requests in progress, at least 20 so
+	 * that each rank has a place of its own
+	 */
+	public AdmissionControl(int maximumInProgress) {
+		if (maximumInProgress < 20) {
+			throw new IllegalArgumentException("maximumInProgress must be at least 20, found " + maximumInProgress);
+		}
+		int shared = maximumInProgress;
+		for (Rank rank : Rank.values()) {
+			this.own[rank.ordinal()] = (int) (maximumInProgress * OWN_SHARES[rank.ordinal()]);
+			shared -= this.own[rank.ordinal()];
+		}
+		for (Rank rank : Rank.values()) {
+			this.sharedLimits[rank.ordinal()] = (int) (shared * SHARED_PARTS[rank.ordinal()]);
+		}
+	}
+
+	/**
+	 * Takes a place if there is one.
+	 * @param rank rank of the request
+	 * @return whether the request is admitted; if so, {@link #release} must be called
+	 * once
+	 */
+	public boolean tryAcquire(Rank rank) {
+		Objects.requireNonNull(rank, "rank must not be null");
+		while (true) {
+			Places present = this.used.get();
+			if (!hasPlace(present, rank)) {
+				return false;
+			}
+			if (this.used.compareAndSet(present, present.plus(rank, 1))) {
+				return true;
+			}
+		}
+	}
+
+	/**
+	 * Gives a place back.
+	 * @param rank rank of the request
+	 */
+	public void release(Rank rank) {
+		this.used.updateAndGet((present) -> present.plus(rank, -1));
+	}
+
+	/**
+	 * Returns the number of requests in progress.
+	 * @param rank the rank
+	 * @return the number
+	 */
+	public int inProgress(Rank rank) {
+		return this.used.get().of(rank);
+	}
+
+	private boolean hasPlace(Places present, Rank rank) {
+		if (present.of(rank) < this.own[rank.ordinal()]) {
+			return true;
+		}
+		int sharedUsed = 0;
+		for (Rank each : Rank.values()) {
+			sharedUsed += Math.max(0, present.of(each) - this.own[each.ordinal()]);
+		}
+		return sharedUsed < this.sharedLimits[rank.ordinal()];
+	}
+
+	private record Places(int urgent, int standard, int browsing) {
+
+		int of(Rank rank) {
+			return switch (rank) {
+				case URGENT -> this.urgent;
+				case STANDARD -> this.standard;
+				case BROWSING -> this.browsing;
+			};
+		}
+
+		Places plus(Rank rank, int change) {
+			return switch (rank) {
+				case URGENT -> new Places(this.urgent + change, this.standard, this.browsing);
+				case STANDARD -> new Places(this.urgent, this.standard + change, this.browsing);
+				case BROWSING -> new Places(this.urgent, this.standard, this.browsing + change);
+			};
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/CallContext.java
@@ -0,0 +1,91 @@
+package org.magnolialead.daemon.filter;
+
+import java.util.Objects;
+
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.Profile;
+import org.magnolialead.api.StatementKind;
+import org.magnolialead.transport.http.HttpCall;
+
+/**
+ * What the filters have found out about a request so far.
+ *
+ * @param call the HTTP request
+ * @param group name of the database group
+ * @param kind what is asked
+ * @param transaction identifier of the transaction, or an empty string
+ * @param idempotencyKey idempotency key, or an empty string
+ * @param view fleet view that applies to the whole request, or {@code null} before the
+ * profile filter
+ * @param profile profile of the request, or {@code null} before the profile filter
+ * @param deadline time of the monotonic clock by which the caller wants the answer;
+ * meaningful after the deadline filter
+ * @param session session with the positions of the caller's token;
+ * {@link SessionToken#NONE} before the session filter and without a session
+ */
+public record CallContext(HttpCall call, String group, StatementKind kind, String transaction, String idempotencyKey,
+		FleetView view, Profile profile, long deadline, SessionToken session) {
+
+	public CallContext {
+		Objects.requireNonNull(call, "call must not be null");
+		Objects.requireNonNull(group, "group must not be null");
+		Objects.requireNonNull(kind, "kind must not be null");
+		Objects.requireNonNull(transaction, "transaction must not be null");
+		Objects.requireNonNull(idempotencyKey, "idempotencyKey must not be null");
+		Objects.requireNonNull(session, "session must not be null");
+	}
+
+	/**
+	 * Returns the context of a request that no filter has seen.
+	 * @param call the HTTP request
+	 * @param group name of the database group
+	 * @param kind what is asked
+	 * @param transaction identifier of the transaction, or an empty string
+	 * @return the context
+	 */
+	public static CallContext received(HttpCall call, String group, StatementKind kind, String transaction) {
+		String key = call.header(RequestHeaders.IDEMPOTENCY_KEY).orElse("");
+		return new CallContext(call, group, kind, transaction, key, null, null, call.receivedAt(), SessionToken.NONE);
+	}
+
+	/**
+	 * Returns a copy with the view and the profile.
+	 * @param found the view
+	 * @param chosen the profile
+	 * @return the copy
+	 */
+	public CallContext withProfile(FleetView found, Profile chosen) {
+		return new CallContext(this.call, this.group, this.kind, this.transaction, this.idempotencyKey, found, chosen,
+				this.deadline, this.session);
+	}
+
+	/**
+	 * Returns a copy with the deadline.
+	 * @param time time of the monotonic clock in nanoseconds
+	 * @return the copy
+	 */
+	public CallContext withDeadline(long time) {
+		return new CallContext(this.call, this.group, this.kind, this.transaction, this.idempotencyKey, this.view,
+				this.profile, time, this.session);
+	}
+
+	/**
+	 * Returns a copy with the session.
+	 * @param token the session and its positions
+	 * @return the copy
+	 */
+	public CallContext withSession(SessionToken token) {
+		return new CallContext(this.call, this.group, this.kind, this.transaction, this.idempotencyKey, this.view,
+				this.profile, this.deadline, token);
+	}
+
+	/**
+	 * Returns the position that the session has reached in the group of this request.
+	 * @return the position, or {@link LogPosition#NONE}
+	 */
+	public LogPosition sessionPosition() {
+		return this.session.position(this.group);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/CallerRouter.java
@@ -0,0 +1,165 @@
+package org.magnolialead.daemon.filter;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.StatementKind;
+import org.magnolialead.api.Step;
+import org.magnolialead.transport.http.HttpCall;
+import org.magnolialead.transport.http.HttpErrors;
+import org.magnolialead.transport.http.HttpHandler;
+import org.magnolialead.transport.http.HttpReply;
+
+/**
+ * Maps the paths of an entry daemon to the filter chain, the announcements of members and
+ * the pages of the platform.
+ */
+public final class CallerRouter implements HttpHandler {
+
+	private static final int OK = 200;
+
+	private static final int ACCEPTED = 202;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int METHOD_NOT_ALLOWED = 405;
+
+	private static final int UNAVAILABLE = 503;
+
+	private static final ObjectReader ANNOUNCEMENTS = JsonMapper.builder()
+		.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+		.build()
+		.readerFor(MemberDescription.class);
+
+	private final FilterChain chain;
+
+	private final AnnouncementSink announcements;
+
+	private final BooleanSupplier ready;
+
+	private final MetricRegistry registry;
+
+	/**
+	 * Creates a router.
+	 * @param chain handles callers' requests
+	 * @param announcements receives the announcements of members
+	 * @param ready tells whether this daemon should receive requests
+	 * @param registry metrics to report
+	 */
+	public CallerRouter(FilterChain chain, AnnouncementSink announcements, BooleanSupplier ready,
+			MetricRegistry registry) {
+		this.chain = Objects.requireNonNull(chain, "chain must not be null");
+		this.announcements = Objects.requireNonNull(announcements, "announcements must not be null");
+		this.ready = Objects.requireNonNull(ready, "ready must not be null");
+		this.registry = Objects.requireNonNull(registry, "registry must not be null");
+	}
+
+	@Override
+	public CompletableFuture<HttpReply> handle(HttpCall call) {
+		String[] parts = call.path().split("/", -1);
+		if (parts.length >= 5 && "v1".equals(parts[1]) && "groups".equals(parts[2])) {
+			return handleGroup(call, parts);
+		}
+		return CompletableFuture.completedFuture(handlePage(call));
+	}
+
+	private CompletableFuture<HttpReply> handleGroup(HttpCall call, String[] parts) {
+		StatementKind kind = null;
+		if (parts.length == 5) {
+			kind = kindOf(parts[4]);
+		}
+		else if (parts.length == 7 && "transactions".equals(parts[4]) && !parts[5].isEmpty()) {
+			kind = transactionKindOf(parts[6]);
+		}
+		if (kind == null) {
+			return CompletableFuture.completedFuture(refusal(NOT_FOUND, "no such path"));
+		}
+		if (!"POST".equals(call.method())) {
+			return CompletableFuture.completedFuture(refusal(METHOD_NOT_ALLOWED, "the method must be POST"));
+		}
+		String transaction = (parts.length == 7) ? parts[5] : "";
+		return this.chain.proceed(CallContext.received(call, parts[3], kind, transaction));
+	}
+
+	private static StatementKind kindOf(String name) {
+		return switch (name) {
+			case "read" -> StatementKind.READ;
+			case "write" -> StatementKind.WRITE;
+			case "transactions" -> StatementKind.BEGIN;
+			default -> null;
+		};
+	}
+
+	private static StatementKind transactionKindOf(String name) {
+		return switch (name) {
+			case "statements" -> StatementKind.TRANSACTION_STATEMENT;
+			case "commit" -> StatementKind.COMMIT;
+			case "rollback" -> StatementKind.ROLLBACK;
+			default -> null;
+		};
+	}
+
+	private HttpReply handlePage(HttpCall call) {
+		String expected = "/v1/announcements".equals(call.path()) ? "POST" : "GET";
+		HttpReply reply = switch (call.path()) {
+			case "/v1/announcements", "/health", "/readiness", "/metrics" -> null;
+			default -> refusal(NOT_FOUND, "no such path");
+		};
+		if (reply == null && !expected.equals(call.method())) {
+			reply = refusal(METHOD_NOT_ALLOWED, "the method must be " + expected);
+		}
+		return (reply != null) ? reply : page(call);
+	}
+
+	private HttpReply page(HttpCall call) {
+		return switch (call.path()) {
+			case "/v1/announcements" -> announce(call);
+			case "/readiness" -> readiness();
+			case "/metrics" -> HttpReply.json(OK, MetricsReport.write(this.registry));
+			default -> HttpReply.json(OK, text("{\"status\":\"UP\"}"));
+		};
+	}
+
+	private HttpReply readiness() {
+		if (this.ready.getAsBoolean()) {
+			return HttpReply.json(OK, text("{\"status\":\"READY\"}"));
+		}
+		return HttpReply.json(UNAVAILABLE, text("{\"status\":\"NOT_READY\"}"));
+	}
+
+	private HttpReply announce(HttpCall call) {
+		MemberDescription member;
+		try {
+			member = ANNOUNCEMENTS.readValue(call.body());
+			Objects.requireNonNull(member, "an announcement must not be null");
+		}
+		catch (IOException | NullPointerException ex) {
+			throw new MagnolialeadException(ErrorCode.BAD_REQUEST, Step.RECEIVE, call.remoteAddress(),
+					"the body is not a valid announcement", ex);
+		}
+		this.announcements.announced(member);
+		return HttpReply.json(ACCEPTED, text("{}"));
+	}
+
+	private static HttpReply refusal(int status, String message) {
+		HttpReply error = HttpErrors.reply(ErrorCode.BAD_REQUEST, Step.RECEIVE, "", message,
+				ErrorCode.BAD_REQUEST.outcome());
+		return new HttpReply(status, error.headers(), error.body());
+	}
+
+	private static byte[] text(String json) {
+		return json.getBytes(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/DispatchStep.java
@@ -0,0 +1,62 @@
+package org.magnolialead.daemon.filter;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.message.ExecuteAnswer;
+import org.magnolialead.api.message.ExecuteRequest;
+import org.magnolialead.transport.http.HttpReply;
+
+/**
+ * End of the chain: dispatches a request and adds the session token to its reply.
+ */
+final class DispatchStep implements FilterChain {
+
+	private final GroupDispatcher dispatcher;
+
+	private final SessionTokenCodec tokens;
+
+	private final MonotonicClock clock;
+
+	DispatchStep(GroupDispatcher dispatcher, SessionTokenCodec tokens, MonotonicClock clock) {
+		this.dispatcher = dispatcher;
+		this.tokens = tokens;
+		this.clock = clock;
+	}
+
+	@Override
+	public CompletableFuture<HttpReply> proceed(CallContext context) {
+		long left = TimeUnit.NANOSECONDS.toMillis(context.deadline() - this.clock.nanoseconds());
+		if (left < 1) {
+			throw new MagnolialeadException(ErrorCode.DEADLINE_EXCEEDED, Step.FORWARD, "",
+					"the deadline passed before the request was sent");
+		}
+		return this.dispatcher.dispatch(request(context, left), context.deadline())
+			.thenApply((answer) -> reply(context, answer));
+	}
+
+	private static ExecuteRequest request(CallContext context, long left) {
+		return new ExecuteRequest(context.group(), context.kind(), context.call().body(), context.profile().name(),
+				context.session().session(), context.sessionPosition(), context.idempotencyKey(), context.transaction(),
+				left, context.view().configuration().version());
+	}
+
+	private HttpReply reply(CallContext context, ExecuteAnswer answer) {
+		HttpReply reply = AnswerMapping.reply(answer);
+		if (context.session().session().isEmpty()) {
+			return reply;
+		}
+		SessionToken session = context.session();
+		// The position of a write with an unknown outcome is kept too: it may exist.
+		boolean wrote = context.kind().changesData() && answer.position() != null
+				&& !answer.position().equals(LogPosition.NONE);
+		SessionToken next = wrote ? session.withWrite(context.group(), answer.position()) : session;
+		return AnswerMapping.withHeader(reply, RequestHeaders.ANSWER_SESSION_TOKEN, this.tokens.encode(next));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/FilterChain.java
@@ -0,0 +1,50 @@
+package org.magnolialead.daemon.filter;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.magnolialead.transport.http.HttpErrors;
+import org.magnolialead.transport.http.HttpReply;
+
+/**
+ * Rest of a filter chain.
+ */
+@FunctionalInterface
+public interface FilterChain {
+
+	/**
+	 * Handles a request.
+	 * @param context what is known of the request
+	 * @return the reply; never fails if the chain was made by {@link #of}
+	 */
+	CompletableFuture<HttpReply> proceed(CallContext context);
+
+	/**
+	 * Returns a chain of filters. A failure of a filter becomes the reply that its
+	 * predecessors see.
+	 * @param filters the filters in their order
+	 * @param end handles the requests that all filters have passed on
+	 * @return the chain
+	 */
+	static FilterChain of(List<RequestFilter> filters, FilterChain end) {
+		FilterChain chain = guarded(end);
+		for (int index = filters.size() - 1; index >= 0; index--) {
+			RequestFilter filter = filters.get(index);
+			FilterChain rest = chain;
+			chain = guarded((context) -> filter.filter(context, rest));
+		}
+		return chain;
+	}
+
+	private static FilterChain guarded(FilterChain chain) {
+		return (context) -> {
+			try {
+				return chain.proceed(context).exceptionally(HttpErrors::reply);
+			}
+			catch (RuntimeException ex) {
+				return CompletableFuture.completedFuture(HttpErrors.reply(ex));
+			}
+		};
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/MetricsFilter.java
@@ -0,0 +1,52 @@
+package org.magnolialead.daemon.filter;
+
+import java.util.concurrent.CompletableFuture;
+
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Outcome;
+import org.magnolialead.transport.http.HttpErrors;
+import org.magnolialead.transport.http.HttpReply;
+
+/**
+ * Counts requests with a known profile and measures their latency. Stands before the
+ * deadline filter, so requests that arrive too late and refused ones are counted too.
+ */
+final class MetricsFilter implements RequestFilter {
+
+	private static final int REQUEST_TIMEOUT = 408;
+
+	private static final int CONFLICT = 409;
+
+	private final ServedRequestMetrics metrics;
+
+	private final MonotonicClock clock;
+
+	MetricsFilter(ServedRequestMetrics metrics, MonotonicClock clock) {
+		this.metrics = metrics;
+		this.clock = clock;
+	}
+
+	@Override
+	public CompletableFuture<HttpReply> filter(CallContext context, FilterChain next) {
+		long deadline = DeadlineFilter.deadline(context.call());
+		return next.proceed(context).whenComplete((reply, failure) -> record(context, deadline, reply));
+	}
+
+	private void record(CallContext context, long deadline, HttpReply reply) {
+		if (reply == null) {
+			return;
+		}
+		long now = this.clock.nanoseconds();
+		Outcome outcome = Outcome.valueOf(reply.headers().get(HttpErrors.OUTCOME_HEADER));
+		this.metrics.answered(context.profile().rank(), outcome, now - context.call().receivedAt());
+		if (!isCallersFault(reply.status())) {
+			boolean within = outcome == Outcome.DONE && deadline - now > 0;
+			this.metrics.countForServiceLevel(context.profile().name(), within);
+		}
+	}
+
+	private static boolean isCallersFault(int status) {
+		return status >= 400 && status < 500 && status != REQUEST_TIMEOUT && status != CONFLICT;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/ProfileFilter.java
@@ -0,0 +1,55 @@
+package org.magnolialead.daemon.filter;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Profile;
+import org.magnolialead.api.StatementKind;
+import org.magnolialead.api.Step;
+import org.magnolialead.transport.http.HttpReply;
+
+/**
+ * Finds the profile and the group in the present view, which then applies to the whole
+ * request.
+ */
+final class ProfileFilter implements RequestFilter {
+
+	private final Supplier<FleetView> views;
+
+	ProfileFilter(Supplier<FleetView> views) {
+		this.views = views;
+	}
+
+	@Override
+	public CompletableFuture<HttpReply> filter(CallContext context, FilterChain next) {
+		FleetView view = this.views.get();
+		Profile profile = find(context, view);
+		if (!view.groups().containsKey(context.group())) {
+			throw refusal(ErrorCode.UNKNOWN_GROUP, "no database group \"%s\"".formatted(context.group()));
+		}
+		// The commit of a transaction needs no key: its identifier can be used only once.
+		boolean runsAtMostOnce = !profile.repeatable() && context.kind() == StatementKind.WRITE;
+		if (runsAtMostOnce && context.idempotencyKey().isEmpty()) {
+			throw refusal(ErrorCode.INVALID_IDEMPOTENCY_KEY,
+					"a write with profile \"%s\" needs the header Idempotency-Key".formatted(profile.name()));
+		}
+		return next.proceed(context.withProfile(view, profile));
+	}
+
+	private static Profile find(CallContext context, FleetView view) {
+		String name = context.call().header(RequestHeaders.PROFILE).orElse("");
+		Profile profile = view.configuration().profiles().get(name);
+		if (profile == null) {
+			throw refusal(ErrorCode.UNKNOWN_PROFILE, "no profile \"%s\"".formatted(name));
+		}
+		return profile;
+	}
+
+	private static MagnolialeadException refusal(ErrorCode code, String message) {
+		return new MagnolialeadException(code, Step.PROFILE, "", message);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/RequestFilters.java
@@ -0,0 +1,39 @@
+package org.magnolialead.daemon.filter;
+
+import java.util.List;
+import java.util.function.Supplier;
+
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.MonotonicClock;
+
+/**
+ * Makes the filter chain of an entry daemon.
+ */
+public final class RequestFilters {
+
+	private RequestFilters() {
+	}
+
+	/**
+	 * Returns the chain in its order: syntax, lease, profile, deadline, session token,
+	 * admission, dispatch. Metrics are taken after the profile is known; results are
+	 * checked against the lease again on their way back.
+	 * @param clock clock of the deadlines
+	 * @param gate the lease of this daemon
+	 * @param views returns the present view
+	 * @param tokens signs and checks session tokens
+	 * @param admission limits the requests in progress
+	 * @param metrics counts the requests
+	 * @param dispatcher hands the requests to the owners of their groups
+	 * @return the chain
+	 */
+	public static FilterChain chain(MonotonicClock clock, LeaseGate gate, Supplier<FleetView> views,
+			SessionTokenCodec tokens, AdmissionControl admission, ServedRequestMetrics metrics,
+			GroupDispatcher dispatcher) {
+		List<RequestFilter> filters = List.of(new SyntaxFilter(), new LeaseFilter(gate, clock),
+				new ProfileFilter(views), new MetricsFilter(metrics, clock), new ResultFilter(gate, clock),
+				new DeadlineFilter(clock), new SessionFilter(tokens), new AdmissionFilter(admission));
+		return FilterChain.of(filters, new DispatchStep(dispatcher, tokens, clock));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Filter chain for callers' requests at an entry daemon.
+ */
+package org.magnolialead.daemon.filter;
--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/filter/TestChecks.java
@@ -0,0 +1,49 @@
+package org.magnolialead.daemon.filter;
+
+import java.util.Objects;
+import java.util.concurrent.Callable;
+import java.util.function.Supplier;
+
+import org.opentest4j.AssertionFailedError;
+
+/**
+ * Assertions for the tests of this module. The style rules ask for AssertJ, which is not
+ * among the dependencies of the project yet.
+ */
+final class TestChecks {
+
+	private TestChecks() {
+	}
+
+	static void checkEquals(Object expected, Object actual, String description) {
+		if (!Objects.deepEquals(expected, actual)) {
+			throw new AssertionFailedError("%s: expected <%s> but was <%s>".formatted(description, expected, actual),
+					expected, actual);
+		}
+	}
+
+	static void checkEquals(Object expected, Object actual) {
+		checkEquals(expected, actual, "value");
+	}
+
+	static void checkTrue(boolean condition, Supplier<String> description) {
+		if (!condition) {
+			throw new AssertionFailedError(description.get());
+		}
+	}
+
+	static <T extends Throwable> T checkThrows(Class<T> type, Callable<?> action) {
+		Object result;
+		try {
+			result = action.call();
+		}
+		catch (Throwable ex) {
+			if (type.isInstance(ex)) {
+				return type.cast(ex);
+			}
+			throw new AssertionFailedError("expected " + type.getName() + " but caught " + ex, ex);
+		}
+		throw new AssertionFailedError("expected " + type.getName() + " but the result was " + result);
+	}
+
+}
