--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/HttpLoadClient.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/HttpLoadClient.java
@@ -201,7 +201,8 @@
 		}
 
 		@Override
-		public void channelActive(ChannelHandlerContext context) {
+		public void handlerAdded(ChannelHandlerContext context) {
+			// The connect listener runs before channelActive.
 			this.channel = context.channel();
 		}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/DefaultGroupDispatcher.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/DefaultGroupDispatcher.java
@@ -224,6 +224,7 @@
 		/**
 		 * Passes on an answer. "Not run" is true only of the last attempt, so it becomes
 		 * unknown if an earlier attempt may have been executed.
+		 * @param answer the answer
 		 */
 		void complete(ExecuteAnswer answer) {
 			if (this.mayHaveRun && answer.outcome() == Outcome.NOT_RUN && this.request.kind().changesData()) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupOwnerController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupOwnerController.java
@@ -14,7 +14,6 @@
 import org.magnolialead.api.MemberStatus;
 import org.magnolialead.api.Profile;
 import org.magnolialead.api.Step;
-import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.message.ExecuteAnswer;
 import org.magnolialead.api.message.ExecuteRequest;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberPoller.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberPoller.java
@@ -184,7 +184,7 @@
 	/**
 	 * Sends one order to the member over a new connection.
 	 * @param path path of the order
-	 * @param body JSON body
+	 * @param body body as JSON
 	 * @param deadline time of the monotonic clock in nanoseconds at which waiting ends
 	 * @return the member's answer
 	 */
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/log/LogEventTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/log/LogEventTests.java
@@ -10,7 +10,7 @@
 
 import org.junit.jupiter.api.Test;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.assertj.core.api.Assertions.assertThat;
 
 /**
  * Tests for {@link LogEvent}.
@@ -29,14 +29,14 @@
 		List<String> declared = Arrays.stream(LogEvent.values())
 			.map((event) -> "%d %s %s".formatted(event.number(), event.name(), event.level()))
 			.toList();
-		assertEquals(declared, documented);
+		assertThat(documented).isEqualTo(declared);
 	}
 
 	// Guards against two events that an alert on the number cannot tell apart.
 	@Test
 	void numbersAreUnique() {
 		long distinct = Arrays.stream(LogEvent.values()).mapToInt(LogEvent::number).distinct().count();
-		assertEquals(LogEvent.values().length, distinct);
+		assertThat(distinct).isEqualTo(LogEvent.values().length);
 	}
 
 	private static String row(MatchResult match) {
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/settings/SettingsReaderTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/settings/SettingsReaderTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.Test;
@@ -13,9 +14,8 @@
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertThrows;
-import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
 
 /**
  * Tests for {@link SettingsReader}.
@@ -45,7 +45,7 @@
 	@ParameterizedTest
 	@MethodSource("examples")
 	void exampleSettingsAreValid(Path example) {
-		assertEquals(4, SettingsReader.read(example).controlMembers().size() + 1);
+		assertThat(SettingsReader.read(example).controlMembers()).hasSize(3);
 	}
 
 	static Stream<Path> examples() throws IOException {
@@ -72,19 +72,20 @@
 					name = "entry-1"    | name = entry          | is not valid TOML
 					""")
 	void refusesAndNamesTheKey(String original, String replacement, String expected) throws IOException {
-		Path file = write(VALID.replaceFirst(java.util.regex.Pattern.quote(original), replacement));
-		MagnolialeadException failure = assertThrows(MagnolialeadException.class, () -> SettingsReader.read(file));
-		assertEquals(ErrorCode.INVALID_SETTINGS, failure.code());
-		assertTrue(failure.getMessage().startsWith(file.toString()), failure.getMessage());
-		assertTrue(failure.getMessage().contains(expected), failure.getMessage());
-		assertEquals(1, failure.getMessage().lines().count(), "the message must be one line");
+		Path file = write(VALID.replaceFirst(Pattern.quote(original), replacement));
+		MagnolialeadException failure = catchThrowableOfType(MagnolialeadException.class,
+				() -> SettingsReader.read(file));
+		assertThat(failure.code()).isEqualTo(ErrorCode.INVALID_SETTINGS);
+		assertThat(failure).hasMessageStartingWith(file.toString()).hasMessageContaining(expected);
+		assertThat(failure.getMessage().lines()).hasSize(1);
 	}
 
 	@Test
 	void refusesMissingFile() {
 		Path file = this.folder.resolve("absent.toml");
-		MagnolialeadException failure = assertThrows(MagnolialeadException.class, () -> SettingsReader.read(file));
-		assertTrue(failure.getMessage().startsWith(file.toString()), failure.getMessage());
+		MagnolialeadException failure = catchThrowableOfType(MagnolialeadException.class,
+				() -> SettingsReader.read(file));
+		assertThat(failure).hasMessageStartingWith(file.toString());
 	}
 
 	private Path write(String text) throws IOException {
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/demo/DemoMain.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/demo/DemoMain.java
@@ -142,8 +142,8 @@
 			result.report()
 				.path("checks")
 				.path("violations")
-				.fields()
-				.forEachRemaining((violation) -> System.out
+				.properties()
+				.forEach((violation) -> System.out
 					.println("    %s: %s".formatted(violation.getKey(), (violation.getValue().asLong() == 0) ? "held"
 							: violation.getValue().asLong() + " violations")));
 			if (!result.passed()) {
