--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/CommandLogCluster.java
@@ -0,0 +1,233 @@
+package org.magnolialead.daemon.control;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.message.ConsensusMessage;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/**
+ * Three control daemons in one process with real files. Messages are encoded and decoded
+ * as on the wire.
+ */
+final class CommandLogCluster implements AutoCloseable {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+
+	private static final long POLL_MILLISECONDS = 5;
+
+	private final Path folder;
+
+	private final int snapshotThreshold;
+
+	private final Map<String, String> addresses = new LinkedHashMap<>();
+
+	private final Map<String, DefaultCommandLog> logs = new ConcurrentHashMap<>();
+
+	private final Map<String, Numbers> states = new ConcurrentHashMap<>();
+
+	private int starts;
+
+	CommandLogCluster(Path folder, int snapshotThreshold) {
+		this.folder = folder;
+		this.snapshotThreshold = snapshotThreshold;
+		for (String name : List.of("a", "b", "c")) {
+			this.addresses.put(name, name + ":1");
+		}
+		this.addresses.keySet().forEach(this::start);
+	}
+
+	void start(String name) {
+		CommandLogSettings settings = new CommandLogSettings(name, this.addresses.get(name), this.folder.resolve(name),
+				this.addresses, Duration.ofMillis(50), Duration.ofMillis(250), Duration.ofMillis(500),
+				this.snapshotThreshold);
+		Numbers state = new Numbers();
+		DefaultCommandLog log = new DefaultCommandLog(settings, state, this::send, MonotonicClock.SYSTEM,
+				new Random(++this.starts));
+		this.states.put(name, state);
+		this.logs.put(name, log);
+		log.start();
+	}
+
+	void stop(String name) {
+		this.logs.remove(name).close();
+	}
+
+	void loseDisk(String name) {
+		try (Stream<Path> files = Files.walk(this.folder.resolve(name))) {
+			for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
+				Files.delete(path);
+			}
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("folder of " + name + " cannot be removed", ex);
+		}
+	}
+
+	DefaultCommandLog log(String name) {
+		return this.logs.get(name);
+	}
+
+	List<Long> state(String name) {
+		return this.states.get(name).copy();
+	}
+
+	/**
+	 * Starts a cluster at the first member and waits until all members are voters.
+	 */
+	void initialize() {
+		if (!log("a").initialize().accepted()) {
+			throw new AssertionError("the cluster was not started");
+		}
+		await(() -> isRepaired());
+	}
+
+	/**
+	 * Tells whether the voters are the running members with their present incarnations.
+	 * @return {@code true} if the leader has committed such voters
+	 */
+	boolean isRepaired() {
+		return this.logs.values()
+			.stream()
+			.allMatch((log) -> log.voterIdentities().size() == this.logs.size()
+					&& log.voterIdentities().containsAll(identities()));
+	}
+
+	private List<Object> identities() {
+		return new ArrayList<>(this.logs.values().stream().map(DefaultCommandLog::identity).toList());
+	}
+
+	String leader() {
+		await(() -> this.logs.values().stream().anyMatch(DefaultCommandLog::hasAuthority));
+		return this.logs.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().hasAuthority())
+			.map(Map.Entry::getKey)
+			.findFirst()
+			.orElseGet(this::leader);
+	}
+
+	String follower() {
+		String leader = leader();
+		return this.logs.keySet().stream().filter((name) -> !name.equals(leader)).findFirst().orElseThrow();
+	}
+
+	/**
+	 * Submits a command until it is known to be committed. A repeated command adds its
+	 * number once.
+	 * @param number the number to add
+	 */
+	void add(long number) {
+		while (true) {
+			try {
+				log(leader()).submit(new ControlCommand.ForgetRequests(number)).join();
+				return;
+			}
+			catch (CompletionException ex) {
+				if (!(ex.getCause() instanceof MagnolialeadException cause)
+						|| (cause.code() != ErrorCode.NOT_LEADER && cause.code() != ErrorCode.COMMAND_UNKNOWN)) {
+					throw ex;
+				}
+			}
+		}
+	}
+
+	void awaitState(List<Long> expected) {
+		this.logs.keySet().forEach((name) -> await(() -> state(name).equals(expected)));
+	}
+
+	/**
+	 * Waits without a time limit; fails if a member stops by itself.
+	 * @param condition the condition to wait for
+	 */
+	void await(BooleanSupplier condition) {
+		while (!condition.getAsBoolean()) {
+			this.logs.forEach((name, log) -> log.failure().ifPresent((failure) -> {
+				throw new AssertionError("member " + name + " stopped", failure);
+			}));
+			try {
+				Thread.sleep(POLL_MILLISECONDS);
+			}
+			catch (InterruptedException ex) {
+				throw new IllegalStateException("interrupted", ex);
+			}
+		}
+	}
+
+	@Override
+	public void close() {
+		this.logs.values().forEach(DefaultCommandLog::close);
+	}
+
+	private void send(String address, ConsensusMessage message) {
+		DefaultCommandLog recipient = this.logs.get(address.substring(0, 1));
+		if (recipient == null) {
+			return;
+		}
+		try {
+			byte[] frame = MAPPER.writerFor(ConsensusMessage.class).writeValueAsBytes(message);
+			recipient.receive(MAPPER.readValue(frame, ConsensusMessage.class));
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("message cannot be encoded", ex);
+		}
+	}
+
+	/**
+	 * State that keeps each number once, in the order of the log.
+	 */
+	private static final class Numbers implements ReplicatedStateMachine {
+
+		private final List<Long> numbers = new ArrayList<>();
+
+		@Override
+		public synchronized CommandResult apply(ControlCommand command) {
+			long number = ((ControlCommand.ForgetRequests) command).wallClockTime();
+			if (number > 0 && !this.numbers.contains(number)) {
+				this.numbers.add(number);
+			}
+			return CommandResult.accepted(number);
+		}
+
+		@Override
+		public synchronized byte[] snapshot() {
+			ByteBuffer buffer = ByteBuffer.allocate(this.numbers.size() * Long.BYTES);
+			this.numbers.forEach(buffer::putLong);
+			return buffer.array();
+		}
+
+		@Override
+		public synchronized void restore(byte[] snapshot) {
+			this.numbers.clear();
+			ByteBuffer buffer = ByteBuffer.wrap(snapshot);
+			while (buffer.hasRemaining()) {
+				this.numbers.add(buffer.getLong());
+			}
+		}
+
+		synchronized List<Long> copy() {
+			return List.copyOf(this.numbers);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/DefaultCommandLogTests.java
@@ -0,0 +1,161 @@
+package org.magnolialead.daemon.control;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.command.ControlCommand;
+
+/**
+ * Tests of {@link DefaultCommandLog} with three members and real files.
+ */
+class DefaultCommandLogTests {
+
+	/** Low enough that members that return need a snapshot. */
+	private static final int SNAPSHOT_THRESHOLD = 20;
+
+	@TempDir
+	Path folder;
+
+	private CommandLogCluster cluster;
+
+	private final List<Long> expected = new ArrayList<>();
+
+	@BeforeEach
+	void initialize() {
+		this.cluster = new CommandLogCluster(this.folder, SNAPSHOT_THRESHOLD);
+		this.cluster.initialize();
+	}
+
+	@AfterEach
+	void close() {
+		this.cluster.close();
+	}
+
+	/** Guards against members whose state differs. */
+	@Test
+	void appliesCommandsOnAllMembers() {
+		add(50);
+		this.cluster.awaitState(this.expected);
+		require(this.cluster.log("b").voters().size() == 3, "all members are voters");
+	}
+
+	/** Guards against a second cluster in a data folder. */
+	@Test
+	void refusesSecondInitialization() {
+		for (String name : List.of("a", "b", "c")) {
+			require(!this.cluster.log(name).initialize().accepted(), name + " refuses");
+		}
+	}
+
+	/** Guards against a command that a follower accepts and drops. */
+	@Test
+	void refusesCommandsAtFollower() {
+		try {
+			this.cluster.log(this.cluster.follower()).submit(new ControlCommand.ForgetRequests(1)).join();
+		}
+		catch (CompletionException ex) {
+			require(ex.getCause() instanceof MagnolialeadException cause && cause.code() == ErrorCode.NOT_LEADER,
+					"refused with " + ex.getCause());
+			return;
+		}
+		throw new AssertionError("the follower accepted a command");
+	}
+
+	/** Guards against a restarted member that misses changes or loses its own. */
+	@Test
+	void catchesUpAfterRestart() {
+		add(10);
+		String follower = this.cluster.follower();
+		this.cluster.stop(follower);
+		add(100);
+		this.cluster.start(follower);
+		this.cluster.awaitState(this.expected);
+	}
+
+	/** Guards against commands lost with the leader. */
+	@Test
+	void continuesAfterLossOfLeader() {
+		add(30);
+		String leader = this.cluster.leader();
+		this.cluster.stop(leader);
+		add(30);
+		this.cluster.start(leader);
+		add(1);
+		this.cluster.awaitState(this.expected);
+	}
+
+	/** Guards against state that only memory holds. */
+	@Test
+	void keepsStateWhenAllMembersRestart() {
+		add(30);
+		this.cluster.awaitState(this.expected);
+		List<String> names = List.of("a", "b", "c");
+		names.forEach(this.cluster::stop);
+		names.forEach(this.cluster::start);
+		add(5);
+		this.cluster.awaitState(this.expected);
+	}
+
+	/**
+	 * Guards against a replaced member that does not count as a voter, which the loss of
+	 * another member right after the repair shows. Each member loses its disk once.
+	 */
+	@Test
+	void survivesLossOfAnotherMemberRightAfterRepair() {
+		for (String replaced : List.of("a", "b", "c")) {
+			add(30);
+			this.cluster.stop(replaced);
+			this.cluster.loseDisk(replaced);
+			add(30);
+			this.cluster.start(replaced);
+			this.cluster.await(this.cluster::isRepaired);
+			String lost = replaced.equals("a") ? "b" : "a";
+			this.cluster.stop(lost);
+			add(30);
+			this.cluster.start(lost);
+			add(1);
+			this.cluster.awaitState(this.expected);
+		}
+	}
+
+	/** Guards against commands that never complete when the log is closed. */
+	@Test
+	void completesPendingCommandsOnClose() {
+		String leader = this.cluster.leader();
+		DefaultCommandLog log = this.cluster.log(leader);
+		var results = new ArrayList<CompletableFuture<?>>();
+		for (int count = 0; count < 100; count++) {
+			results.add(log.submit(new ControlCommand.ForgetRequests(-1)));
+		}
+		this.cluster.stop(leader);
+		results.add(log.submit(new ControlCommand.ForgetRequests(-1)));
+		for (var result : results) {
+			result.handle((value, error) -> error).join();
+		}
+		require(!log.hasAuthority(), "a closed log has no authority");
+	}
+
+	private void add(int count) {
+		for (int number = 0; number < count; number++) {
+			long next = this.expected.size() + 1;
+			this.cluster.add(next);
+			this.expected.add(next);
+		}
+	}
+
+	private static void require(boolean holds, String message) {
+		if (!holds) {
+			throw new AssertionError(message);
+		}
+	}
+
+}
