Keep floors from the first moment of a flood

In a tenfold urgent flood BROWSING got 9.0% of the slot time instead of 10%, because idle capacity used before the flood counted as debt, and STANDARD writes lost 7.6%, because reads spent the rank's floor on the primary. Idle capacity now leaves no debt, and overtaking work does not use its last choice of member.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
@@ -65,7 +65,7 @@
 
 	private final Map<String, Member> members = new HashMap<>();
 
-	private final Map<Dispatch<W>, Long> charges = new IdentityHashMap<>();
+	private final Map<Dispatch<W>, Lane.Use> charges = new IdentityHashMap<>();
 
 	private SchedulerSettings settings;
 
@@ -129,7 +129,7 @@
 		this.byDeadline.add(entry);
 		this.refreshOrder.add(entry);
 		this.waiting.merge(item.rank(), 1, Integer::sum);
-		lane(item.rank(), eligible).add(entry);
+		lane(item.rank(), eligible).add(entry, eligible);
 		return new Admission.Admitted();
 	}
 
@@ -209,7 +209,8 @@
 		Member member = member(dispatch.member());
 		member.running--;
 		long service = now - dispatch.startedAt();
-		account(dispatch.member(), dispatch.rank(), service - this.charges.remove(dispatch));
+		Lane.Use charged = this.charges.remove(dispatch);
+		account(dispatch.member(), new Lane.Use(service - charged.nanoseconds(), charged.rank(), charged.overtaking()));
 		member.serviceTime(dispatch.rank()).learn(service, now);
 		if (member.slots == 0 && member.running == 0) {
 			this.members.remove(dispatch.member());
@@ -387,22 +388,32 @@
 				"a statement must not start after its deadline");
 		Dispatch<W> dispatch = new Dispatch<>(entry.item().work(), rank, name, now);
 		this.running.add(dispatch);
-		long charge = member.serviceTime(rank).median();
+		Lane.Use charge = new Lane.Use(member.serviceTime(rank).median(), rank, entry.lane().belowFloor());
 		this.charges.put(dispatch, charge);
-		account(name, rank, charge);
+		account(name, charge);
 		return dispatch;
 	}
 
-	private void account(String member, Rank user, long nanoseconds) {
+	private void account(String member, Lane.Use use) {
 		for (Map<Set<String>, Lane<W>> ofRank : this.lanes.values()) {
 			for (Lane<W> lane : ofRank.values()) {
 				if (lane.members().contains(member)) {
-					lane.account(nanoseconds, user, this.settings.floorOf(lane.rank()), window(lane));
+					lane.account(use, this.settings.floorOf(lane.rank()), window(lane));
 				}
 			}
 		}
 	}
 
+	// The lanes are visited from the most urgent rank on, so a lane without candidates
+	// before it overtakes nothing.
+	private boolean mayOvertake(Lane<W> lane) {
+		boolean preferredIsFree = lane.members()
+			.stream()
+			.anyMatch((name) -> !name.equals(lane.lastChoice()) && hasFreeSlot(List.of(name)));
+		return preferredIsFree && lane.hasEarned(serviceTime(lane.rank(), lane.members()),
+				this.settings.floorOf(lane.rank()), window(lane));
+	}
+
 	private double window(Lane<W> lane) {
 		return (double) FLOOR_WINDOW_NANOSECONDS * slots(lane.members());
 	}
@@ -412,8 +423,7 @@
 		for (Map<Set<String>, Lane<W>> ofRank : this.lanes.values()) {
 			for (Lane<W> lane : ofRank.values()) {
 				if (!lane.queue().isEmpty() && hasFreeSlot(lane.members())) {
-					lane.compareWithFloor(serviceTime(lane.rank(), lane.members()), this.settings.floorOf(lane.rank()),
-							window(lane));
+					lane.belowFloor(!candidates.isEmpty() && mayOvertake(lane));
 					candidates.add(lane);
 				}
 			}
@@ -443,7 +453,7 @@
 		entry.lane().queue().remove(entry);
 		this.refreshOrder.remove(entry);
 		this.refreshOrder.add(entry);
-		lane(entry.item().rank(), eligible).add(entry);
+		lane(entry.item().rank(), eligible).add(entry, eligible);
 	}
 
 	private Lane<W> lane(Rank rank, List<String> eligible) {
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/GroupSchedulerTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/GroupSchedulerTests.java
@@ -226,6 +226,7 @@
 		void lowerRanksKeepFloorsInUrgentFlood(long seed) {
 			System.out.println("seed " + seed);
 			SchedulerSimulation simulation = new SchedulerSimulation(SchedulingPolicy.RANK_FLOORS, seed);
+			simulation.run(SchedulerSimulation.ORDINARY_LOAD, 1_000);
 			Phase flood = simulation.run(SchedulerSimulation.tenfold(Rank.URGENT), 5_000);
 			// Accepted urgent work of the flood is served first, for up to its timeout.
 			simulation.run(SchedulerSimulation.ORDINARY_LOAD, 500);
@@ -233,8 +234,8 @@
 			simulation.run(SchedulerSimulation.ORDINARY_LOAD, 1_000);
 			// The standard load needs 10% of the slots, which is less than its floor of
 			// 15%.
-			Expect.that(flood.service(Rank.STANDARD) >= 0.95, "standard service " + flood.service(Rank.STANDARD));
-			Expect.that(flood.slotShare(Rank.BROWSING) >= 0.095, "browsing share " + flood.slotShare(Rank.BROWSING));
+			Expect.that(flood.service(Rank.STANDARD) >= 0.98, "standard service " + flood.service(Rank.STANDARD));
+			Expect.that(flood.slotShare(Rank.BROWSING) >= 0.099, "browsing share " + flood.slotShare(Rank.BROWSING));
 			Expect.that(after.service(Rank.URGENT) >= 0.99, "urgent service after " + after.service(Rank.URGENT));
 		}
 
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/SchedulerSimulation.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/SchedulerSimulation.java
@@ -81,7 +81,7 @@
 		Phase phase = new Phase(this.now + milliseconds * MILLISECOND);
 		this.phases.add(phase);
 		loads.forEach((load) -> arrive(load, phase));
-		while (this.events.peek().time() - phase.end <= 0) {
+		while (!this.events.isEmpty() && this.events.peek().time() - phase.end <= 0) {
 			Event event = this.events.poll();
 			this.now = event.time();
 			event.action().run();
