--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/netty/NettySupport.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/netty/NettySupport.java
@@ -18,6 +18,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 
 /**
  * Event loops, buffers and bootstraps with the options that all sockets share.
@@ -41,9 +43,16 @@
 
 	private static final int MAXIMUM_READ_BYTES = 65_536;
 
-	private static final ByteBufAllocator ALLOCATOR = new PooledByteBufAllocator(true, DIRECT_ARENAS, DIRECT_ARENAS,
-			PAGE_BYTES, CHUNK_ORDER, PooledByteBufAllocator.defaultSmallCacheSize(),
-			PooledByteBufAllocator.defaultNormalCacheSize(), false);
+	private static final ByteBufAllocator ALLOCATOR;
+
+	static {
+		// Netty would otherwise log through SLF4J, which comes with Dropwizard Metrics
+		// and
+		// has no backend here, so its messages would be lost.
+		InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+		ALLOCATOR = new PooledByteBufAllocator(true, DIRECT_ARENAS, DIRECT_ARENAS, PAGE_BYTES, CHUNK_ORDER,
+				PooledByteBufAllocator.defaultSmallCacheSize(), PooledByteBufAllocator.defaultNormalCacheSize(), false);
+	}
 
 	private NettySupport() {
 	}
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
@@ -22,6 +22,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.MonotonicClock;
@@ -365,6 +366,8 @@
 		@Override
 		protected void initChannel(Channel target) {
 			target.pipeline()
+				.addLast(new FlushConsolidationHandler(FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES,
+						true))
 				.addLast(new LengthFieldBasedFrameDecoder(PeerCodec.MAXIMUM_FRAME_BYTES, 0, PeerCodec.LENGTH_BYTES, 0,
 						PeerCodec.LENGTH_BYTES))
 				.addLast(new AnswerHandler());
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
@@ -17,6 +17,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.Step;
@@ -105,6 +106,8 @@
 		@Override
 		protected void initChannel(Channel channel) {
 			channel.pipeline()
+				.addLast(new FlushConsolidationHandler(FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES,
+						true))
 				.addLast(new LengthFieldBasedFrameDecoder(PeerCodec.MAXIMUM_FRAME_BYTES, 0, PeerCodec.LENGTH_BYTES, 0,
 						PeerCodec.LENGTH_BYTES))
 				.addLast(new Connection());
