Refuse double releases of pooled connections and number log events

Two callers would share a connection that was released twice, and a connection handed to a cancelled caller was lost; the pool now refuses the first and takes back the second. Lost peer connections are no longer logged as damaged.

--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpConnection.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpConnection.java
@@ -95,6 +95,10 @@
 			return;
 		}
 		scheduleTimer(this.idleDeadline);
+		if (this.server.isDraining()) {
+			// Accepted just before the listener closed.
+			drain();
+		}
 	}
 
 	@Override
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpErrors.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpErrors.java
@@ -1,7 +1,6 @@
 package org.magnolialead.transport.http;
 
 import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
@@ -14,6 +13,7 @@
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.Outcome;
 import org.magnolialead.api.Step;
+import org.magnolialead.transport.netty.TransportEvent;
 
 /**
  * JSON form of errors.
@@ -49,7 +49,7 @@
 		if (cause instanceof RejectedExecutionException) {
 			return reply(ErrorCode.OVERLOADED, Step.RECEIVE, "", "no thread is free", Outcome.NOT_RUN);
 		}
-		LOGGER.log(Level.ERROR, "request could not be handled", cause);
+		TransportEvent.HTTP_HANDLER_FAILED.log(LOGGER, cause);
 		return reply(ErrorCode.INVARIANT_VIOLATED, Step.RECEIVE, "", "internal error", Outcome.UNKNOWN);
 	}
 
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServer.java
@@ -1,7 +1,6 @@
 package org.magnolialead.transport.http;
 
 import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Set;
@@ -16,6 +15,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.magnolialead.transport.netty.NettySupport;
+import org.magnolialead.transport.netty.TransportEvent;
 
 /**
  * HTTP/1.1 server with keep-alive and ordered pipelining. The requests of one connection
@@ -165,7 +165,7 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			LOGGER.log(Level.WARNING, "connection could not be set up", cause);
+			TransportEvent.HTTP_CONNECTION_FAILED.log(LOGGER, cause, context.channel().remoteAddress());
 			context.close();
 		}
 
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/member/ConnectionPool.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/member/ConnectionPool.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Future;
@@ -43,6 +46,8 @@
 
 	private final Deque<Waiter> waiters = new ArrayDeque<>();
 
+	private final Set<MemberConnection> used = Collections.newSetFromMap(new IdentityHashMap<>());
+
 	private final ConnectionOpener opener;
 
 	private final ScheduledExecutorService timer;
@@ -137,15 +142,16 @@
 	 * Gives a connection back.
 	 * @param connection the connection
 	 * @param reusable whether it may be used again; otherwise it is closed
+	 * @throws IllegalStateException if the connection was not acquired or was already
+	 * released, because two callers would then share it
 	 */
 	public void release(MemberConnection connection, boolean reusable) {
-		if (!reusable) {
-			connection.close();
-			return;
-		}
 		List<Runnable> actions = new ArrayList<>();
 		synchronized (this.lock) {
-			if (this.closed) {
+			if (!this.used.remove(connection)) {
+				throw new IllegalStateException("the connection to %s is not in use".formatted(this.address));
+			}
+			if (this.closed || !reusable) {
 				actions.add(connection::close);
 			}
 			else if (connection.isOpen()) {
@@ -226,13 +232,21 @@
 			}
 			Waiter waiter = this.waiters.remove();
 			waiter.served = true;
-			actions.add(() -> waiter.succeed(connection));
+			this.used.add(connection);
+			actions.add(() -> handOver(waiter, connection));
 		}
 		while (this.opening < this.waiters.size() && hasRoom()) {
 			startOpening(actions);
 		}
 	}
 
+	private void handOver(Waiter waiter, MemberConnection connection) {
+		if (!waiter.succeed(connection)) {
+			// The caller cancelled its future.
+			release(connection, true);
+		}
+	}
+
 	/**
 	 * Takes the connection that was used last, so that the others become old enough to be
 	 * closed.
@@ -349,9 +363,9 @@
 
 		private boolean served;
 
-		void succeed(MemberConnection connection) {
+		boolean succeed(MemberConnection connection) {
 			cancelTimeout();
-			this.future.complete(connection);
+			return this.future.complete(connection);
 		}
 
 		void fail(Throwable failure) {
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
@@ -313,14 +313,13 @@
 		if (request.timer != null) {
 			request.timer.cancel(false);
 		}
-		this.completionExecutor.execute(() -> {
-			if (result instanceof MagnolialeadException failure) {
-				request.answer.completeExceptionally(failure);
-			}
-			else {
-				request.answer.complete(result);
-			}
-		});
+		try {
+			this.completionExecutor.execute(() -> request.complete(result));
+		}
+		catch (RejectedExecutionException ex) {
+			// The executor is shut down; the caller must still learn the outcome.
+			request.complete(result);
+		}
 	}
 
 	private MagnolialeadException failure(ErrorCode code, String message, Throwable cause) {
@@ -343,6 +342,15 @@
 			this.deadline = deadline;
 		}
 
+		void complete(Object result) {
+			if (result instanceof MagnolialeadException failure) {
+				this.answer.completeExceptionally(failure);
+			}
+			else {
+				this.answer.complete(result);
+			}
+		}
+
 	}
 
 	private static final class WaitingFrame {
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
@@ -1,7 +1,7 @@
 package org.magnolialead.transport.peer;
 
+import java.io.IOException;
 import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
@@ -23,6 +23,7 @@
 import org.magnolialead.api.Step;
 import org.magnolialead.api.message.ErrorAnswer;
 import org.magnolialead.transport.netty.NettySupport;
+import org.magnolialead.transport.netty.TransportEvent;
 
 /**
  * Accepts connections of other magnolialead processes. Damaged input closes the
@@ -97,7 +98,7 @@
 		if (cause instanceof RejectedExecutionException) {
 			return new ErrorAnswer(ErrorCode.OVERLOADED, Step.FORWARD, "no thread is free");
 		}
-		LOGGER.log(Level.ERROR, "peer message could not be handled", cause);
+		TransportEvent.PEER_HANDLER_FAILED.log(LOGGER, cause);
 		return new ErrorAnswer(ErrorCode.INVARIANT_VIOLATED, Step.FORWARD, String.valueOf(cause));
 	}
 
@@ -144,8 +145,10 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			LOGGER.log(Level.WARNING, "closing peer connection from {0}: {1}", context.channel().remoteAddress(),
-					cause);
+			// A lost connection is an IOException and needs no attention.
+			if (!(cause instanceof IOException)) {
+				TransportEvent.PEER_CONNECTION_DAMAGED.log(LOGGER, cause, context.channel().remoteAddress());
+			}
 			context.close();
 		}
 
--- a/magnolialead-transport/src/test/java/org/magnolialead/transport/member/ConnectionPoolTests.java
+++ b/magnolialead-transport/src/test/java/org/magnolialead/transport/member/ConnectionPoolTests.java
@@ -94,6 +94,30 @@
 		pool.close();
 	}
 
+	/**
+	 * Guards against a connection that two callers share after a double release, and one
+	 * that is lost to a cancelled caller.
+	 */
+	@Test
+	void connectionsAreNeitherSharedNorLost() throws Exception {
+		ConnectionPool pool = pool(0, FAR);
+		List<MemberConnection> used = new ArrayList<>();
+		for (int count = 0; count < LIMIT; count++) {
+			used.add(pool.acquire(now() + FAR).get());
+		}
+		CompletableFuture<MemberConnection> cancelled = pool.acquire(now() + FAR);
+		CompletableFuture<MemberConnection> next = pool.acquire(now() + FAR);
+		cancelled.cancel(false);
+		pool.release(used.get(0), true);
+		TestChecks.checkTrue(next.get() == used.get(0), () -> "the connection must go to the next caller");
+		pool.release(used.get(0), true);
+		TestChecks.checkThrows(IllegalStateException.class, () -> {
+			pool.release(used.get(0), true);
+			return "accepted";
+		});
+		pool.close();
+	}
+
 	/**
 	 * Guards against a failed attempt that occupies a place for ever.
 	 */
