--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
@@ -22,6 +22,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.MonotonicClock;
@@ -312,14 +313,13 @@
 		if (request.timer != null) {
 			request.timer.cancel(false);
 		}
-		this.completionExecutor.execute(() -> {
-			if (result instanceof MagnolialeadException failure) {
-				request.answer.completeExceptionally(failure);
-			}
-			else {
-				request.answer.complete(result);
-			}
-		});
+		try {
+			this.completionExecutor.execute(() -> request.complete(result));
+		}
+		catch (RejectedExecutionException ex) {
+			// The executor is shut down; the caller must still learn the outcome.
+			request.complete(result);
+		}
 	}
 
 	private MagnolialeadException failure(ErrorCode code, String message, Throwable cause) {
@@ -342,6 +342,15 @@
 			this.deadline = deadline;
 		}
 
+		void complete(Object result) {
+			if (result instanceof MagnolialeadException failure) {
+				this.answer.completeExceptionally(failure);
+			}
+			else {
+				this.answer.complete(result);
+			}
+		}
+
 	}
 
 	private static final class WaitingFrame {
@@ -365,6 +374,8 @@
 		@Override
 		protected void initChannel(Channel target) {
 			target.pipeline()
+				.addLast(new FlushConsolidationHandler(FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES,
+						true))
 				.addLast(new LengthFieldBasedFrameDecoder(PeerCodec.MAXIMUM_FRAME_BYTES, 0, PeerCodec.LENGTH_BYTES, 0,
 						PeerCodec.LENGTH_BYTES))
 				.addLast(new AnswerHandler());
