Fix connection start in the load generator and bound its end

The connect promise completes before channelActive, so the first request on each connection failed with an exception and the run waited forever. The channel is now set when the handler is added, and the wait for last answers has a deadline.

--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/ConfigCommand.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/ConfigCommand.java
@@ -2,7 +2,6 @@
 
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.spi.SubCommand;
-import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 
 /**
@@ -10,8 +9,7 @@
  */
 final class ConfigCommand implements CtlCommand {
 
-	@Argument(required = true, metaVar = "show|put-profile|remove-profile|set-floors",
-			handler = SubCommandHandler.class)
+	@Argument(required = true, metaVar = "show|put-profile|remove-profile|set-floors", handler = CommandHandler.class)
 	@SubCommands({ @SubCommand(name = "show", impl = ConfigShowCommand.class),
 			@SubCommand(name = "put-profile", impl = PutProfileCommand.class),
 			@SubCommand(name = "remove-profile", impl = RemoveProfileCommand.class),
--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
@@ -8,7 +8,6 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.spi.SubCommand;
-import org.kohsuke.args4j.spi.SubCommandHandler;
 import org.kohsuke.args4j.spi.SubCommands;
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
@@ -90,7 +89,7 @@
 	private static final class Root {
 
 		@Argument(required = true, metaVar = "status|config|initialize|forget-member|load",
-				handler = SubCommandHandler.class)
+				handler = CommandHandler.class)
 		@SubCommands({ @SubCommand(name = "status", impl = StatusCommand.class),
 				@SubCommand(name = "config", impl = ConfigCommand.class),
 				@SubCommand(name = "initialize", impl = InitializeCommand.class),
--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/HttpLoadClient.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/HttpLoadClient.java
@@ -201,7 +201,7 @@
 		}
 
 		@Override
-		public void channelActive(ChannelHandlerContext context) {
+		public void handlerAdded(ChannelHandlerContext context) {
 			this.channel = context.channel();
 		}
 
--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/LoadGenerator.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/LoadGenerator.java
@@ -18,6 +18,12 @@
 
 	private static final double NANOSECONDS_PER_SECOND = 1e9;
 
+	/**
+	 * Time after the end of the run and two timeouts (a write may be sent twice) within
+	 * which every request ends; covers connecting and the grace of the client.
+	 */
+	private static final long LAST_ANSWERS_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
+
 	private final LoadSettings settings;
 
 	/**
@@ -75,7 +81,12 @@
 		}
 		threads.forEach(LoadGenerator::join);
 		this.gaps.finish(end);
+		long lastAnswer = end + LAST_ANSWERS_NANOSECONDS + TimeUnit.MILLISECONDS
+			.toNanos(2 * this.settings.mixes().stream().mapToLong(LoadMix::timeoutMilliseconds).max().orElse(0));
 		while (this.inFlight.get() > 0) {
+			if (System.nanoTime() - lastAnswer > 0) {
+				throw new IllegalStateException(this.inFlight.get() + " requests did not end after their deadlines");
+			}
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
 		}
 	}
