--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/HttpLoadClient.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/HttpLoadClient.java
@@ -202,7 +202,6 @@
 
 		@Override
 		public void handlerAdded(ChannelHandlerContext context) {
-			// The connect listener runs before channelActive.
 			this.channel = context.channel();
 		}
 
