--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/MixDriver.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/MixDriver.java
@@ -109,7 +109,7 @@
 			this.checks.violated(Violation.STALE_READ,
 					"read of %s by session with token %s at %s served by %s returned write %d after write %d".formatted(
 							least.name(), session.tokenUse(), answer.header("magnolialead-member"),
-							answer.header("magnolialead-served-by"), found.sequence(), least.sequence()));
+							answer.header("magnolialead-member-role"), found.sequence(), least.sequence()));
 		}
 		if (key.wasToldNotRun(found)) {
 			this.checks.violated(Violation.RUN_AFTER_NOT_RUN, "value " + found.value() + " was read");
--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/MixMeter.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/load/MixMeter.java
@@ -51,7 +51,7 @@
 		if (latencyNanoseconds <= TimeUnit.MILLISECONDS.toNanos(this.mix.timeoutMilliseconds())) {
 			this.doneInTime++;
 		}
-		if (answer.header("magnolialead-served-by").equals("replica")) {
+		if (answer.header("magnolialead-member-role").equals("REPLICA")) {
 			this.servedByReplica++;
 		}
 		this.members.merge(answer.header("magnolialead-member"), 1L, Long::sum);
