--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -9,6 +9,7 @@
 import java.util.UUID;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
@@ -54,6 +55,9 @@
 
 	private static final int BATCH_LIMIT = 1_000;
 
+	/** Bounds the time of one sync, so that heartbeats are not delayed. */
+	private static final long BATCH_LIMIT_BYTES = 4 * 1024 * 1024;
+
 	/** Half of the largest frame of the peer protocol, in bytes. */
 	private static final int COMMAND_LIMIT = 512 * 1024;
 
@@ -138,6 +142,8 @@
 	 * control daemons are added once they answer.
 	 * @return whether the cluster was started; refused if the data folder already belongs
 	 * to a cluster
+	 * @throws MagnolialeadException of code {@code STORAGE_FAILURE} if the data folder
+	 * cannot be written
 	 */
 	public InitializeAnswer initialize() {
 		try {
@@ -146,6 +152,9 @@
 		catch (RejectedExecutionException ex) {
 			return new InitializeAnswer(false, "the control log of " + this.settings.name() + " has stopped");
 		}
+		catch (CompletionException ex) {
+			throw (ex.getCause() instanceof MagnolialeadException cause) ? cause : ex;
+		}
 	}
 
 	/**
@@ -344,8 +353,7 @@
 	}
 
 	private void handleProposals() {
-		List<Proposal> batch = new ArrayList<>();
-		this.proposals.drainTo(batch, BATCH_LIMIT);
+		List<Proposal> batch = takeProposals();
 		if (batch.isEmpty()) {
 			return;
 		}
@@ -367,6 +375,20 @@
 		carryOut(actions);
 	}
 
+	private List<Proposal> takeProposals() {
+		List<Proposal> batch = new ArrayList<>();
+		long bytes = 0;
+		while (batch.size() < BATCH_LIMIT && bytes < BATCH_LIMIT_BYTES) {
+			Proposal proposal = this.proposals.poll();
+			if (proposal == null) {
+				break;
+			}
+			bytes += proposal.command().length;
+			batch.add(proposal);
+		}
+		return batch;
+	}
+
 	private void finishBatch() {
 		if (this.folder.log().hasUnsynced()) {
 			this.folder.log().sync();
@@ -426,7 +448,7 @@
 		}
 		else if (action instanceof ConsensusAction.BecomeLeader leader) {
 			logger.log(System.Logger.Level.INFO, "4102 {0} became leader of term {1}", this.settings.name(),
-					leader.term());
+					Long.toString(leader.term()));
 		}
 		else if (action instanceof ConsensusAction.StepDown stepDown) {
 			stepDown(stepDown.term());
@@ -437,7 +459,8 @@
 	private void stepDown(long term) {
 		publish();
 		abandonPending();
-		logger.log(System.Logger.Level.INFO, "4103 {0} stepped down as leader of term {1}", this.settings.name(), term);
+		logger.log(System.Logger.Level.INFO, "4103 {0} stepped down as leader of term {1}", this.settings.name(),
+				Long.toString(term));
 	}
 
 	private void apply(LogEntry entry) {
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
@@ -1,8 +1,17 @@
 package org.magnolialead.engine.consensus;
 
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.message.ConsensusMessage.AppendRequest;
+import org.magnolialead.api.message.ControlIdentity;
+import org.magnolialead.api.message.LogEntry;
 
 /**
  * Randomised tests of {@link ConsensusNode}. A failure prints the seed that repeats it.
@@ -54,6 +63,68 @@
 		requireDetected(ConsensusSimulation.Fault.VOTES_AFTER_RESTART);
 	}
 
+	/**
+	 * Guards against members of two clusters that mix their logs.
+	 */
+	@Test
+	void ignoresMessagesOfAnotherCluster() {
+		ConsensusNode node = member();
+		ConsensusSimulation.require(node.receive(heartbeat("b", "other", 9), 0).isEmpty(), "no answer is sent");
+		ConsensusSimulation.require(node.term() == 1, "the term is kept");
+	}
+
+	/**
+	 * Guards against a second leader of one term that goes unnoticed.
+	 */
+	@Test
+	void refusesSecondLeaderOfTerm() {
+		ConsensusNode node = member();
+		node.receive(heartbeat("b", "cluster", 2), 0);
+		try {
+			node.receive(heartbeat("c", "cluster", 2), 1);
+		}
+		catch (MagnolialeadException ex) {
+			ConsensusSimulation.require(ex.code() == ErrorCode.INVARIANT_VIOLATED, "code is " + ex.code());
+			return;
+		}
+		throw new AssertionError("the second leader was accepted");
+	}
+
+	/**
+	 * Guards against an answer to a leader that is sent before the entries are synced.
+	 */
+	@Test
+	void answersAfterSync() {
+		ConsensusNode node = member();
+		LogEntry entry = new LogEntry(2, 2, LogEntry.Kind.EMPTY, new byte[0], List.of());
+		List<ConsensusAction> before = node
+			.receive(new AppendRequest(identity("b"), "cluster", 2, 1, 1, List.of(entry), 2, 1), 0);
+		ConsensusSimulation.require(before.stream().noneMatch(ConsensusNodeTests::isAnswer), "answered " + before);
+		ConsensusSimulation.require(node.persisted(2, 1, 0).isEmpty(), "an entry of another term is not synced");
+		List<ConsensusAction> after = node.persisted(2, 2, 0);
+		ConsensusSimulation.require(after.stream().anyMatch(ConsensusNodeTests::isAnswer), "not answered " + after);
+		ConsensusSimulation.require(node.commitIndex() == 2, "commit index is " + node.commitIndex());
+	}
+
+	private static boolean isAnswer(ConsensusAction action) {
+		return action instanceof ConsensusAction.Send;
+	}
+
+	private static ConsensusNode member() {
+		ConsensusSettings settings = ConsensusSettings.of(identity("a"), Map.of("a", "a", "b", "b", "c", "c"), 100, 500,
+				1_000);
+		StoredState stored = StoredState.bootstrap("cluster", identity("a"), new byte[0]);
+		return new ConsensusNode(settings, stored, 0, new Random(1));
+	}
+
+	private static ControlIdentity identity(String name) {
+		return new ControlIdentity(name, "1", name);
+	}
+
+	private static AppendRequest heartbeat(String leader, String cluster, long term) {
+		return new AppendRequest(identity(leader), cluster, term, 1, 1, List.of(), 1, 1);
+	}
+
 	private static void requireDetected(ConsensusSimulation.Fault fault) {
 		for (long seed = 1; seed <= FAULT_SEEDS; seed++) {
 			try {
