--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/FaultProxy.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/FaultProxy.java
@@ -82,6 +82,9 @@
 			return;
 		}
 		this.loop.submit(() -> route.refuse(refuse)).syncUninterruptibly().getNow().syncUninterruptibly();
+		while (refuse && route.acceptsConnections()) {
+			Thread.onSpinWait();
+		}
 	}
 
 	/**
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/ProxyRoute.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/ProxyRoute.java
@@ -1,6 +1,8 @@
 package org.magnolialead.testsupport.proxy;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -102,6 +104,20 @@
 		return binding;
 	}
 
+	/**
+	 * Tells whether the operating system still accepts connections for the port. The
+	 * socket of a closed channel stays open until the next selection of the event loop.
+	 * @return {@code true} if a connection is accepted
+	 */
+	boolean acceptsConnections() {
+		try (Socket socket = new Socket(this.listen.getAddress(), this.port)) {
+			return socket.isConnected();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	void reset() {
 		List.copyOf(this.connections).forEach(ProxiedConnection::reset);
 		this.connections.clear();
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/SlotQueue.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/SlotQueue.java
@@ -13,13 +13,20 @@
  */
 final class SlotQueue {
 
+	/**
+	 * Greatest delay of a timer that is made up for. Timers of the event loop are late by
+	 * 1 ms and on a busy machine by several, which would otherwise lower the capacity.
+	 * The limit keeps a process that was frozen from finishing its queue at once.
+	 */
+	private static final long MAXIMUM_CREDIT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(20);
+
 	private final EventExecutor loop;
 
 	private final int slots;
 
 	private final Queue<Work> waiting = new ArrayDeque<>();
 
-	private int running;
+	private final Queue<Long> freeSlots = new ArrayDeque<>();
 
 	private int mostRunning;
 
@@ -28,6 +35,9 @@
 	SlotQueue(EventExecutor loop, int slots) {
 		this.loop = loop;
 		this.slots = slots;
+		for (int i = 0; i < slots; i++) {
+			this.freeSlots.add(System.nanoTime());
+		}
 	}
 
 	/**
@@ -36,7 +46,7 @@
 	 * @param work the work
 	 */
 	void submit(LongSupplier serviceMilliseconds, Runnable work) {
-		this.waiting.add(new Work(serviceMilliseconds, work));
+		this.waiting.add(new Work(serviceMilliseconds, work, System.nanoTime()));
 		this.mostWaiting = Math.max(this.mostWaiting, this.waiting.size() - 1);
 		startNext();
 	}
@@ -54,16 +64,18 @@
 	}
 
 	private void startNext() {
-		while (this.running < this.slots && !this.waiting.isEmpty()) {
+		while (!this.freeSlots.isEmpty() && !this.waiting.isEmpty()) {
 			Work work = this.waiting.remove();
-			this.running++;
-			this.mostRunning = Math.max(this.mostRunning, this.running);
-			this.loop.schedule(() -> finish(work), work.serviceMilliseconds().getAsLong(), TimeUnit.MILLISECONDS);
+			long now = System.nanoTime();
+			long start = latest(latest(work.arrival(), this.freeSlots.remove()), now - MAXIMUM_CREDIT_NANOSECONDS);
+			long end = start + TimeUnit.MILLISECONDS.toNanos(work.serviceMilliseconds().getAsLong());
+			this.mostRunning = Math.max(this.mostRunning, this.slots - this.freeSlots.size());
+			this.loop.schedule(() -> finish(work, end), Math.max(0, end - now), TimeUnit.NANOSECONDS);
 		}
 	}
 
-	private void finish(Work work) {
-		this.running--;
+	private void finish(Work work, long end) {
+		this.freeSlots.add(end);
 		try {
 			work.task().run();
 		}
@@ -72,7 +84,11 @@
 		}
 	}
 
-	private record Work(LongSupplier serviceMilliseconds, Runnable task) {
+	private static long latest(long first, long second) {
+		return (first - second > 0) ? first : second;
+	}
+
+	private record Work(LongSupplier serviceMilliseconds, Runnable task, long arrival) {
 	}
 
 }
