--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
@@ -58,6 +58,8 @@
 
 	private long sequence;
 
+	private long pausedUntil;
+
 	private long commands;
 
 	private int diskLosses;
@@ -193,7 +195,8 @@
 
 	private void propose() {
 		for (SimulatedMember member : this.members) {
-			if (member.isRunning() && member.frozenUntil() <= this.time && member.node().isLeader()) {
+			if (this.pausedUntil <= this.time && member.isRunning() && member.frozenUntil() <= this.time
+					&& member.node().isLeader()) {
 				proposeTo(member);
 			}
 		}
@@ -223,12 +226,13 @@
 			return;
 		}
 		SimulatedMember member = this.members.get(this.random.nextInt(this.members.size()));
-		switch (this.random.nextInt(9)) {
-			case 0, 1, 2 -> crash(member, 50 * MILLISECOND);
-			case 3 -> crash(member, 2 * SECOND);
-			case 4 -> member.freezeUntil(this.time + this.random.nextLong(2 * SECOND));
-			case 5 -> isolate(member);
-			case 6, 7 -> cutLinks(member);
+		switch (this.random.nextInt(28)) {
+			case 0 -> restartBetween(member);
+			case 1, 2, 3, 4, 5, 6, 7, 8, 9 -> crash(member, 50 * MILLISECOND);
+			case 10, 11, 12 -> crash(member, 2 * SECOND);
+			case 13, 14, 15 -> member.freezeUntil(this.time + this.random.nextLong(2 * SECOND));
+			case 16, 17, 18 -> isolate(member);
+			case 19, 20, 21, 22, 23, 24 -> cutLinks(member);
 			default -> loseDisk(member);
 		}
 		schedule(this.random.nextLong(600 * MILLISECOND), null, () -> injectFailure(end));
@@ -286,6 +290,24 @@
 		}
 	}
 
+	// Two members are cut off from each other while the others restart again and again
+	// and
+	// no commands arrive, so that only the promises of the restarted members keep a
+	// second
+	// leader from being elected.
+	private void restartBetween(SimulatedMember member) {
+		SimulatedMember other = this.members.get(this.random.nextInt(this.members.size()));
+		cut(member, other);
+		cut(other, member);
+		this.pausedUntil = this.time + 3 * SECOND;
+		for (SimulatedMember restarted : this.members) {
+			for (int count = 1; count <= 20 && restarted != member && restarted != other; count++) {
+				long delay = count * 150 * MILLISECOND + this.random.nextLong(50 * MILLISECOND);
+				schedule(delay, null, () -> crash(restarted, 20 * MILLISECOND));
+			}
+		}
+	}
+
 	private void cut(SimulatedMember sender, SimulatedMember recipient) {
 		String link = sender.name() + ">" + recipient.name();
 		this.cutLinks.add(link);
