Test failover, confirmations, reads and at-most-once decisions

A status request sent at the very time of the seal no longer counts, and statuses of members outside the view are ignored.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/FailoverState.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/FailoverState.java
@@ -193,7 +193,8 @@
 	private void acceptStatus(FailoverEvent.StatusAnswered answered, long now) {
 		String member = answered.status().member();
 		FailoverEvent.StatusAnswered known = this.statuses.get(member);
-		if (known != null && answered.sentAt() - known.sentAt() < 0) {
+		boolean outdated = known != null && answered.sentAt() - known.sentAt() < 0;
+		if (outdated || !this.view.members().containsKey(member)) {
 			return;
 		}
 		this.statuses.put(member, answered);
@@ -336,6 +337,10 @@
 		this.target = null;
 		this.sealedTerm = Math.max(this.sealedTerm, term);
 		this.collectingSince = now;
+		// A request sent at the very time of the seal, but answered before it, does not
+		// count.
+		this.statuses.values()
+			.forEach((status) -> this.collectingSince = later(this.collectingSince, status.sentAt() + 1));
 		this.actions.add(new FailoverAction.Seal(this.sealedTerm));
 		enter(this.view.primary().isEmpty() ? FailoverPhase.FIRST_START : FailoverPhase.COLLECTING, now);
 	}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
@@ -143,7 +143,7 @@
 		List<Dispatch<W>> started = new ArrayList<>();
 		int moves = 0;
 		boolean refreshed = false;
-		while (moves < MOVE_LIMIT && !this.entries.isEmpty()) {
+		while (moves < MOVE_LIMIT && !this.entries.isEmpty() && hasFreeSlot(this.members.keySet())) {
 			Lane<W> lane = this.policy.next(candidates());
 			if (lane == null) {
 				if (refreshed || !refresh(now)) {
@@ -407,9 +407,10 @@
 	// The lanes are visited from the most urgent rank on, so a lane without candidates
 	// before it overtakes nothing.
 	private boolean mayOvertake(Lane<W> lane) {
-		boolean preferredIsFree = lane.members()
-			.stream()
-			.anyMatch((name) -> !name.equals(lane.lastChoice()) && hasFreeSlot(List.of(name)));
+		boolean preferredIsFree = false;
+		for (String name : lane.members()) {
+			preferredIsFree |= !name.equals(lane.lastChoice()) && running(name) < slots(name);
+		}
 		return preferredIsFree && lane.hasEarned(serviceTime(lane.rank(), lane.members()),
 				this.settings.floorOf(lane.rank()), window(lane));
 	}
--- /dev/null
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/OwnerTablesTests.java
@@ -0,0 +1,159 @@
+package org.magnolialead.engine.owner;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnolialead.api.FleetConfiguration;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MemberRole;
+import org.magnolialead.api.MemberStatus;
+import org.magnolialead.api.Profile;
+import org.magnolialead.api.command.RequestRecord;
+import org.magnolialead.engine.owner.ConfirmationTracker.Pending;
+import org.magnolialead.engine.owner.ConfirmationTracker.State;
+import org.magnolialead.engine.owner.OnceDecision.LocalRecord;
+import org.magnolialead.engine.owner.OnceDecision.LocalState;
+
+class OwnerTablesTests {
+
+	private static final long MILLISECOND = 1_000_000L;
+
+	private static LogPosition position(long term, long index) {
+		return new LogPosition(term, index);
+	}
+
+	@Nested
+	class Confirmations {
+
+		private final ConfirmationTracker<String> tracker = new ConfirmationTracker<>();
+
+		private List<String> works(List<Pending<String>> pending) {
+			return pending.stream().map(Pending::work).toList();
+		}
+
+		// Guards against acknowledging a write that a failover may lose.
+		@Test
+		void waitForMajorityOfTheSameTerm() {
+			this.tracker.members(List.of("a", "b", "c"));
+			this.tracker.register(position(2, 5), 100, "a", "five");
+			this.tracker.register(position(2, 6), 50, "a", "six");
+			Expect.equal(List.of(), this.tracker.memberAt("a", position(2, 6)));
+			Expect.equal(List.of(), this.tracker.memberAt("b", position(1, 99)));
+			Expect.equal(List.of(), this.tracker.memberAt("stranger", position(2, 6)));
+			Expect.equal(Optional.of(position(2, 5)), this.tracker.lowestPending());
+			Expect.equal(List.of("five"), works(this.tracker.memberAt("b", position(2, 5))));
+			Expect.equal(List.of("six"), works(this.tracker.expired(50)));
+			Expect.equal(State.CONFIRMED, this.tracker.register(position(2, 4), 100, "a", "late").state());
+		}
+
+		// Guards against acknowledging a write of a primary that was replaced.
+		@Test
+		void endWithTheSealOfTheTerm() {
+			this.tracker.members(List.of("a", "b", "c"));
+			this.tracker.register(position(2, 5), 100, "a", "old");
+			Expect.equal(List.of("old"), works(this.tracker.sealed(2)));
+			Expect.equal(List.of(), this.tracker.memberAt("b", position(2, 5)));
+			Expect.equal(State.REPLACED, this.tracker.register(position(2, 5), 100, "a", "late").state());
+			Expect.equal(State.WAITING, this.tracker.register(position(3, 1), 100, "b", "new").state());
+		}
+
+	}
+
+	@Nested
+	class Once {
+
+		private OnceDecision decide(boolean finished, boolean newlyBegun, long epoch, LocalState local) {
+			RequestRecord stored = new RequestRecord("key", "digest", epoch, finished, new byte[] { 1 }, 0, newlyBegun);
+			return OnceDecision.onRecord(stored, new LocalRecord(local, "digest"), "digest", 7);
+		}
+
+		// Guards against running a non-repeatable request twice.
+		@Test
+		void runsOnlyWhatWasCertainlyNeverSent() {
+			Expect.instance(OnceDecision.Run.class, decide(false, true, 7, LocalState.ABSENT));
+			Expect.instance(OnceDecision.Run.class, decide(false, false, 7, LocalState.BEGINNING));
+			Expect.instance(OnceDecision.Join.class, decide(false, false, 7, LocalState.SENT));
+			Expect.instance(OnceDecision.Unknown.class, decide(false, false, 7, LocalState.ABSENT));
+			Expect.instance(OnceDecision.Unknown.class, decide(false, false, 6, LocalState.BEGINNING));
+			Expect.instance(OnceDecision.Repeat.class, decide(true, false, 6, LocalState.ABSENT));
+		}
+
+		// Guards against answering a request with the answer of another one.
+		@Test
+		void refusesReusedKeys() {
+			LocalRecord local = new LocalRecord(LocalState.SENT, "digest");
+			Expect.instance(OnceDecision.Join.class, OnceDecision.onArrival(local, "digest"));
+			Expect.instance(OnceDecision.KeyReused.class, OnceDecision.onArrival(local, "other"));
+			Expect.instance(OnceDecision.Run.class, OnceDecision.onArrival(LocalRecord.ABSENT, "other"));
+		}
+
+	}
+
+	@Nested
+	class Reads {
+
+		private final Profile browsing = FleetConfiguration.initial().profiles().get("browsing");
+
+		private final MemberPositions positions = new MemberPositions(ReadPolicy.FRESH_REPLICAS);
+
+		private GroupView view = view(1, "primary", 1);
+
+		private GroupView view(long term, String primary, long version) {
+			return new GroupView("group", version, term, primary, term, "", "owner", 1,
+					OwnerMeasurements.view().members());
+		}
+
+		private void status(String member, MemberRole role, long term, LogPosition position, long milliseconds) {
+			this.positions.statusAnswered(new MemberStatus("group", member, role, term, position),
+					milliseconds * MILLISECOND, milliseconds * MILLISECOND, this.view);
+		}
+
+		private List<String> eligible(LogPosition required, long milliseconds) {
+			return this.positions.eligibleForRead(this.browsing, required, true, this.view, milliseconds * MILLISECOND,
+					(member) -> Map.of("replica1", 2).getOrDefault(member, 1));
+		}
+
+		// Guards against stale reads: behind the session, too old, or silent members.
+		@Test
+		void prefersFreshReplicasWithFewestStatements() {
+			status("primary", MemberRole.PRIMARY, 1, position(1, 5), 0);
+			status("primary", MemberRole.PRIMARY, 1, position(1, 9), 100);
+			status("replica1", MemberRole.REPLICA, 1, position(1, 9), 100);
+			status("replica2", MemberRole.REPLICA, 1, position(1, 7), 100);
+			Expect.equal(List.of("replica2", "replica1", "primary"), eligible(position(1, 6), 150));
+			Expect.equal(List.of("replica1", "primary"), eligible(position(1, 8), 150));
+			Expect.equal(150 * MILLISECOND, this.positions.ageNanoseconds("replica2", 150 * MILLISECOND));
+			Expect.equal(50 * MILLISECOND, this.positions.ageNanoseconds("replica1", 150 * MILLISECOND));
+			Expect.equal(List.of(), eligible(LogPosition.NONE, 1_100));
+			status("primary", MemberRole.PRIMARY, 1, position(1, 20), 5_200);
+			status("replica2", MemberRole.REPLICA, 1, position(1, 8), 5_200);
+			Expect.equal(List.of("primary"), eligible(LogPosition.NONE, 5_200));
+			Expect.equal(List.of("primary"), this.positions.eligibleForRead(this.browsing, LogPosition.NONE, false,
+					this.view, 5_200 * MILLISECOND, (member) -> 0));
+		}
+
+		// Guards against data that seems fresh because a new or replaced primary is
+		// sampled.
+		@Test
+		void agesGrowAcrossChangeOfPrimary() {
+			status("primary", MemberRole.PRIMARY, 1, position(1, 9), 0);
+			status("replica1", MemberRole.REPLICA, 1, position(1, 9), 0);
+			this.view = view(2, "replica2", 2);
+			status("primary", MemberRole.PRIMARY, 1, position(1, 12), 200);
+			status("replica2", MemberRole.PRIMARY, 2, position(2, 10), 200);
+			status("replica1", MemberRole.REPLICA, 1, position(1, 9), 200);
+			Expect.equal(300 * MILLISECOND, this.positions.ageNanoseconds("replica1", 300 * MILLISECOND));
+			Expect.equal(List.of("replica2"), eligible(LogPosition.NONE, 300));
+			status("replica1", MemberRole.REPLICA, 2, position(1, 9), 300);
+			Expect.equal(List.of("replica1", "replica2"), eligible(LogPosition.NONE, 300));
+			status("replica1", MemberRole.REPLICA, 2, position(2, 10), 400);
+			Expect.equal(200 * MILLISECOND, this.positions.ageNanoseconds("replica1", 400 * MILLISECOND));
+		}
+
+	}
+
+}
