--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
@@ -9,9 +9,6 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.spi.SubCommand;
 import org.kohsuke.args4j.spi.SubCommands;
-import org.magnolialead.api.ErrorCode;
-import org.magnolialead.api.MagnolialeadException;
-import org.magnolialead.api.Step;
 
 /**
  * Command line for operators.
@@ -42,7 +39,11 @@
 	 */
 	public static void main(String[] arguments) {
 		InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-		System.exit(new MagnolialeadCtl(MagnolialeadCtl::unavailable, System.out, System.err).run(arguments));
+		int exitCode;
+		try (PeerControlConnections connections = new PeerControlConnections()) {
+			exitCode = new MagnolialeadCtl(connections, System.out, System.err).run(arguments);
+		}
+		System.exit(exitCode);
 	}
 
 	/**
@@ -73,16 +74,6 @@
 		return exitCode;
 	}
 
-	/**
-	 * Stands in until the transport module supplies connections to control daemons.
-	 * @param address address of the control daemon
-	 * @return never
-	 */
-	private static ControlConnection unavailable(String address) {
-		throw new MagnolialeadException(ErrorCode.UNREACHABLE, Step.CONTROL, address,
-				"this build has no peer protocol client");
-	}
-
 	/**
 	 * Arguments of the program.
 	 */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupOwnerController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupOwnerController.java
@@ -9,6 +9,7 @@
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.FleetView;
 import org.magnolialead.api.GroupView;
+import org.magnolialead.api.LogPosition;
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.MemberStatus;
@@ -134,12 +135,15 @@
 	}
 
 	@Override
-	public void statusAnswered(MemberDescription member, MemberStatus status, long sentAt, boolean returned) {
+	public void statusAnswered(MemberDescription member, MemberStatus status, LogPosition applied, long sentAt,
+			boolean returned) {
 		if (returned) {
 			LogEvent.MEMBER_REACHABLE.log(LOGGER, this.context.group(), member.member(), status.role(), status.term());
 		}
 		long now = this.context.now();
-		this.context.positions().statusAnswered(status, sentAt, now, this.context.view());
+		// Reads see what is applied; confirmations and promotions count what is received.
+		MemberStatus visible = new MemberStatus(status.group(), status.member(), status.role(), status.term(), applied);
+		this.context.positions().statusAnswered(visible, sentAt, now, this.context.view());
 		this.context.confirmations()
 			.memberAt(member.member(), status.position())
 			.forEach(this.runner::confirmationEnded);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberPoller.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberPoller.java
@@ -142,7 +142,7 @@
 		this.known = status.position();
 		boolean returned = !this.reachable;
 		this.reachable = true;
-		this.listener.statusAnswered(this.member, status, sentAt, returned);
+		this.listener.statusAnswered(this.member, status, reply.position(), sentAt, returned);
 		pollAfter(PAUSE_MICROSECONDS, TimeUnit.MICROSECONDS);
 	}
 
@@ -200,7 +200,17 @@
 	 */
 	interface Listener {
 
-		void statusAnswered(MemberDescription member, MemberStatus status, long sentAt, boolean returned);
+		/**
+		 * Receives an answer.
+		 * @param member the member
+		 * @param status its status with the position that it has received
+		 * @param applied position that its reads see; behind the received one on a
+		 * replica that lags
+		 * @param sentAt time at which the status was asked for
+		 * @param returned whether the member did not answer before
+		 */
+		void statusAnswered(MemberDescription member, MemberStatus status, LogPosition applied, long sentAt,
+				boolean returned);
 
 		void statusFailed(MemberDescription member, Throwable failure);
 
