Drop member announcements that are older than one second

Announcements carry no order. A daemon that passed on an old one could undo that a member is leaving, which another daemon had passed on since.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/AnnouncementBuffer.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/AnnouncementBuffer.java
@@ -3,11 +3,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import org.magnolialead.api.FleetView;
 import org.magnolialead.api.GroupView;
 import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.MonotonicClock;
 
 /**
  * Announcements of database members that control does not know yet. An announcement that
@@ -21,12 +23,22 @@
 	 */
 	private static final int MAXIMUM_IN_HEARTBEAT = 500;
 
+	/**
+	 * Time after which a waiting announcement is dropped. Members announce themselves
+	 * every 500 ms to any daemon, so an older one may contradict what another daemon has
+	 * passed on since, such as that the member is leaving.
+	 */
+	private static final long LIFE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+
 	private final Supplier<FleetView> view;
 
-	private final Map<String, MemberDescription> pending = new ConcurrentHashMap<>();
+	private final MonotonicClock clock;
 
-	AnnouncementBuffer(Supplier<FleetView> view) {
+	private final Map<String, Waiting> pending = new ConcurrentHashMap<>();
+
+	AnnouncementBuffer(Supplier<FleetView> view, MonotonicClock clock) {
 		this.view = view;
+		this.clock = clock;
 	}
 
 	void announce(MemberDescription member) {
@@ -35,13 +47,14 @@
 			this.pending.remove(key);
 		}
 		else {
-			this.pending.put(key, member);
+			this.pending.put(key, new Waiting(member, this.clock.nanoseconds() + LIFE_NANOSECONDS));
 		}
 	}
 
 	List<MemberDescription> unknownToControl() {
-		this.pending.values().removeIf(this::isKnown);
-		return this.pending.values().stream().limit(MAXIMUM_IN_HEARTBEAT).toList();
+		long now = this.clock.nanoseconds();
+		this.pending.values().removeIf((waiting) -> waiting.deadline - now <= 0 || isKnown(waiting.member));
+		return this.pending.values().stream().map(Waiting::member).limit(MAXIMUM_IN_HEARTBEAT).toList();
 	}
 
 	private boolean isKnown(MemberDescription member) {
@@ -49,4 +62,7 @@
 		return group != null && member.equals(group.members().get(member.member()));
 	}
 
+	private record Waiting(MemberDescription member, long deadline) {
+	}
+
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/EntryServices.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/EntryServices.java
@@ -25,7 +25,7 @@
 
 	private final LeaseGate leaseGate;
 
-	private final AnnouncementBuffer announcements = new AnnouncementBuffer(this.view);
+	private final AnnouncementBuffer announcements;
 
 	private volatile OwnershipController ownership;
 
@@ -42,6 +42,7 @@
 		this.client = client;
 		this.scheduler = scheduler;
 		this.leaseGate = new LeaseGate(clock.nanoseconds());
+		this.announcements = new AnnouncementBuffer(this.view, clock);
 	}
 
 	/**
