--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
@@ -16,6 +16,14 @@
  */
 public final class MagnolialeadMain {
 
+	private static final String LOG_FORMAT_PROPERTY = "java.util.logging.SimpleFormatter.format";
+
+	/**
+	 * One line for each event: time, level, message with its event number, and the stack
+	 * trace if there is one.
+	 */
+	private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL%1$tz %4$s %5$s%6$s%n";
+
 	private static final int EXIT_OK = 0;
 
 	private static final int EXIT_FAILED = 1;
@@ -41,6 +49,9 @@
 	 * @param arguments command line
 	 */
 	public static void main(String[] arguments) {
+		if (System.getProperty(LOG_FORMAT_PROPERTY) == null) {
+			System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
+		}
 		int exitCode = new MagnolialeadMain().run(arguments);
 		if (exitCode != EXIT_OK) {
 			System.exit(exitCode);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/PendingRequest.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/PendingRequest.java
@@ -124,7 +124,8 @@
 	 * @return {@code true} if so
 	 */
 	boolean isOnce() {
-		return !this.profile.repeatable() && this.request.kind().changesData();
+		return !this.profile.repeatable() && this.request.kind().changesData()
+				&& !this.request.idempotencyKey().isEmpty();
 	}
 
 	boolean mayBeSentAgain() {
