Name the attempt in records of non-repeatable requests

Cause: a delayed duplicate of FinishRequest with executed=false could free a key that the same owner epoch had begun again since, so that the request could run twice. A delayed duplicate of BeginRequest could leave a record with an early forget deadline for a later attempt.

Change: BeginRequest, FinishRequest and RequestRecord carry an attempt that the owner's process counts up. FinishRequest applies only to the attempt it names. A later attempt of the same epoch replaces an unfinished record and its deadline. OnceRequests sends its attempt and runs a request only if the record names it.

Before: the key was freed by the duplicate. After: the duplicate is refused as STALE_COMMAND; the model test compares attempts too.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/command/ControlCommand.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/command/ControlCommand.java
@@ -147,12 +147,14 @@
 	 *
 	 * @param group name of the group
 	 * @param ownerEpoch epoch of the owner
+	 * @param attempt number of this attempt, greater than that of every earlier attempt
+	 * of the owner's process
 	 * @param key idempotency key
 	 * @param digest digest of the request, to detect reuse of a key
 	 * @param forgetDeadline wall-clock time in milliseconds since 1970 after which the
 	 * record may be removed
 	 */
-	record BeginRequest(String group, long ownerEpoch, String key, String digest,
+	record BeginRequest(String group, long ownerEpoch, long attempt, String key, String digest,
 			long forgetDeadline) implements ControlCommand {
 	}
 
@@ -161,12 +163,13 @@
 	 *
 	 * @param group name of the group
 	 * @param ownerEpoch epoch of the owner
+	 * @param attempt attempt that ended; the record of any other attempt stays as it is
 	 * @param key idempotency key
 	 * @param executed {@code false} if the request was never sent, which frees the key
 	 * @param answer answer to repeat to a resend, at most 1 KiB, or {@code null} if none
 	 * is kept
 	 */
-	record FinishRequest(String group, long ownerEpoch, String key, boolean executed,
+	record FinishRequest(String group, long ownerEpoch, long attempt, String key, boolean executed,
 			byte[] answer) implements ControlCommand {
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -257,7 +257,8 @@
 	private ControlCommand stamped(ControlCommand command, LedgerClock ledgerClock) {
 		if (command instanceof BeginRequest begin) {
 			long deadline = ledgerClock.milliseconds() + this.settings.requestRetentionMilliseconds();
-			return new BeginRequest(begin.group(), begin.ownerEpoch(), begin.key(), begin.digest(), deadline);
+			return new BeginRequest(begin.group(), begin.ownerEpoch(), begin.attempt(), begin.key(), begin.digest(),
+					deadline);
 		}
 		return command;
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OnceRequests.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OnceRequests.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -52,6 +53,12 @@
 	 */
 	private static final long FINISH_TIME_NANOSECONDS = TimeUnit.SECONDS.toNanos(60);
 
+	/**
+	 * Last attempt of this process. One number for all groups, so that an attempt of an
+	 * earlier ownership of a group is never repeated either.
+	 */
+	private static final AtomicLong LAST_ATTEMPT = new AtomicLong();
+
 	private final GroupContext context;
 
 	private final Consumer<PendingRequest> runner;
@@ -144,7 +151,7 @@
 		this.entries.put(entry.key, entry);
 		long forgetDeadline = System.currentTimeMillis() + REMEMBER_MILLISECONDS;
 		ControlCommand command = new ControlCommand.BeginRequest(this.context.group(), this.context.ownerEpoch(),
-				entry.key, entry.digest, forgetDeadline);
+				entry.attempt, entry.key, entry.digest, forgetDeadline);
 		this.context.services()
 			.control()
 			.submit(command, entry.first.deadline())
@@ -162,7 +169,7 @@
 			return;
 		}
 		OnceDecision decision = OnceDecision.onRecord(result.request(), entry.record(), entry.digest,
-				this.context.ownerEpoch());
+				this.context.ownerEpoch(), entry.attempt);
 		if (decision instanceof OnceDecision.Run) {
 			this.runner.accept(entry.first);
 			return;
@@ -218,7 +225,7 @@
 	private void finish(Entry entry, boolean executed, byte[] answer) {
 		this.unrecorded++;
 		ControlCommand command = new ControlCommand.FinishRequest(this.context.group(), this.context.ownerEpoch(),
-				entry.key, executed, answer);
+				entry.attempt, entry.key, executed, answer);
 		this.context.services()
 			.control()
 			.submit(command, this.context.now() + FINISH_TIME_NANOSECONDS)
@@ -299,6 +306,8 @@
 
 		private final PendingRequest first;
 
+		private final long attempt = LAST_ATTEMPT.incrementAndGet();
+
 		private final List<PendingRequest> joined = new ArrayList<>();
 
 		private LocalState state = LocalState.BEGINNING;
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlControllerTests.java
@@ -189,7 +189,7 @@
 	@Test
 	void stepOfWallClockForgetsNoRequest() {
 		ownedGroup();
-		submit(new BeginRequest("g", 1, "k", "x", 0));
+		submit(new BeginRequest("g", 1, 1, "k", "x", 0));
 		this.wallClock += TimeUnit.DAYS.toMillis(400);
 		this.log.loseLeadership();
 		this.log.lead(this.now);
@@ -206,7 +206,7 @@
 	@Test
 	void snapshotRestoresState() {
 		ownedGroup();
-		submit(new BeginRequest("g", 1, "k", "x", 0));
+		submit(new BeginRequest("g", 1, 1, "k", "x", 0));
 		SubmitCommandAnswer first = submit(new ChangeConfiguration("r", 0, null, null, null, 5));
 		submit(new ChangeConfiguration("s", 1, null, null, null, 6));
 		ControlStateMachine restored = new ControlStateMachine();
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlMeasurement.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlMeasurement.java
@@ -64,8 +64,8 @@
 		fillLedger(machine, groups, 100_000);
 		time("apply BeginRequest and FinishRequest", 2_000, (index) -> {
 			String group = "reminders-" + index % groups;
-			machine.apply(new BeginRequest(group, 1, "timed-key", "digest", 1));
-			machine.apply(new FinishRequest(group, 1, "timed-key", false, null));
+			machine.apply(new BeginRequest(group, 1, 1, "timed-key", "digest", 1));
+			machine.apply(new FinishRequest(group, 1, 1, "timed-key", false, null));
 		});
 		time("apply AnnounceMember that changes", 2_000,
 				(index) -> machine.apply(new AnnounceMember(member(index % groups, 0, index % 2 == 0))));
@@ -136,8 +136,8 @@
 			String group = "reminders-" + number % groups;
 			long deadline = MINUTE_MILLISECONDS * (1 + number % MINUTES_OF_RETENTION);
 			String key = "7b0c5a52-59e2-4c4c-9f0e-%012d".formatted(number);
-			accept(machine, new BeginRequest(group, 1, key, "%064x".formatted(number), deadline));
-			accept(machine, new FinishRequest(group, 1, key, true, new byte[ANSWER_LENGTH]));
+			accept(machine, new BeginRequest(group, 1, 1, key, "%064x".formatted(number), deadline));
+			accept(machine, new FinishRequest(group, 1, 1, key, true, new byte[ANSWER_LENGTH]));
 		}
 	}
 
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlSnapshot.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlSnapshot.java
@@ -40,8 +40,9 @@
 		List<Request> requests = new ArrayList<>(state.ledger().size());
 		state.ledger()
 			.records()
-			.forEach((name, request) -> requests.add(new Request(name.group(), name.key(), request.digest(),
-					request.ownerEpoch(), request.finished(), request.answer(), request.forgetDeadline())));
+			.forEach((name, request) -> requests
+				.add(new Request(name.group(), name.key(), request.digest(), request.ownerEpoch(), request.finished(),
+						request.answer(), request.forgetDeadline(), request.attempt())));
 		return new ControlSnapshot(state.viewVersion(), state.configuration(), state.configurationChangedAt(),
 				answersOf(state.answers()), state.answers().nextSequence(), groups, daemons, state.removedDaemons(),
 				state.ledger().time(), requests);
@@ -102,12 +103,13 @@
 	 * @param finished whether its execution has ended
 	 * @param answer kept answer, or {@code null}
 	 * @param forgetDeadline ledger time in milliseconds after which it may be removed
+	 * @param attempt number of the attempt
 	 */
 	public record Request(String group, String key, String digest, long ownerEpoch, boolean finished, byte[] answer,
-			long forgetDeadline) {
+			long forgetDeadline, long attempt) {
 
 		RequestRecord toRecord() {
-			return new RequestRecord(this.key, this.digest, this.ownerEpoch, this.finished, this.answer,
+			return new RequestRecord(this.key, this.digest, this.ownerEpoch, this.attempt, this.finished, this.answer,
 					this.forgetDeadline, false);
 		}
 	}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/LedgerRules.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/LedgerRules.java
@@ -38,8 +38,7 @@
 			return Applied.refused(state, ErrorCode.OVERLOADED,
 					"the limit of %d records of non-repeatable requests is reached".formatted(Ledger.LIMIT));
 		}
-		RequestRecord request = new RequestRecord(command.key(), command.digest(), command.ownerEpoch(), false, null,
-				command.forgetDeadline(), false);
+		RequestRecord request = begun(command);
 		return accepted(state.withLedger(state.ledger().with(command.group(), request)), request, true);
 	}
 
@@ -48,7 +47,22 @@
 			return Applied.refused(state, ErrorCode.INVALID_IDEMPOTENCY_KEY,
 					"idempotency key %s was used for another request".formatted(command.key()));
 		}
-		return accepted(state, present, false);
+		boolean superseded = !present.finished() && present.ownerEpoch() == command.ownerEpoch()
+				&& present.attempt() < command.attempt();
+		if (!superseded) {
+			return accepted(state, present, false);
+		}
+		// The owner begins a later attempt only after it has ended the earlier one
+		// unsent.
+		// A delayed duplicate of the earlier BeginRequest has left this record.
+		RequestRecord request = begun(command);
+		Ledger ledger = state.ledger().without(command.group(), command.key()).with(command.group(), request);
+		return accepted(state.withLedger(ledger), request, true);
+	}
+
+	private static RequestRecord begun(BeginRequest command) {
+		return new RequestRecord(command.key(), command.digest(), command.ownerEpoch(), command.attempt(), false, null,
+				command.forgetDeadline(), false);
 	}
 
 	// Only the epoch that began a request knows whether it was sent, so no other epoch
@@ -65,6 +79,9 @@
 		if (present.ownerEpoch() != command.ownerEpoch()) {
 			return stale(state, command, "was begun under owner epoch " + present.ownerEpoch());
 		}
+		if (present.attempt() != command.attempt()) {
+			return stale(state, command, "was begun again as attempt " + present.attempt());
+		}
 		if (present.finished()) {
 			return command.executed() ? accepted(state, present, false) : stale(state, command, "was executed");
 		}
@@ -73,19 +90,20 @@
 		}
 		byte[] answer = (command.answer() != null && command.answer().length <= MAXIMUM_ANSWER_LENGTH)
 				? command.answer() : null;
-		RequestRecord finished = new RequestRecord(present.key(), present.digest(), present.ownerEpoch(), true, answer,
-				present.forgetDeadline(), false);
+		RequestRecord finished = new RequestRecord(present.key(), present.digest(), present.ownerEpoch(),
+				present.attempt(), true, answer, present.forgetDeadline(), false);
 		return accepted(state.withLedger(state.ledger().with(command.group(), finished)), finished, false);
 	}
 
 	private static Applied stale(ControlState state, FinishRequest command, String reason) {
-		return Applied.refused(state, ErrorCode.STALE_COMMAND, "request %s of owner epoch %d cannot be finished: it %s"
-			.formatted(command.key(), command.ownerEpoch(), reason));
+		return Applied.refused(state, ErrorCode.STALE_COMMAND,
+				"attempt %d of request %s of owner epoch %d cannot be finished: it %s".formatted(command.attempt(),
+						command.key(), command.ownerEpoch(), reason));
 	}
 
 	private static Applied accepted(ControlState state, RequestRecord request, boolean newlyBegun) {
 		RequestRecord answer = new RequestRecord(request.key(), request.digest(), request.ownerEpoch(),
-				request.finished(), request.answer(), request.forgetDeadline(), newlyBegun);
+				request.attempt(), request.finished(), request.answer(), request.forgetDeadline(), newlyBegun);
 		return new Applied(state, new CommandResult(null, "", state.viewVersion(), answer));
 	}
 
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/OnceDecision.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/OnceDecision.java
@@ -34,16 +34,18 @@
 	 * @param local record of the owner; BEGINNING if this request submitted the command
 	 * @param digest digest of the request
 	 * @param ownerEpoch epoch of this owner
+	 * @param attempt attempt of this owner that submitted the command
 	 * @return the decision; {@link Run} permits exactly one execution
 	 */
-	static OnceDecision onRecord(RequestRecord record, LocalRecord local, String digest, long ownerEpoch) {
+	static OnceDecision onRecord(RequestRecord record, LocalRecord local, String digest, long ownerEpoch,
+			long attempt) {
 		if (!record.digest().equals(digest)) {
 			return new KeyReused();
 		}
 		if (record.finished()) {
 			return new Repeat((record.answer() != null) ? record.answer() : new byte[0]);
 		}
-		if (record.ownerEpoch() != ownerEpoch) {
+		if (record.ownerEpoch() != ownerEpoch || record.attempt() != attempt) {
 			return new Unknown();
 		}
 		return switch (local.state()) {
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateModelTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateModelTests.java
@@ -83,8 +83,8 @@
 			case 7 ->
 				new ReservePromotion(name, epoch, reserved - random.nextInt(2), reserved + random.nextInt(3), member);
 			case 8 -> new ConfirmPrimary(name, epoch, reserved + random.nextInt(2), member);
-			case 9 -> new BeginRequest(name, epoch, key, "x" + random.nextInt(2), step + 50);
-			case 10 -> new FinishRequest(name, epoch, key, random.nextBoolean(), null);
+			case 9 -> new BeginRequest(name, epoch, 1 + random.nextInt(3), key, "x" + random.nextInt(2), step + 50);
+			case 10 -> new FinishRequest(name, epoch, 1 + random.nextInt(3), key, random.nextBoolean(), null);
 			default -> (random.nextInt(3) == 0) ? new ForgetRequests(step - random.nextInt(100))
 					: new ChangeConfiguration("r" + step, state.configuration().version() - random.nextInt(2), null,
 							null, null, 1 + random.nextInt(100));
@@ -115,7 +115,7 @@
 
 	}
 
-	private record ModelRequest(String digest, long epoch, boolean finished, long deadline) {
+	private record ModelRequest(String digest, long epoch, long attempt, boolean finished, long deadline) {
 	}
 
 	private static final class Model {
@@ -227,9 +227,15 @@
 				if (group == null || !group.isOwnedUnder(begin.ownerEpoch())) {
 					return false;
 				}
-				ModelRequest present = group.requests.putIfAbsent(begin.key(),
-						new ModelRequest(begin.digest(), begin.ownerEpoch(), false, begin.forgetDeadline()));
-				return present == null || present.digest().equals(begin.digest());
+				ModelRequest begun = new ModelRequest(begin.digest(), begin.ownerEpoch(), begin.attempt(), false,
+						begin.forgetDeadline());
+				ModelRequest present = group.requests.putIfAbsent(begin.key(), begun);
+				boolean accepted = present == null || present.digest().equals(begin.digest());
+				if (present != null && accepted && !present.finished() && present.epoch() == begin.ownerEpoch()
+						&& present.attempt() < begin.attempt()) {
+					group.requests.put(begin.key(), begun);
+				}
+				return accepted;
 			}
 			FinishRequest finish = (FinishRequest) command;
 			ModelGroup group = this.groups.get(finish.group());
@@ -237,12 +243,13 @@
 			if (present == null) {
 				return group != null && !finish.executed();
 			}
-			if (present.epoch() != finish.ownerEpoch() || (present.finished() && !finish.executed())) {
+			if (present.epoch() != finish.ownerEpoch() || present.attempt() != finish.attempt()
+					|| (present.finished() && !finish.executed())) {
 				return false;
 			}
 			if (finish.executed()) {
-				group.requests.put(finish.key(),
-						new ModelRequest(present.digest(), present.epoch(), true, present.deadline()));
+				group.requests.put(finish.key(), new ModelRequest(present.digest(), present.epoch(), present.attempt(),
+						true, present.deadline()));
 			}
 			else {
 				group.requests.remove(finish.key());
@@ -270,6 +277,8 @@
 				expected.requests.forEach((key, request) -> {
 					TestChecks.checkEqual(request.epoch(),
 							state.request(entry.getKey(), key).orElseThrow().ownerEpoch(), context);
+					TestChecks.checkEqual(request.attempt(), state.request(entry.getKey(), key).orElseThrow().attempt(),
+							context);
 					TestChecks.checkEqual(request.finished(),
 							state.request(entry.getKey(), key).orElseThrow().finished(), context);
 				});
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateTests.java
@@ -127,7 +127,7 @@
 					new ChangeConfiguration("profile", 0, null, List.of("missing"), null, null),
 					new AnnounceMember(null), new RegisterDaemon(null, "i", "a", "z", false),
 					new ForgetMember(null, null), new ConfirmPrimary("missing", 1, 1, null),
-					new BeginRequest("missing", 1, null, null, 1), new AssignOwner(null, null, 0));
+					new BeginRequest("missing", 1, 1, null, null, 1), new AssignOwner(null, null, 0));
 			bad.forEach((command) -> TestChecks.check(!apply(command).isAccepted(), command.toString()));
 			TestChecks.checkEqual(ControlState.initial().view(), state().view(), context());
 		}
@@ -164,7 +164,7 @@
 			apply(new ForgetDaemon("d1", "first"));
 			apply(new RegisterDaemon("d1", "first", "a:1", "z1", false));
 			List<ControlCommand> stale = List.of(new ReservePromotion("g", 1, 1, 2, "m2"),
-					new ConfirmPrimary("g", 1, 1, "m1"), new BeginRequest("g", 1, "k", "x", 1),
+					new ConfirmPrimary("g", 1, 1, "m1"), new BeginRequest("g", 1, 1, "k", "x", 1),
 					new AssignOwner("g", "d1", 0));
 			stale.forEach(
 					(command) -> TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(command).error(), context()));
@@ -237,18 +237,18 @@
 		@Test
 		void requestBeginsOnceAcrossEpochs() {
 			ownedGroup();
-			TestChecks.check(apply(new BeginRequest("g", 1, "k", "x", 100)).request().newlyBegun(), context());
-			TestChecks.check(!apply(new BeginRequest("g", 1, "k", "x", 100)).request().newlyBegun(), context());
+			TestChecks.check(apply(new BeginRequest("g", 1, 1, "k", "x", 100)).request().newlyBegun(), context());
+			TestChecks.check(!apply(new BeginRequest("g", 1, 1, "k", "x", 100)).request().newlyBegun(), context());
 			moveOwner();
-			CommandResult again = apply(new BeginRequest("g", 2, "k", "x", 100));
+			CommandResult again = apply(new BeginRequest("g", 2, 1, "k", "x", 100));
 			TestChecks.check(!again.request().newlyBegun(), context());
 			TestChecks.checkEqual(1, again.request().ownerEpoch(), context());
-			TestChecks.check(!apply(new FinishRequest("g", 2, "k", false, null)).isAccepted(), context());
-			TestChecks.check(apply(new FinishRequest("g", 1, "k", true, new byte[] { 7 })).isAccepted(), context());
-			CommandResult done = apply(new BeginRequest("g", 2, "k", "x", 100));
+			TestChecks.check(!apply(new FinishRequest("g", 2, 1, "k", false, null)).isAccepted(), context());
+			TestChecks.check(apply(new FinishRequest("g", 1, 1, "k", true, new byte[] { 7 })).isAccepted(), context());
+			CommandResult done = apply(new BeginRequest("g", 2, 1, "k", "x", 100));
 			TestChecks.check(done.request().finished() && !done.request().newlyBegun(), context());
 			TestChecks.check(Arrays.equals(new byte[] { 7 }, done.request().answer()), context());
-			TestChecks.check(!apply(new FinishRequest("g", 1, "k", false, null)).isAccepted(), context());
+			TestChecks.check(!apply(new FinishRequest("g", 1, 1, "k", false, null)).isAccepted(), context());
 		}
 
 		/**
@@ -258,11 +258,42 @@
 		@Test
 		void keyIsFreedOnlyByItsOwnRequest() {
 			ownedGroup();
-			apply(new BeginRequest("g", 1, "k", "x", 100));
+			apply(new BeginRequest("g", 1, 1, "k", "x", 100));
 			TestChecks.checkEqual(ErrorCode.INVALID_IDEMPOTENCY_KEY,
-					apply(new BeginRequest("g", 1, "k", "y", 100)).error(), context());
-			TestChecks.check(apply(new FinishRequest("g", 1, "k", false, null)).isAccepted(), context());
-			TestChecks.check(apply(new BeginRequest("g", 1, "k", "y", 100)).request().newlyBegun(), context());
+					apply(new BeginRequest("g", 1, 1, "k", "y", 100)).error(), context());
+			TestChecks.check(apply(new FinishRequest("g", 1, 1, "k", false, null)).isAccepted(), context());
+			TestChecks.check(apply(new BeginRequest("g", 1, 2, "k", "y", 100)).request().newlyBegun(), context());
+		}
+
+		/**
+		 * Guards against a request that runs twice because a delayed duplicate of the end
+		 * of an earlier attempt frees a key that the same owner has begun again.
+		 */
+		@Test
+		void endOfEarlierAttemptDoesNotFreeTheKeyOfALaterOne() {
+			ownedGroup();
+			apply(new BeginRequest("g", 1, 1, "k", "x", 100));
+			FinishRequest notRun = new FinishRequest("g", 1, 1, "k", false, null);
+			TestChecks.check(apply(notRun).isAccepted(), context());
+			apply(new BeginRequest("g", 1, 2, "k", "x", 100));
+			TestChecks.checkEqual(ErrorCode.STALE_COMMAND, apply(notRun).error(), context());
+			TestChecks.checkEqual(2, state().request("g", "k").orElseThrow().attempt(), context());
+			TestChecks.check(apply(new FinishRequest("g", 1, 2, "k", true, null)).isAccepted(), context());
+		}
+
+		/**
+		 * Guards against a request whose end cannot be recorded, or that is forgotten too
+		 * early, because a delayed duplicate of an earlier BeginRequest left a record.
+		 */
+		@Test
+		void laterAttemptReplacesTheRecordOfAnUnfinishedOne() {
+			ownedGroup();
+			apply(new BeginRequest("g", 1, 1, "k", "x", 100));
+			TestChecks.check(apply(new BeginRequest("g", 1, 2, "k", "x", 900_000)).request().newlyBegun(), context());
+			TestChecks.checkEqual(2, apply(new BeginRequest("g", 1, 1, "k", "x", 100)).request().attempt(), context());
+			apply(new ForgetRequests(200));
+			TestChecks.check(apply(new FinishRequest("g", 1, 2, "k", true, null)).isAccepted(), context());
+			TestChecks.check(apply(new BeginRequest("g", 1, 3, "k", "x", 900_000)).request().finished(), context());
 		}
 
 		/**
@@ -272,7 +303,7 @@
 		@Test
 		void requestIsForgottenAfterItsDeadline() {
 			ownedGroup();
-			apply(new BeginRequest("g", 1, "k", "x", 100));
+			apply(new BeginRequest("g", 1, 1, "k", "x", 100));
 			apply(new ForgetRequests(100));
 			TestChecks.check(state().request("g", "k").isPresent(), context());
 			apply(new ForgetRequests(101));
@@ -295,7 +326,7 @@
 		void exactlyThePastRecordsAreForgotten() {
 			ownedGroup();
 			for (int number = 0; number < 500; number++) {
-				apply(new BeginRequest("g", 1, "k" + number, "x", number * 1_000L));
+				apply(new BeginRequest("g", 1, 1, "k" + number, "x", number * 1_000L));
 			}
 			for (int time : new int[] { 1_000, 3_500, 59_000, 60_000, 61_001, 300_500, 300_501, 499_000, 499_001 }) {
 				apply(new ForgetRequests(time));
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/OwnerTablesTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/OwnerTablesTests.java
@@ -67,8 +67,9 @@
 	class Once {
 
 		private OnceDecision decide(boolean finished, boolean newlyBegun, long epoch, LocalState local) {
-			RequestRecord stored = new RequestRecord("key", "digest", epoch, finished, new byte[] { 1 }, 0, newlyBegun);
-			return OnceDecision.onRecord(stored, new LocalRecord(local, "digest"), "digest", 7);
+			RequestRecord stored = new RequestRecord("key", "digest", epoch, 3, finished, new byte[] { 1 }, 0,
+					newlyBegun);
+			return OnceDecision.onRecord(stored, new LocalRecord(local, "digest"), "digest", 7, 3);
 		}
 
 		// Guards against running a non-repeatable request twice.
@@ -80,6 +81,9 @@
 			Expect.instance(OnceDecision.Unknown.class, decide(false, false, 7, LocalState.ABSENT));
 			Expect.instance(OnceDecision.Unknown.class, decide(false, false, 6, LocalState.BEGINNING));
 			Expect.instance(OnceDecision.Repeat.class, decide(true, false, 6, LocalState.ABSENT));
+			RequestRecord other = new RequestRecord("key", "digest", 7, 4, false, null, 0, false);
+			Expect.instance(OnceDecision.Unknown.class,
+					OnceDecision.onRecord(other, new LocalRecord(LocalState.BEGINNING, "digest"), "digest", 7, 3));
 		}
 
 		// Guards against answering a request with the answer of another one.
