Keep the place in the queue while a request is recorded

Cause: requests that were being recorded did not count as waiting, so far too many were admitted, recorded, and then refused. Change: the request waits in the queue of the primary while control commits its record; a slot that it reaches first is held until then.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OnceRequests.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OnceRequests.java
@@ -129,12 +129,20 @@
 			request.fail(failure, retryAfterMilliseconds);
 			return;
 		}
-		if (!entry.freeing) {
-			entry.freeing = true;
-			entry.failure = failure;
-			entry.retryAfterMilliseconds = retryAfterMilliseconds;
+		if (entry.freeing) {
+			return;
+		}
+		entry.freeing = true;
+		entry.failure = failure;
+		entry.retryAfterMilliseconds = retryAfterMilliseconds;
+		if (entry.beginAnswered) {
 			finish(entry, false, null);
 		}
+		else {
+			// The key is freed when control has answered, because the commands could
+			// overtake each other. Until then a resend joins this entry.
+			request.fail(failure, retryAfterMilliseconds);
+		}
 	}
 
 	void unknown(PendingRequest request, MagnolialeadException failure) {
@@ -159,6 +167,7 @@
 	}
 
 	private void begun(Entry entry, CommandResult result, Throwable failure) {
+		entry.beginAnswered = true;
 		if (failure != null) {
 			beginFailed(entry, Failures.describe(failure, Step.RECORD, "control"));
 			return;
@@ -170,7 +179,12 @@
 		}
 		OnceDecision decision = OnceDecision.onRecord(result.request(), entry.record(), entry.digest,
 				this.context.ownerEpoch(), entry.attempt);
+		if (decision instanceof OnceDecision.Run && entry.freeing) {
+			finish(entry, false, null);
+			return;
+		}
 		if (decision instanceof OnceDecision.Run) {
+			entry.first.markRecorded();
 			this.runner.accept(entry.first);
 			return;
 		}
@@ -191,7 +205,9 @@
 			remove(entry, notRun);
 		}
 		else {
-			notRun(entry.first, notRun, 0);
+			entry.freeing = true;
+			entry.failure = notRun;
+			finish(entry, false, null);
 		}
 	}
 
@@ -314,6 +330,8 @@
 
 		private ExecuteAnswer answer;
 
+		private boolean beginAnswered;
+
 		private boolean freeing;
 
 		private MagnolialeadException failure;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/PendingRequest.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/PendingRequest.java
@@ -30,6 +30,10 @@
 
 	private boolean primaryOnly;
 
+	private boolean queued;
+
+	private boolean recorded;
+
 	private boolean sent;
 
 	private int attempts;
@@ -128,6 +132,31 @@
 				&& !this.request.idempotencyKey().isEmpty();
 	}
 
+	/**
+	 * Tells whether the request may leave: a request that runs at most once must be
+	 * recorded in the control log first.
+	 * @return {@code true} if so
+	 */
+	boolean mayLeave() {
+		return this.recorded || !isOnce();
+	}
+
+	/**
+	 * Tells whether the request has a place in the queue while it is being recorded.
+	 * @return {@code true} if so
+	 */
+	boolean isQueued() {
+		return this.queued;
+	}
+
+	void markQueued() {
+		this.queued = true;
+	}
+
+	void markRecorded() {
+		this.recorded = true;
+	}
+
 	boolean mayBeSentAgain() {
 		return !this.request.kind().isTransactional()
 				&& (!this.request.kind().changesData() || this.profile.repeatable());
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/StatementRunner.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/StatementRunner.java
@@ -77,12 +77,14 @@
 
 	private final Map<PendingRequest, Execution> executions = new HashMap<>();
 
+	private final Map<PendingRequest, Execution> unrecorded = new HashMap<>();
+
 	private int inProgress;
 
 	StatementRunner(GroupContext context, GroupMembers members) {
 		this.context = context;
 		this.members = members;
-		this.once = new OnceRequests(context, this::enqueue);
+		this.once = new OnceRequests(context, this::recorded);
 		this.knownKeys = new KnownKeys(context);
 		this.retryBudget = new RetryBudget(context.now());
 	}
@@ -97,7 +99,14 @@
 	 */
 	void submit(PendingRequest request) {
 		this.inProgress++;
-		request.answer().whenComplete((answer, failure) -> this.context.serial().execute(() -> this.inProgress--));
+		request.answer().whenComplete((answer, failure) -> this.context.serial().execute(() -> {
+			this.inProgress--;
+			this.context.scheduler().remove(request);
+			Execution unrecorded = this.unrecorded.remove(request);
+			if (unrecorded != null) {
+				ended(unrecorded);
+			}
+		}));
 		this.byDeadline.add(request);
 		this.retryBudget.requestStarted(this.context.now());
 		if (request.isOnce() && request.request().kind() == StatementKind.WRITE) {
@@ -201,8 +210,9 @@
 	/**
 	 * Refuses a request that cannot be served in time before its intent is recorded. In a
 	 * flood of non-repeatable requests two commits for each refusal left no served
-	 * request at all. A key that may have been begun before is looked up first, so that
-	 * "not run" stays true.
+	 * request at all. A request that is admitted keeps its place in the queue while its
+	 * intent is recorded, so that it counts for the admission of later ones. A key that
+	 * may have been begun before is looked up first, so that "not run" stays true.
 	 * @param request the request
 	 */
 	private void submitOnce(PendingRequest request) {
@@ -212,12 +222,22 @@
 				refuse(request, refused);
 				return;
 			}
-			this.context.scheduler().remove(request);
+			request.markQueued();
 		}
 		this.knownKeys.add(request.request().idempotencyKey());
 		this.once.arrived(request);
 	}
 
+	private void recorded(PendingRequest request) {
+		Execution waiting = this.unrecorded.remove(request);
+		if (waiting != null) {
+			connect(waiting);
+		}
+		else if (!request.isQueued()) {
+			enqueue(request);
+		}
+	}
+
 	private void submitRead(PendingRequest request) {
 		ExecuteRequest asked = request.request();
 		Optional<LogPosition> known = this.context.sessions().required(asked.session());
@@ -353,6 +373,19 @@
 			execute(execution, transaction.get().connection());
 			return;
 		}
+		if (request.mayLeave()) {
+			connect(execution);
+		}
+		else {
+			// Happens only while slots are free, because the wait for a slot is longer
+			// than a commit otherwise.
+			this.unrecorded.put(request, execution);
+		}
+	}
+
+	private void connect(Execution execution) {
+		Dispatch<PendingRequest> dispatch = execution.dispatch;
+		PendingRequest request = dispatch.work();
 		ConnectionPool pool = this.members.pool(dispatch.member());
 		if (pool == null) {
 			ended(execution);
