Record service levels by profile and time on entry daemons

The counters since the start of a daemon do not show how fast an error budget is used. Entry daemons now keep requests, outcomes, replica reads and write gaps in slots of ten seconds and five minutes, in bounded memory and without locks on the request path, and serve them at GET /metrics/service-levels. Refusals for want of a lease count too.

--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/servicelevel/WriteSlot.java
@@ -0,0 +1,31 @@
+package org.magnolialead.api.servicelevel;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
+
+/**
+ * Writes of one database group in one slot, as one daemon saw them. The JSON form is an
+ * array in the order of the parameters.
+ *
+ * @param slot number of the slot
+ * @param longestGapMilliseconds full length of the longest time without an acknowledged
+ * write that overlaps this slot, in milliseconds
+ * @param acknowledged writes that were acknowledged to callers of the daemon
+ * @param notAcknowledged writes of callers of the daemon that were not; tells a group
+ * without writes from one that refuses them
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+@JsonPropertyOrder({ "slot", "longestGapMilliseconds", "acknowledged", "notAcknowledged" })
+public record WriteSlot(long slot, long longestGapMilliseconds, long acknowledged, long notAcknowledged) {
+
+	/**
+	 * Longest gap of a slot before the first acknowledged write that the daemon saw.
+	 */
+	public static final long NO_GAP_KNOWN = -1;
+
+	public WriteSlot {
+		if (longestGapMilliseconds < NO_GAP_KNOWN || acknowledged < 0 || notAcknowledged < 0) {
+			throw new IllegalArgumentException("slot %d has impossible counts".formatted(slot));
+		}
+	}
+}
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/servicelevel/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Service-level records that entry daemons serve and reports read.
+ */
+package org.magnolialead.api.servicelevel;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/EntryDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/EntryDaemon.java
@@ -17,10 +17,13 @@
 import com.codahale.metrics.MetricRegistry;
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Outcome;
 import org.magnolialead.api.Rank;
 import org.magnolialead.api.Step;
 import org.magnolialead.api.message.ErrorAnswer;
+import org.magnolialead.api.message.ExecuteAnswer;
 import org.magnolialead.api.message.ExecuteRequest;
+import org.magnolialead.daemon.control.WallClock;
 import org.magnolialead.daemon.entry.ControlLink;
 import org.magnolialead.daemon.entry.DefaultGroupDispatcher;
 import org.magnolialead.daemon.entry.EntryServices;
@@ -31,6 +34,7 @@
 import org.magnolialead.daemon.filter.SessionTokenCodec;
 import org.magnolialead.daemon.log.LogEvent;
 import org.magnolialead.daemon.owner.OwnershipController;
+import org.magnolialead.daemon.servicelevel.ServiceLevelRecorder;
 import org.magnolialead.daemon.settings.DaemonSettings;
 import org.magnolialead.transport.http.HttpServer;
 import org.magnolialead.transport.member.MemberConnector;
@@ -82,6 +86,8 @@
 
 	private final AdmissionControl admission;
 
+	private final ServiceLevelRecorder serviceLevels;
+
 	private final CallerRouter router;
 
 	private volatile boolean draining;
@@ -107,11 +113,12 @@
 		DefaultGroupDispatcher dispatcher = new DefaultGroupDispatcher(settings.name(), this.entry.view(),
 				this.entry.leaseGate(), this.clock, this.timer, this.peerClient, this.ownership);
 		this.admission = new AdmissionControl(AdmissionControl.DEFAULT_MAXIMUM_IN_PROGRESS);
+		this.serviceLevels = new ServiceLevelRecorder(settings.name(), incarnation, this.clock, WallClock.SYSTEM);
 		this.router = new CallerRouter(
 				RequestFilters.chain(this.clock, this.entry.leaseGate(), this.entry.view(),
 						new SessionTokenCodec(sessionKey(settings)), this.admission,
-						new ServedRequestMetrics(this.metrics), dispatcher),
-				this.entry::announce, this::isReady, this.metrics);
+						new ServedRequestMetrics(this.metrics), this.serviceLevels, dispatcher),
+				this.entry::announce, this::isReady, this.metrics, this.serviceLevels);
 		registerGauges();
 	}
 
@@ -138,12 +145,19 @@
 	private CompletableFuture<Object> handle(Object message) {
 		if (message instanceof ExecuteRequest request) {
 			long deadline = this.clock.nanoseconds() + TimeUnit.MILLISECONDS.toNanos(request.timeoutMilliseconds());
-			return this.ownership.execute(request, deadline).thenApply((answer) -> answer);
+			return this.ownership.execute(request, deadline).thenApply((answer) -> noteOwnedWrite(request, answer));
 		}
 		return CompletableFuture.completedFuture(new ErrorAnswer(ErrorCode.BAD_REQUEST, Step.FORWARD,
 				"an entry daemon does not handle " + message.getClass().getSimpleName()));
 	}
 
+	private Object noteOwnedWrite(ExecuteRequest request, ExecuteAnswer answer) {
+		if (request.kind().changesData() && answer.outcome() == Outcome.DONE && !answer.repeated()) {
+			this.serviceLevels.ownedWriteAcknowledged(request.group());
+		}
+		return answer;
+	}
+
 	@Override
 	public void shutDown() {
 		LogEvent.SHUTDOWN_STARTED.log(LOGGER, requestsInProgress());
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/CallerRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/CallerRouter.java
@@ -15,6 +15,7 @@
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.StatementKind;
 import org.magnolialead.api.Step;
+import org.magnolialead.daemon.servicelevel.ServiceLevelRecorder;
 import org.magnolialead.transport.http.HttpCall;
 import org.magnolialead.transport.http.HttpErrors;
 import org.magnolialead.transport.http.HttpHandler;
@@ -50,19 +51,23 @@
 
 	private final MetricRegistry registry;
 
+	private final ServiceLevelRecorder serviceLevels;
+
 	/**
 	 * Creates a router.
 	 * @param chain handles callers' requests
 	 * @param announcements receives the announcements of members
 	 * @param ready tells whether this daemon should receive requests
 	 * @param registry metrics to report
+	 * @param serviceLevels service levels to report
 	 */
 	public CallerRouter(FilterChain chain, AnnouncementSink announcements, BooleanSupplier ready,
-			MetricRegistry registry) {
+			MetricRegistry registry, ServiceLevelRecorder serviceLevels) {
 		this.chain = Objects.requireNonNull(chain, "chain must not be null");
 		this.announcements = Objects.requireNonNull(announcements, "announcements must not be null");
 		this.ready = Objects.requireNonNull(ready, "ready must not be null");
 		this.registry = Objects.requireNonNull(registry, "registry must not be null");
+		this.serviceLevels = Objects.requireNonNull(serviceLevels, "serviceLevels must not be null");
 	}
 
 	@Override
@@ -113,7 +118,7 @@
 	private HttpReply handlePage(HttpCall call) {
 		String expected = "/v1/announcements".equals(call.path()) ? "POST" : "GET";
 		HttpReply reply = switch (call.path()) {
-			case "/v1/announcements", "/health", "/readiness", "/metrics" -> null;
+			case "/v1/announcements", "/health", "/readiness", "/metrics", "/metrics/service-levels" -> null;
 			default -> refusal(NOT_FOUND, "no such path");
 		};
 		if (reply == null && !expected.equals(call.method())) {
@@ -127,6 +132,7 @@
 			case "/v1/announcements" -> announce(call);
 			case "/readiness" -> readiness();
 			case "/metrics" -> HttpReply.json(OK, MetricsReport.write(this.registry));
+			case "/metrics/service-levels" -> HttpReply.json(OK, MetricsReport.write(this.serviceLevels.snapshot()));
 			default -> HttpReply.json(OK, text("{\"status\":\"UP\"}"));
 		};
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/MetricsFilter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/MetricsFilter.java
@@ -45,7 +45,13 @@
 		}
 	}
 
-	private static boolean isCallersFault(int status) {
+	/**
+	 * Tells whether a request failed by the fault of its caller and does not count
+	 * towards service levels.
+	 * @param status status code of the reply
+	 * @return {@code true} if so
+	 */
+	static boolean isCallersFault(int status) {
 		return status >= 400 && status < 500 && status != REQUEST_TIMEOUT && status != CONFLICT;
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/MetricsReport.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/MetricsReport.java
@@ -13,9 +13,10 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.magnolialead.api.servicelevel.ServiceLevelSnapshot;
 
 /**
- * JSON form of a metric registry. Times are in milliseconds.
+ * JSON form of a metric registry and of service levels. Times are in milliseconds.
  */
 final class MetricsReport {
 
@@ -40,11 +41,19 @@
 		registry.getHistograms().forEach((name, histogram) -> histogram(histograms.putObject(name), histogram));
 		ObjectNode timers = report.putObject("timers");
 		registry.getTimers().forEach((name, timer) -> timer(timers.putObject(name), timer));
+		return encode(report);
+	}
+
+	static byte[] write(ServiceLevelSnapshot snapshot) {
+		return encode(snapshot);
+	}
+
+	private static byte[] encode(Object report) {
 		try {
 			return MAPPER.writeValueAsBytes(report);
 		}
 		catch (JsonProcessingException ex) {
-			throw new IllegalStateException("a JSON tree is always encodable", ex);
+			throw new IllegalStateException("trees and records are always encodable", ex);
 		}
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/RequestFilters.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/RequestFilters.java
@@ -5,6 +5,7 @@
 
 import org.magnolialead.api.FleetView;
 import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.daemon.servicelevel.ServiceLevelRecorder;
 
 /**
  * Makes the filter chain of an entry daemon.
@@ -16,7 +17,8 @@
 
 	/**
 	 * Returns the chain in its order: syntax, lease, profile, deadline, session token,
-	 * admission, dispatch. Metrics are taken after the profile is known; results are
+	 * admission, dispatch. Metrics are taken after the profile is known, service levels
+	 * already before the lease, as refusals without a lease count too; results are
 	 * checked against the lease again on their way back.
 	 * @param clock clock of the deadlines
 	 * @param gate the lease of this daemon
@@ -24,15 +26,17 @@
 	 * @param tokens signs and checks session tokens
 	 * @param admission limits the requests in progress
 	 * @param metrics counts the requests
+	 * @param serviceLevels records the requests by profile and time
 	 * @param dispatcher hands the requests to the owners of their groups
 	 * @return the chain
 	 */
 	public static FilterChain chain(MonotonicClock clock, LeaseGate gate, Supplier<FleetView> views,
 			SessionTokenCodec tokens, AdmissionControl admission, ServedRequestMetrics metrics,
-			GroupDispatcher dispatcher) {
-		List<RequestFilter> filters = List.of(new SyntaxFilter(), new LeaseFilter(gate, clock),
-				new ProfileFilter(views), new MetricsFilter(metrics, clock), new ResultFilter(gate, clock),
-				new DeadlineFilter(clock), new SessionFilter(tokens), new AdmissionFilter(admission));
+			ServiceLevelRecorder serviceLevels, GroupDispatcher dispatcher) {
+		List<RequestFilter> filters = List.of(new SyntaxFilter(), new ServiceLevelFilter(serviceLevels, views, clock),
+				new LeaseFilter(gate, clock), new ProfileFilter(views), new MetricsFilter(metrics, clock),
+				new ResultFilter(gate, clock), new DeadlineFilter(clock), new SessionFilter(tokens),
+				new AdmissionFilter(admission));
 		return FilterChain.of(filters, new DispatchStep(dispatcher, tokens, clock));
 	}
 
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/ServiceLevelFilter.java
@@ -0,0 +1,63 @@
+package org.magnolialead.daemon.filter;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.MemberRole;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Outcome;
+import org.magnolialead.api.Profile;
+import org.magnolialead.api.StatementKind;
+import org.magnolialead.daemon.servicelevel.ServedRequest;
+import org.magnolialead.daemon.servicelevel.ServiceLevelRecorder;
+import org.magnolialead.transport.http.HttpErrors;
+import org.magnolialead.transport.http.HttpReply;
+
+/**
+ * Records the service that callers got by profile. Stands before the lease filter, so
+ * that the time in which a daemon has no lease and refuses everything burns the error
+ * budget.
+ */
+final class ServiceLevelFilter implements RequestFilter {
+
+	private final ServiceLevelRecorder recorder;
+
+	private final Supplier<FleetView> views;
+
+	private final MonotonicClock clock;
+
+	ServiceLevelFilter(ServiceLevelRecorder recorder, Supplier<FleetView> views, MonotonicClock clock) {
+		this.recorder = recorder;
+		this.views = views;
+		this.clock = clock;
+	}
+
+	@Override
+	public CompletableFuture<HttpReply> filter(CallContext context, FilterChain next) {
+		FleetView view = this.views.get();
+		String name = context.call().header(RequestHeaders.PROFILE).orElse("");
+		Profile profile = view.configuration().profiles().get(name);
+		if (profile == null || !view.groups().containsKey(context.group())) {
+			return next.proceed(context);
+		}
+		return next.proceed(context).whenComplete((reply, failure) -> record(context, profile, reply));
+	}
+
+	private void record(CallContext context, Profile profile, HttpReply reply) {
+		if (reply == null || MetricsFilter.isCallersFault(reply.status())) {
+			return;
+		}
+		Outcome outcome = Outcome.valueOf(reply.headers().get(HttpErrors.OUTCOME_HEADER));
+		boolean done = outcome == Outcome.DONE;
+		boolean within = done && DeadlineFilter.deadline(context.call()) - this.clock.nanoseconds() > 0;
+		boolean byReplica = MemberRole.REPLICA.name().equals(reply.headers().get(RequestHeaders.ANSWER_MEMBER_ROLE));
+		this.recorder.requestAnswered(profile.name(), profile.rank(),
+				new ServedRequest(outcome, within, context.kind() == StatementKind.READ, byReplica));
+		if (context.kind().changesData()) {
+			boolean repeated = reply.headers().containsKey(RequestHeaders.ANSWER_REPEATED);
+			this.recorder.writeAnswered(context.group(), done && !repeated);
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/servicelevel/SlotRing.java
@@ -0,0 +1,91 @@
+package org.magnolialead.daemon.servicelevel;
+
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+
+import org.magnolialead.api.servicelevel.SlotResolution;
+
+/**
+ * Counters of the latest slots of one resolution. Slots are kept in chunks that are
+ * allocated on first use and replaced as a whole, so that any number of threads may
+ * record without locks and a slot never shows counts of an earlier turn of the ring.
+ */
+final class SlotRing {
+
+	/**
+	 * Divides the slots of both resolutions without a rest. Larger chunks save object
+	 * headers, smaller ones save the unused rest of the oldest chunk.
+	 */
+	private static final int SLOTS_PER_CHUNK = 36;
+
+	private final SlotResolution resolution;
+
+	private final int counters;
+
+	private final AtomicReferenceArray<Chunk> chunks;
+
+	/**
+	 * Creates an empty ring.
+	 * @param resolution length and number of the slots
+	 * @param counters number of counters of each slot
+	 */
+	SlotRing(SlotResolution resolution, int counters) {
+		this.resolution = resolution;
+		this.counters = counters;
+		// One chunk more, as the oldest and the newest are in use only in part.
+		this.chunks = new AtomicReferenceArray<>(resolution.slots() / SLOTS_PER_CHUNK + 1);
+	}
+
+	SlotResolution resolution() {
+		return this.resolution;
+	}
+
+	void increment(long slot, int counter) {
+		chunk(slot).values.incrementAndGet(index(slot, counter));
+	}
+
+	/**
+	 * Raises a counter to a value unless it is already as large.
+	 * @param slot number of the slot
+	 * @param counter index of the counter
+	 * @param value the least value
+	 */
+	void raise(long slot, int counter, int value) {
+		AtomicIntegerArray values = chunk(slot).values;
+		int index = index(slot, counter);
+		if (values.get(index) < value) {
+			values.accumulateAndGet(index, value, Math::max);
+		}
+	}
+
+	/**
+	 * Returns a counter.
+	 * @param slot number of the slot
+	 * @param counter index of the counter
+	 * @return its value; 0 if nothing was recorded
+	 */
+	int value(long slot, int counter) {
+		long number = Math.floorDiv(slot, SLOTS_PER_CHUNK);
+		Chunk chunk = this.chunks.get((int) Math.floorMod(number, (long) this.chunks.length()));
+		return (chunk != null && chunk.number == number) ? chunk.values.get(index(slot, counter)) : 0;
+	}
+
+	private Chunk chunk(long slot) {
+		long number = Math.floorDiv(slot, SLOTS_PER_CHUNK);
+		int place = (int) Math.floorMod(number, (long) this.chunks.length());
+		Chunk chunk = this.chunks.get(place);
+		while (chunk == null || chunk.number != number) {
+			Chunk next = new Chunk(number, new AtomicIntegerArray(SLOTS_PER_CHUNK * this.counters));
+			chunk = this.chunks.compareAndSet(place, chunk, next) ? next : this.chunks.get(place);
+		}
+		return chunk;
+	}
+
+	private int index(long slot, int counter) {
+		return Math.floorMod(slot, SLOTS_PER_CHUNK) * this.counters + counter;
+	}
+
+	private record Chunk(long number, AtomicIntegerArray values) {
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/servicelevel/WriteSeries.java
@@ -0,0 +1,89 @@
+package org.magnolialead.daemon.servicelevel;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.magnolialead.api.servicelevel.SlotResolution;
+import org.magnolialead.api.servicelevel.WriteSlot;
+
+/**
+ * Writes of one database group. Gaps are measured with the monotonic clock and entered in
+ * every slot that they overlap.
+ */
+final class WriteSeries {
+
+	private static final int ACKNOWLEDGED = 0;
+
+	private static final int NOT_ACKNOWLEDGED = 1;
+
+	/** Longest gap in milliseconds plus 1, so that 0 means that none is known. */
+	private static final int GAP = 2;
+
+	private static final int COUNTERS = GAP + 1;
+
+	private final SlotRing tenSeconds = new SlotRing(SlotResolution.TEN_SECONDS, COUNTERS);
+
+	private final SlotRing fiveMinutes = new SlotRing(SlotResolution.FIVE_MINUTES, COUNTERS);
+
+	private final AtomicReference<Long> lastAcknowledged = new AtomicReference<>();
+
+	void countAnswer(long wallClock, boolean acknowledged) {
+		int counter = acknowledged ? ACKNOWLEDGED : NOT_ACKNOWLEDGED;
+		this.tenSeconds.increment(SlotResolution.TEN_SECONDS.slotAt(wallClock), counter);
+		this.fiveMinutes.increment(SlotResolution.FIVE_MINUTES.slotAt(wallClock), counter);
+	}
+
+	void acknowledged(long now, long wallClock) {
+		Long previous = this.lastAcknowledged.getAndAccumulate(now, WriteSeries::later);
+		enterGap((previous != null) ? now - previous : 0, wallClock);
+	}
+
+	/**
+	 * Enters the gap that has not ended yet.
+	 * @param now present time of the monotonic clock in nanoseconds
+	 * @param wallClock present time of the wall clock in milliseconds
+	 */
+	void enterOpenGap(long now, long wallClock) {
+		Long previous = this.lastAcknowledged.get();
+		if (previous != null) {
+			enterGap(now - previous, wallClock);
+		}
+	}
+
+	private static Long later(Long first, Long second) {
+		return (first == null || second - first > 0) ? second : first;
+	}
+
+	private void enterGap(long nanoseconds, long wallClock) {
+		long milliseconds = Math.max(0, TimeUnit.NANOSECONDS.toMillis(nanoseconds));
+		enterGap(this.tenSeconds, milliseconds, wallClock);
+		enterGap(this.fiveMinutes, milliseconds, wallClock);
+	}
+
+	private static void enterGap(SlotRing ring, long milliseconds, long wallClock) {
+		long last = ring.resolution().slotAt(wallClock);
+		long first = Math.max(ring.resolution().slotAt(wallClock - milliseconds), last - ring.resolution().slots() + 1);
+		int value = (int) Math.min(milliseconds + 1, Integer.MAX_VALUE);
+		for (long slot = first; slot <= last; slot++) {
+			ring.raise(slot, GAP, value);
+		}
+	}
+
+	List<WriteSlot> slots(SlotResolution resolution, long wallClock) {
+		SlotRing ring = (resolution == SlotResolution.TEN_SECONDS) ? this.tenSeconds : this.fiveMinutes;
+		List<WriteSlot> slots = new ArrayList<>();
+		long last = resolution.slotAt(wallClock);
+		for (long slot = last - resolution.slots() + 1; slot <= last; slot++) {
+			int gap = ring.value(slot, GAP);
+			int acknowledged = ring.value(slot, ACKNOWLEDGED);
+			int notAcknowledged = ring.value(slot, NOT_ACKNOWLEDGED);
+			if (gap > 0 || acknowledged > 0 || notAcknowledged > 0) {
+				slots.add(new WriteSlot(slot, gap - 1L, acknowledged, notAcknowledged));
+			}
+		}
+		return slots;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/servicelevel/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Recording of service levels in bounded memory.
+ */
+package org.magnolialead.daemon.servicelevel;
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/filter/CallerRouterTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/filter/CallerRouterTests.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.magnolialead.api.ErrorCode;
@@ -32,6 +33,11 @@
 import org.magnolialead.api.Step;
 import org.magnolialead.api.message.ExecuteAnswer;
 import org.magnolialead.api.message.ExecuteRequest;
+import org.magnolialead.api.servicelevel.RequestSlot;
+import org.magnolialead.api.servicelevel.ServiceLevelSnapshot;
+import org.magnolialead.api.servicelevel.WriteSlot;
+import org.magnolialead.daemon.control.WallClock;
+import org.magnolialead.daemon.servicelevel.ServiceLevelRecorder;
 import org.magnolialead.transport.http.HttpCall;
 import org.magnolialead.transport.http.HttpReply;
 import org.magnolialead.transport.http.HttpServer;
@@ -63,10 +69,13 @@
 
 	private final AdmissionControl admission = new AdmissionControl(20);
 
+	private final ServiceLevelRecorder serviceLevels = new ServiceLevelRecorder("d1", "i1", this.clock,
+			WallClock.SYSTEM);
+
 	private final CallerRouter router = new CallerRouter(
 			RequestFilters.chain(this.clock, this.gate, () -> this.view, this.tokens, this.admission,
-					new ServedRequestMetrics(this.registry), this::dispatch),
-			this.announced::add, () -> this.gate.isHeld(this.clock.nanoseconds()), this.registry);
+					new ServedRequestMetrics(this.registry), this.serviceLevels, this::dispatch),
+			this.announced::add, () -> this.gate.isHeld(this.clock.nanoseconds()), this.registry, this.serviceLevels);
 
 	private final ExecutorService executor = Executors.newCachedThreadPool();
 
@@ -237,6 +246,34 @@
 		TestChecks.checkTrue(metrics.contains("\"profile.scheduling.within-deadline\":1"), () -> metrics);
 	}
 
+	/**
+	 * Guards against service levels that leave out the time without a lease, count
+	 * requests that are wrong in themselves, or take a stored answer for a write.
+	 */
+	@Test
+	void serviceLevelsCountWhatCallersGot() throws Exception {
+		this.answer = CompletableFuture.completedFuture(
+				ExecuteAnswer.done("{}".getBytes(StandardCharsets.UTF_8), 3, new LogPosition(3, 8), "m2", true, ""));
+		send(read());
+		send(post("/v1/groups/records/write", "{}", SCHEDULING).header(RequestHeaders.IDEMPOTENCY_KEY, "k1"));
+		this.answer = CompletableFuture.completedFuture(this.answer.get().asRepeated());
+		send(post("/v1/groups/records/write", "{}", SCHEDULING).header(RequestHeaders.IDEMPOTENCY_KEY, "k1"));
+		send(read().header(RequestHeaders.TIMEOUT, "soon"));
+		this.clockOffset.set(2 * FAR);
+		send(post("/v1/groups/records/write", "{}", SCHEDULING).header(RequestHeaders.IDEMPOTENCY_KEY, "k2"));
+		byte[] body = send(request("/metrics/service-levels").GET()).body().getBytes(StandardCharsets.UTF_8);
+		ServiceLevelSnapshot snapshot = new ObjectMapper().readValue(body, ServiceLevelSnapshot.class);
+		RequestSlot sum = snapshot.profiles()
+			.get(0)
+			.fiveMinutes()
+			.stream()
+			.reduce(new RequestSlot(0, 0, 0, 0, 0, 0, 0), RequestSlot::plus);
+		TestChecks.checkEquals(new RequestSlot(0, 3, 1, 0, 3, 1, 1), sum);
+		List<WriteSlot> writes = snapshot.groups().get(0).fiveMinutes();
+		TestChecks.checkEquals(1L, writes.stream().mapToLong(WriteSlot::acknowledged).sum());
+		TestChecks.checkEquals(2L, writes.stream().mapToLong(WriteSlot::notAcknowledged).sum());
+	}
+
 	private CompletableFuture<ExecuteAnswer> dispatch(ExecuteRequest request, long deadline) {
 		this.dispatched.add(request);
 		return this.answer;
