Add magnolialead-ctl report with burn, replica share and write gaps

Operators had only counters since the start of each daemon. The report merges the slots of all daemons, corrects their clocks by whole slots, marks fast and slow burn, saves its data, and writes a page with plots that loads nothing from the network. Objectives can be stated in a checked TOML file.

--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/report/BurnReport.java
@@ -0,0 +1,75 @@
+package org.magnolialead.ctl.report;
+
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+import org.magnolialead.ctl.CtlException;
+
+/**
+ * Service-level burn report of a fleet.
+ */
+public final class BurnReport {
+
+	private final ServiceLevelCollection collection;
+
+	private final ServiceLevelObjectives objectives;
+
+	private final MergedServiceLevels levels;
+
+	/**
+	 * Computes a report.
+	 * @param collection snapshots of at least one daemon
+	 * @param objectives objectives of the ranks
+	 */
+	public BurnReport(ServiceLevelCollection collection, ServiceLevelObjectives objectives) {
+		this.collection = collection;
+		this.objectives = objectives;
+		this.levels = new MergedServiceLevels(collection);
+	}
+
+	/**
+	 * Returns the report as text.
+	 * @return lines for a terminal
+	 */
+	public String text() {
+		return new TextReport(this).render();
+	}
+
+	/**
+	 * Writes the report as a page that needs no network.
+	 * @param file the file to write
+	 * @throws CtlException if the file cannot be written
+	 */
+	public void writePage(Path file) {
+		new PageReport(this).write(file);
+	}
+
+	ServiceLevelCollection collection() {
+		return this.collection;
+	}
+
+	MergedServiceLevels levels() {
+		return this.levels;
+	}
+
+	double objective(ProfileTimeline timeline) {
+		return this.objectives.of(timeline.rank());
+	}
+
+	Map<BurnWindow, ServiceLevel> windows(ProfileTimeline timeline) {
+		Map<BurnWindow, ServiceLevel> windows = new EnumMap<>(BurnWindow.class);
+		for (BurnWindow window : BurnWindow.values()) {
+			windows.put(window, new ServiceLevel(timeline.sum(window), objective(timeline)));
+		}
+		return windows;
+	}
+
+	List<BurnThreshold> exceeded(ProfileTimeline timeline) {
+		Map<BurnWindow, ServiceLevel> windows = windows(timeline);
+		return Arrays.stream(BurnThreshold.values()).filter((threshold) -> threshold.isExceeded(windows)).toList();
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/report/BurnThreshold.java
@@ -0,0 +1,54 @@
+package org.magnolialead.ctl.report;
+
+import java.util.Map;
+
+/**
+ * Burn at which operators should act. The long window shows that a considerable part of
+ * the budget is used, the short one that the cause still lasts.
+ */
+enum BurnThreshold {
+
+	/** Uses 2% of a 30-day error budget in one hour. */
+	FAST(14.4, BurnWindow.ONE_HOUR, BurnWindow.FIVE_MINUTES),
+	/** Uses 5% of a 30-day error budget in six hours. */
+	SLOW(6, BurnWindow.SIX_HOURS, BurnWindow.THIRTY_MINUTES);
+
+	private final double burn;
+
+	private final BurnWindow longWindow;
+
+	private final BurnWindow shortWindow;
+
+	BurnThreshold(double burn, BurnWindow longWindow, BurnWindow shortWindow) {
+		this.burn = burn;
+		this.longWindow = longWindow;
+		this.shortWindow = shortWindow;
+	}
+
+	double burn() {
+		return this.burn;
+	}
+
+	/**
+	 * Tells whether the threshold is exceeded in both windows.
+	 * @param levels service level of each window
+	 * @return {@code true} if so; {@code false} if a window has no requests
+	 */
+	boolean isExceeded(Map<BurnWindow, ServiceLevel> levels) {
+		return levels.get(this.longWindow).burn() > this.burn && levels.get(this.shortWindow).burn() > this.burn;
+	}
+
+	/**
+	 * Tells whether an objective leaves so large a budget that this burn cannot occur.
+	 * @param objective share of requests to be served within their deadline
+	 * @return {@code true} if even a total failure stays below the threshold
+	 */
+	boolean isOutOfReach(double objective) {
+		return ServiceLevel.burn(1, objective) <= this.burn;
+	}
+
+	String description() {
+		return "over %s in %s and %s".formatted(this.burn, this.longWindow.label(), this.shortWindow.label());
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/report/GroupTimeline.java
@@ -0,0 +1,108 @@
+package org.magnolialead.ctl.report;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+import org.magnolialead.api.servicelevel.SlotResolution;
+import org.magnolialead.api.servicelevel.WriteSlot;
+
+/**
+ * Writes of one database group on all daemons.
+ */
+final class GroupTimeline {
+
+	private final String group;
+
+	private final Map<SlotResolution, List<WriteSlot[]>> byDaemon = new EnumMap<>(SlotResolution.class);
+
+	GroupTimeline(String group) {
+		this.group = group;
+		for (SlotResolution resolution : SlotResolution.values()) {
+			this.byDaemon.put(resolution, new ArrayList<>());
+		}
+	}
+
+	String group() {
+		return this.group;
+	}
+
+	void add(SlotResolution resolution, List<WriteSlot> added, long firstSlot) {
+		WriteSlot[] slots = new WriteSlot[resolution.slots()];
+		Arrays.fill(slots, new WriteSlot(0, WriteSlot.NO_GAP_KNOWN, 0, 0));
+		for (WriteSlot slot : added) {
+			long index = slot.slot() - firstSlot;
+			if (index >= 0 && index < slots.length) {
+				slots[(int) index] = slot;
+			}
+		}
+		this.byDaemon.get(resolution).add(slots);
+	}
+
+	/**
+	 * Returns the longest write gap that overlaps a slot. Each daemon knows only a part
+	 * of the acknowledged writes, so its gaps are too long or right; the shortest one
+	 * counts. The neighbouring slots of each daemon are included, because clocks may
+	 * differ by up to a slot. A daemon that knows nothing of the slot before counts only
+	 * if no other does, as its gaps begin when its knowledge begins.
+	 * @param resolution length of the slots
+	 * @param index index of the slot
+	 * @return the gap in milliseconds, or {@link WriteSlot#NO_GAP_KNOWN}
+	 */
+	long gap(SlotResolution resolution, int index) {
+		long shortest = Long.MAX_VALUE;
+		long shortestOfNew = Long.MAX_VALUE;
+		for (WriteSlot[] slots : this.byDaemon.get(resolution)) {
+			if (!isKnown(slots, index)) {
+				continue;
+			}
+			long longest = longestNear(slots, index);
+			if (index == 0 || isKnown(slots, index - 1)) {
+				shortest = Math.min(shortest, longest);
+			}
+			shortestOfNew = Math.min(shortestOfNew, longest);
+		}
+		long found = (shortest != Long.MAX_VALUE) ? shortest : shortestOfNew;
+		return (found != Long.MAX_VALUE) ? found : WriteSlot.NO_GAP_KNOWN;
+	}
+
+	long longestGap(BurnWindow window) {
+		int end = window.resolution().slots();
+		long longest = WriteSlot.NO_GAP_KNOWN;
+		for (int index = end - window.slots(); index < end; index++) {
+			longest = Math.max(longest, gap(window.resolution(), index));
+		}
+		return longest;
+	}
+
+	long acknowledged(BurnWindow window) {
+		return window(window).stream().mapToLong(WriteSlot::acknowledged).sum();
+	}
+
+	long notAcknowledged(BurnWindow window) {
+		return window(window).stream().mapToLong(WriteSlot::notAcknowledged).sum();
+	}
+
+	private List<WriteSlot> window(BurnWindow window) {
+		int end = window.resolution().slots();
+		return this.byDaemon.get(window.resolution())
+			.stream()
+			.flatMap((slots) -> Arrays.stream(slots, end - window.slots(), end))
+			.toList();
+	}
+
+	private static boolean isKnown(WriteSlot[] slots, int index) {
+		return slots[index].longestGapMilliseconds() != WriteSlot.NO_GAP_KNOWN;
+	}
+
+	private static long longestNear(WriteSlot[] slots, int index) {
+		long longest = 0;
+		for (int near = Math.max(0, index - 1); near <= Math.min(slots.length - 1, index + 1); near++) {
+			longest = Math.max(longest, slots[near].longestGapMilliseconds());
+		}
+		return longest;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/report/PrintableText.java
@@ -0,0 +1,50 @@
+package org.magnolialead.ctl.report;
+
+/**
+ * Makes names that come from daemons or files harmless to terminals and pages.
+ */
+final class PrintableText {
+
+	private PrintableText() {
+	}
+
+	/**
+	 * Replaces characters that terminals obey or XML forbids.
+	 * @param text any text
+	 * @return printable text
+	 */
+	static String of(String text) {
+		StringBuilder printable = new StringBuilder();
+		text.codePoints().forEach((character) -> printable.appendCodePoint(isPrintable(character) ? character : '?'));
+		return printable.toString();
+	}
+
+	/**
+	 * Escapes text for elements and attributes of HTML.
+	 * @param text any text
+	 * @return escaped printable text
+	 */
+	static String html(String text) {
+		StringBuilder escaped = new StringBuilder();
+		text.lines()
+			.map(PrintableText::of)
+			.forEach((line) -> escaped
+				.append(line.replace("&", "&amp;")
+					.replace("<", "&lt;")
+					.replace(">", "&gt;")
+					.replace("\"", "&quot;")
+					.replace("'", "&#39;"))
+				.append('\n'));
+		return escaped.toString();
+	}
+
+	private static boolean isPrintable(int character) {
+		return switch (Character.getType(character)) {
+			case Character.CONTROL, Character.FORMAT, Character.SURROGATE, Character.UNASSIGNED,
+					Character.LINE_SEPARATOR, Character.PARAGRAPH_SEPARATOR ->
+				false;
+			default -> true;
+		};
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/report/ProfileTimeline.java
@@ -0,0 +1,80 @@
+package org.magnolialead.ctl.report;
+
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+
+import org.magnolialead.api.Rank;
+import org.magnolialead.api.servicelevel.RequestSlot;
+import org.magnolialead.api.servicelevel.SlotResolution;
+
+/**
+ * Requests of one profile and rank on all daemons. Arrays hold every slot up to the end
+ * of the report, oldest first.
+ */
+final class ProfileTimeline {
+
+	private static final RequestSlot NOTHING = new RequestSlot(0, 0, 0, 0, 0, 0, 0);
+
+	private final String profile;
+
+	private final Rank rank;
+
+	private final Map<SlotResolution, RequestSlot[]> slots = new EnumMap<>(SlotResolution.class);
+
+	ProfileTimeline(String profile, Rank rank) {
+		this.profile = profile;
+		this.rank = rank;
+		for (SlotResolution resolution : SlotResolution.values()) {
+			RequestSlot[] empty = new RequestSlot[resolution.slots()];
+			Arrays.fill(empty, NOTHING);
+			this.slots.put(resolution, empty);
+		}
+	}
+
+	String profile() {
+		return this.profile;
+	}
+
+	Rank rank() {
+		return this.rank;
+	}
+
+	/**
+	 * Adds the slots of one daemon.
+	 * @param resolution length of the slots
+	 * @param added the slots
+	 * @param firstSlot number of the first slot of this timeline on the daemon's clock
+	 */
+	void add(SlotResolution resolution, List<RequestSlot> added, long firstSlot) {
+		RequestSlot[] present = this.slots.get(resolution);
+		for (RequestSlot slot : added) {
+			long index = slot.slot() - firstSlot;
+			if (index >= 0 && index < present.length) {
+				present[(int) index] = present[(int) index].plus(slot);
+			}
+		}
+	}
+
+	/**
+	 * Returns the requests of a window.
+	 * @param resolution length of the slots
+	 * @param end index after the last slot of the window
+	 * @param count number of slots, of which those before the timeline are empty
+	 * @return the sum
+	 */
+	RequestSlot sum(SlotResolution resolution, int end, int count) {
+		RequestSlot[] present = this.slots.get(resolution);
+		RequestSlot sum = NOTHING;
+		for (int index = Math.max(0, end - count); index < end; index++) {
+			sum = sum.plus(present[index]);
+		}
+		return sum;
+	}
+
+	RequestSlot sum(BurnWindow window) {
+		return sum(window.resolution(), window.resolution().slots(), window.slots());
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/test/java/org/magnolialead/ctl/report/BurnReportTests.java
@@ -0,0 +1,259 @@
+package org.magnolialead.ctl.report;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.LongStream;
+
+import javax.xml.parsers.DocumentBuilderFactory;
+
+import com.sun.net.httpserver.HttpServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.magnolialead.api.Rank;
+import org.magnolialead.api.servicelevel.GroupSeries;
+import org.magnolialead.api.servicelevel.ProfileSeries;
+import org.magnolialead.api.servicelevel.RequestSlot;
+import org.magnolialead.api.servicelevel.ServiceLevelSnapshot;
+import org.magnolialead.api.servicelevel.SlotResolution;
+import org.magnolialead.api.servicelevel.WriteSlot;
+import org.magnolialead.ctl.MagnolialeadCtl;
+import org.w3c.dom.Document;
+import org.w3c.dom.Element;
+import org.w3c.dom.NamedNodeMap;
+import org.w3c.dom.NodeList;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.within;
+
+class BurnReportTests {
+
+	/** Beginning of a slot of both resolutions. */
+	private static final long NOW = 1_700_000_100_000L;
+
+	private static final long LAST = NOW / 10_000;
+
+	private static final String HOSTILE = "</script><img src='https://example.invalid/x'>]]>&\u001b@DATA@";
+
+	private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+
+	private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+
+	@TempDir
+	private Path folder;
+
+	/**
+	 * Guards against windows that are a slot too long or too short, and against wrong
+	 * burn.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 6, 30, 180, 360 })
+	void failuresCountExactlyInTheWindowsThatContainTheirSlot(int slots) {
+		RequestSlot served = new RequestSlot(LAST, 90, 0, 0, 90, 0, 0);
+		RequestSlot inside = new RequestSlot(LAST - slots + 1, 0, 10, 0, 0, 0, 0);
+		RequestSlot outside = new RequestSlot(LAST - slots, 0, 10, 0, 0, 0, 0);
+		BurnReport report = report(snapshot("d1", 0, List.of(outside, inside, served), List.of()));
+		Map<BurnWindow, ServiceLevel> windows = windows(report);
+		for (BurnWindow window : BurnWindow.values()) {
+			if (window.resolution() == SlotResolution.TEN_SECONDS) {
+				long missed = ((window.slots() >= slots) ? 10 : 0) + ((window.slots() > slots) ? 10 : 0);
+				assertThat(windows.get(window).burn()).as(window.label())
+					.isCloseTo(missed / (90.0 + missed) / 0.03, within(1e-9));
+			}
+		}
+		assertThat(windows.get(BurnWindow.SIX_HOURS).burn()).isNaN();
+	}
+
+	/**
+	 * Guards against marks for a failure that is over or that has just begun, and against
+	 * missing marks.
+	 */
+	@Test
+	void thresholdIsMarkedOnlyIfBothWindowsExceedIt() {
+		RequestSlot broken = new RequestSlot(LAST, 0, 100, 0, 0, 0, 0);
+		RequestSlot fine = new RequestSlot(LAST - 31, 900, 0, 0, 900, 0, 0);
+		RequestSlot earlier = new RequestSlot(LAST - 31, 0, 100, 0, 0, 0, 0);
+		RequestSlot fineNow = new RequestSlot(LAST, 100, 0, 0, 100, 0, 0);
+		assertThat(text(List.of(broken))).contains("!! FAST BURN");
+		assertThat(text(List.of(fine, broken))).doesNotContain("FAST BURN");
+		assertThat(text(List.of(earlier, fineNow))).doesNotContain("FAST BURN");
+	}
+
+	/**
+	 * Guards against requests of a daemon with another clock that are counted in another
+	 * window, dropped as future ones, or counted twice when asked for again.
+	 */
+	@ParameterizedTest
+	@ValueSource(longs = { -10_000, -4_000, 0, 4_000, 10_000 })
+	void clocksThatDifferByUpToASlotAreMerged(long ahead) {
+		CollectedSnapshot first = snapshot("d1", 0, List.of(new RequestSlot(LAST, 1, 0, 0, 1, 0, 0)), List.of());
+		long itsLast = Math.floorDiv(NOW + ahead, 10_000);
+		List<RequestSlot> slots = LongStream.rangeClosed(itsLast - 359, itsLast)
+			.mapToObj((slot) -> new RequestSlot(slot, 1, 0, 0, 1, 0, 0))
+			.toList();
+		CollectedSnapshot second = snapshot("d2", ahead, slots, List.of());
+		Map<BurnWindow, ServiceLevel> windows = windows(report(first, second, second));
+		long difference = Math.abs(windows.get(BurnWindow.ONE_MINUTE).counts().requests() - 7);
+		assertThat(difference).isLessThanOrEqualTo((ahead % 10_000 == 0) ? 0 : 1);
+		assertThat(windows.get(BurnWindow.ONE_HOUR).counts().requests()).isBetween(360L, 361L);
+	}
+
+	/**
+	 * Guards against a failover gap that is lost because the daemons' slots differ, and
+	 * against a gap that only one daemon with few writes saw.
+	 */
+	@Test
+	void writeGapIsTheOneThatAllDaemonsSaw() {
+		List<WriteSlot> busy = gaps(LAST, 30, LAST - 10, 4_000);
+		List<WriteSlot> oneSlotLater = gaps(LAST, 30, LAST - 9, 4_200);
+		List<WriteSlot> idle = gaps(LAST, 90_000, LAST, 90_000);
+		BurnReport report = report(snapshot("d1", 0, List.of(), busy), snapshot("d2", 0, List.of(), oneSlotLater),
+				snapshot("d3", 0, List.of(), idle));
+		GroupTimeline timeline = report.levels().groups().iterator().next();
+		assertThat(timeline.longestGap(BurnWindow.FIVE_MINUTES)).isEqualTo(4_000);
+		assertThat(timeline.longestGap(BurnWindow.ONE_MINUTE)).isEqualTo(30);
+	}
+
+	/**
+	 * Guards against saved snapshots that lose data or give another report, and against a
+	 * report that fails because one daemon is down.
+	 */
+	@Test
+	void savedDataGivesTheSameReportAsLiveData() throws IOException {
+		ServiceLevelSnapshot live = full().snapshot();
+		HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+		byte[] body = ServiceLevelCollection.JSON.writeValueAsBytes(live);
+		server.createContext("/metrics/service-levels", (exchange) -> {
+			exchange.sendResponseHeaders(200, body.length);
+			exchange.getResponseBody().write(body);
+			exchange.close();
+		});
+		server.start();
+		String address = "127.0.0.1:" + server.getAddress().getPort();
+		String saved = this.folder.resolve("saved.json").toString();
+		String page = this.folder.resolve("live.html").toString();
+		String savedPage = this.folder.resolve("saved.html").toString();
+		assertThat(run("report", "--entry", address, "--save", saved, "--html", page)).isZero();
+		server.stop(0);
+		String liveText = this.output.toString(StandardCharsets.UTF_8);
+		this.output.reset();
+		assertThat(run("report", "--saved", saved, "--html", savedPage)).isZero();
+		assertThat(liveText).contains("rank STANDARD", "replica reads", "database group")
+			.isEqualTo(this.output.toString(StandardCharsets.UTF_8));
+		assertThat(Path.of(page)).hasSameTextualContentAs(Path.of(savedPage));
+		assertThat(ServiceLevelCollection.read(Path.of(saved)).collected().get(0).snapshot()).isEqualTo(live);
+		this.output.reset();
+		assertThat(run("report", "--entry", address, "--saved", saved)).isZero();
+		assertThat(this.output.toString(StandardCharsets.UTF_8)).contains("daemon " + address + ": no service levels")
+			.endsWith(liveText);
+		assertThat(run("report", "--entry", address)).isEqualTo(1);
+	}
+
+	/**
+	 * Guards against a page that needs the network, is malformed, or lets a name from the
+	 * data become a part of the page.
+	 */
+	@Test
+	void pageIsSelfContainedAndWellFormed() throws Exception {
+		Path page = this.folder.resolve("page.html");
+		report(full()).writePage(page);
+		String text = Files.readString(page);
+		assertThat(text).contains("uPlot=function", "Permission is hereby granted").doesNotContain("\u001b");
+		Document document = DocumentBuilderFactory.newInstance()
+			.newDocumentBuilder()
+			.parse(new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8)));
+		NodeList elements = document.getElementsByTagName("*");
+		for (int index = 0; index < elements.getLength(); index++) {
+			Element element = (Element) elements.item(index);
+			assertThat(element.getTagName()).isNotIn("img", "link", "iframe", "object", "embed", "base", "a");
+			NamedNodeMap attributes = element.getAttributes();
+			for (int attribute = 0; attribute < attributes.getLength(); attribute++) {
+				assertThat(attributes.item(attribute).getNodeName()).isNotIn("src", "href", "style");
+				assertThat(attributes.item(attribute).getNodeValue()).doesNotContain("//");
+			}
+		}
+		assertThat(document.getElementsByTagName("style").item(0).getTextContent()).doesNotContain("url(", "@import");
+		assertThat(document.getElementsByTagName("meta").item(1).getAttributes().getNamedItem("content").getNodeValue())
+			.contains("default-src 'none'");
+		assertThat(document.getElementsByTagName("pre").item(0).getTextContent())
+			.contains(HOSTILE.replace('\u001b', '?'));
+		NodeList scripts = document.getElementsByTagName("script");
+		String data = scripts.item(0).getTextContent();
+		assertThat(ServiceLevelCollection.JSON.readTree(data).get(0).get("title").textValue())
+			.contains(HOSTILE.replace('\u001b', '?'));
+		String code = scripts.item(1).getTextContent() + scripts.item(2).getTextContent();
+		assertThat(code.replace("/*! https://github.com/leeoniya/uPlot", "")).doesNotContain("http://", "https://",
+				"fetch(", "XMLHttpRequest", "import(", "WebSocket", "sendBeacon");
+	}
+
+	/**
+	 * Guards against objectives that are accepted although they make burn meaningless,
+	 * and against errors that do not say what to correct.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "urgent = 1.0", "urgent = 0", "urgent = nan", "urgent = \"0.99\"", "rush = 0.9" })
+	void invalidObjectivesAreRefused(String line) throws IOException {
+		Path file = this.folder.resolve("objectives.toml");
+		Files.writeString(file, "[objectives]\nstandard = 0.95\n" + line + "\n");
+		String key = line.substring(0, line.indexOf(' '));
+		assertThatThrownBy(() -> ServiceLevelObjectives.read(file)).hasMessageContaining(file.toString())
+			.hasMessageContaining("key \"objectives." + key + "\"")
+			.hasMessageContaining("found ")
+			.hasMessageContaining("allowed is ");
+		Files.writeString(file, "[objectives]\nstandard = 0.95\n");
+		assertThat(ServiceLevelObjectives.read(file).of(Rank.STANDARD)).isEqualTo(0.95);
+		assertThat(ServiceLevelObjectives.read(file).of(Rank.URGENT)).isEqualTo(ServiceLevelObjectives.URGENT);
+	}
+
+	private static CollectedSnapshot full() {
+		List<RequestSlot> slots = LongStream.rangeClosed(LAST - 300, LAST)
+			.mapToObj((slot) -> new RequestSlot(slot, 90, slot % 7, slot % 3, 88, 60, slot % 60))
+			.toList();
+		return snapshot(HOSTILE, 0, slots, gaps(LAST, 30, LAST - 10, 4_000));
+	}
+
+	private static List<WriteSlot> gaps(long last, long usual, long exceptionalSlot, long exceptional) {
+		return LongStream.rangeClosed(last - 359, last)
+			.mapToObj((slot) -> new WriteSlot(slot, (slot == exceptionalSlot) ? exceptional : usual, 5, 0))
+			.toList();
+	}
+
+	private static CollectedSnapshot snapshot(String name, long ahead, List<RequestSlot> requests,
+			List<WriteSlot> writes) {
+		ProfileSeries profile = new ProfileSeries(HOSTILE, Rank.STANDARD, requests, List.of());
+		GroupSeries group = new GroupSeries(HOSTILE, writes, List.of());
+		return new CollectedSnapshot("127.0.0.1:1", NOW,
+				new ServiceLevelSnapshot(name, "i1", NOW + ahead, List.of(profile), List.of(group), 0));
+	}
+
+	private static BurnReport report(CollectedSnapshot... snapshots) {
+		return new BurnReport(new ServiceLevelCollection(new ArrayList<>(List.of(snapshots))),
+				ServiceLevelObjectives.defaults());
+	}
+
+	private static Map<BurnWindow, ServiceLevel> windows(BurnReport report) {
+		return report.windows(report.levels().profiles().get(0));
+	}
+
+	private static String text(List<RequestSlot> requests) {
+		return report(snapshot("d1", 0, requests, List.of())).text();
+	}
+
+	private int run(String... arguments) {
+		return new MagnolialeadCtl((address) -> null, new PrintStream(this.output, true, StandardCharsets.UTF_8),
+				new PrintStream(this.errors, true, StandardCharsets.UTF_8))
+			.run(arguments);
+	}
+
+}
