--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/servicelevel/ServiceLevelRecordingMeasurement.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/servicelevel/ServiceLevelRecordingMeasurement.java
@@ -82,8 +82,8 @@
 		for (Thread worker : workers) {
 			worker.join();
 		}
-		System.out.printf("%d threads on one profile and group: %d ns per read and write, each%n", threads,
-				(System.nanoTime() - start) / REQUESTS / 2);
+		System.out.printf("%d threads on one profile and group, half of the requests writes: %d ns per request%n",
+				threads, (System.nanoTime() - start) / REQUESTS / 2);
 	}
 
 	private static void record(ServiceLevelRecorder recorder) {
