--- a/magnolialead-ctl/src/main/resources/org/magnolialead/ctl/report/page.js
+++ b/magnolialead-ctl/src/main/resources/org/magnolialead/ctl/report/page.js
@@ -12,7 +12,8 @@
 	const lines = plot.series.map((line, index) => ({
 		label: line.label,
 		stroke: COLOURS[index % COLOURS.length],
-		width: 1.5
+		width: 1.5,
+		points: { show: true, size: 3 }
 	}));
 	const options = {
 		title: plot.title + ", " + span,
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/servicelevel/ServiceLevelRecordingMeasurement.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/servicelevel/ServiceLevelRecordingMeasurement.java
@@ -29,6 +29,8 @@
 	 * @throws InterruptedException if interrupted
 	 */
 	public static void main(String[] arguments) throws InterruptedException {
+		memory(8, 0);
+		memory(0, 8);
 		memory(4, 3);
 		memory(ServiceLevelRecorder.MAXIMUM_PROFILES + 3, ServiceLevelRecorder.MAXIMUM_GROUPS);
 		for (int threads : new int[] { 1, 1, 4 }) {
