Prove failover under load with real processes

A proxy can now stand between the daemons, the control daemons and the database members of a test fleet: the settings name proxied addresses and a stand-in can announce one. Flow.reset() set an option on a closed channel, which failed and left a route half changed; it now leaves closed channels alone.

--- /dev/null
+++ b/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/Caller.java
@@ -0,0 +1,117 @@
+package org.magnolialead.processtests;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * Sends requests to entry daemons and to database stand-ins.
+ */
+final class Caller {
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	/**
+	 * Longest wait for an answer; longer than every timeout that the tests state.
+	 */
+	private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(30);
+
+	private final HttpClient client = HttpClient.newBuilder()
+		.version(HttpClient.Version.HTTP_1_1)
+		.connectTimeout(Duration.ofSeconds(2))
+		.build();
+
+	/**
+	 * Sends a request.
+	 * @param address HTTP address of an entry daemon
+	 * @param call the request
+	 * @return the answer; fails if the connection breaks
+	 */
+	CompletableFuture<Answer> sendAsync(String address, Call call) {
+		HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + address + call.path()))
+			.timeout(ANSWER_TIMEOUT)
+			.header("Content-Type", "application/json")
+			.POST(BodyPublishers.ofString(call.body()));
+		call.headers().forEach(request::header);
+		return this.client.sendAsync(request.build(), BodyHandlers.ofByteArray()).thenApply(Caller::answer);
+	}
+
+	Answer send(String address, Call call) {
+		return sendAsync(address, call).join();
+	}
+
+	/**
+	 * Sends a request whose answer may be lost.
+	 * @param address HTTP address of an entry daemon
+	 * @param call the request
+	 * @return the answer, or empty if the connection broke
+	 */
+	Optional<Answer> trySend(String address, Call call) {
+		try {
+			return Optional.of(send(address, call));
+		}
+		catch (CompletionException ex) {
+			return Optional.empty();
+		}
+	}
+
+	JsonNode get(String address, String path) {
+		return answer(exchange(HttpRequest.newBuilder(URI.create("http://" + address + path)))).body();
+	}
+
+	/**
+	 * Returns the status of a page.
+	 * @param address HTTP address
+	 * @param path path of the page
+	 * @return HTTP status, or 0 if there is no answer
+	 */
+	int status(String address, String path) {
+		try {
+			return exchange(HttpRequest.newBuilder(URI.create("http://" + address + path))).statusCode();
+		}
+		catch (UncheckedIOException ex) {
+			return 0;
+		}
+	}
+
+	JsonNode post(String address, String path) {
+		return answer(exchange(
+				HttpRequest.newBuilder(URI.create("http://" + address + path)).POST(BodyPublishers.ofString("{}"))))
+			.body();
+	}
+
+	private HttpResponse<byte[]> exchange(HttpRequest.Builder request) {
+		try {
+			return this.client.send(request.timeout(Duration.ofSeconds(5)).build(), BodyHandlers.ofByteArray());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("interrupted while waiting for an answer", ex);
+		}
+	}
+
+	private static Answer answer(HttpResponse<byte[]> response) {
+		try {
+			return new Answer(response.statusCode(), response.headers(), JSON.readTree(response.body()));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/TestFleet.java
@@ -0,0 +1,227 @@
+package org.magnolialead.processtests;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.message.ViewAnswer;
+import org.magnolialead.ctl.load.LoadGenerator;
+import org.magnolialead.ctl.load.LoadMix;
+import org.magnolialead.ctl.load.LoadReport;
+import org.magnolialead.ctl.load.LoadSettings;
+import org.magnolialead.testsupport.fleet.Fleet;
+import org.magnolialead.testsupport.fleet.FleetShape;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Fleet of one database group with what the tests ask of it.
+ */
+final class TestFleet implements AutoCloseable {
+
+	/** Seed of all random choices of the tests. */
+	static final long SEED = Long.getLong("magnolialead.seed", 20_261_204L);
+
+	static final String GROUP = Call.GROUP;
+
+	private final Fleet fleet;
+
+	private final Caller caller = new Caller();
+
+	private TestFleet(Fleet fleet) {
+		this.fleet = fleet;
+	}
+
+	static TestFleet start(FleetShape shape, boolean proxied) {
+		System.out.println("seed " + SEED);
+		try {
+			Path folder = Files.createTempDirectory(Files.createDirectories(Path.of("target", "fleets")), "fleet");
+			Fleet fleet = new Fleet(folder.toAbsolutePath(), shape, proxied);
+			try {
+				fleet.start();
+			}
+			catch (RuntimeException ex) {
+				fleet.close();
+				throw ex;
+			}
+			TestFleet started = new TestFleet(fleet);
+			started.awaitSettled();
+			return started;
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	Fleet fleet() {
+		return this.fleet;
+	}
+
+	Caller caller() {
+		return this.caller;
+	}
+
+	String primary() {
+		return this.fleet.primary(GROUP).orElseThrow();
+	}
+
+	String owner() {
+		return this.fleet.owner(GROUP).orElseThrow();
+	}
+
+	String otherEntry(String entry) {
+		return this.fleet.entryNames().stream().filter((name) -> !name.equals(entry)).findFirst().orElseThrow();
+	}
+
+	List<String> replicas() {
+		String primary = primary();
+		return this.fleet.memberNames().stream().filter((name) -> !name.equals(primary)).toList();
+	}
+
+	String memberAddress(String member) {
+		return this.fleet.httpAddress(qualified(member));
+	}
+
+	String qualified(String member) {
+		return GROUP + "/" + member;
+	}
+
+	/**
+	 * Calls a control path of a stand-in.
+	 * @param member name of the member
+	 * @param path path with query
+	 * @return the answer
+	 */
+	JsonNode control(String member, String path) {
+		return this.caller.get(memberAddress(member), "/control/" + path);
+	}
+
+	/**
+	 * Returns the executions of a statement about a key at all members that run, also
+	 * those whose records were replaced later.
+	 * @param key the key
+	 * @return one node for each execution
+	 */
+	List<JsonNode> executions(String key) {
+		List<JsonNode> found = new ArrayList<>();
+		for (String member : this.fleet.memberNames()) {
+			if (this.fleet.process(qualified(member)).isAlive()) {
+				control(member, "history?key=" + key).path("executed").forEach(found::add);
+			}
+		}
+		return found;
+	}
+
+	/**
+	 * Waits until everything runs again: each daemon serves, all members follow the
+	 * confirmed primary and hold all its records.
+	 */
+	void awaitSettled() {
+		this.fleet.await("all entry daemons to be ready",
+				() -> this.fleet.entryNames()
+					.stream()
+					.allMatch((name) -> this.caller.status(this.fleet.httpAddress(name), "/readiness") == 200));
+		this.fleet.await("a write to be confirmed",
+				() -> this.fleet.entryNames()
+					.stream()
+					.allMatch((name) -> this.caller
+						.trySend(this.fleet.httpAddress(name),
+								Call.put("scheduling", "settled", "yes").timeoutMilliseconds(1_000))
+						.filter(Answer::isDone)
+						.isPresent()));
+		this.fleet.await("all members to follow the primary", this::isReplicated);
+	}
+
+	/**
+	 * Starts everything again that a test has ended.
+	 */
+	void restore() {
+		this.fleet.controlNames()
+			.stream()
+			.filter((name) -> !this.fleet.process(name).isAlive())
+			.forEach(this.fleet::startDaemon);
+		this.fleet.entryNames()
+			.stream()
+			.filter((name) -> !this.fleet.process(name).isAlive())
+			.forEach(this.fleet::startDaemon);
+		this.fleet.memberNames()
+			.stream()
+			.filter((name) -> !this.fleet.process(qualified(name)).isAlive())
+			.forEach((name) -> this.fleet.startMember(GROUP, name));
+		awaitSettled();
+	}
+
+	/**
+	 * Starts load on all entry daemons.
+	 * @param seconds length of the load
+	 * @param mixes classes of requests
+	 * @return the report
+	 */
+	CompletableFuture<LoadReport> load(double seconds, String... mixes) {
+		List<String> addresses = this.fleet.entryNames().stream().map(this.fleet::httpAddress).toList();
+		return load(addresses, seconds, mixes);
+	}
+
+	CompletableFuture<LoadReport> load(List<String> addresses, double seconds, String... mixes) {
+		LoadSettings settings = new LoadSettings(addresses, false, List.of(GROUP),
+				List.of(mixes).stream().map(LoadMix::parse).toList(), seconds, 0.5, 30, 128, 0, "latest", SEED);
+		return CompletableFuture.supplyAsync(() -> new LoadGenerator(settings).run());
+	}
+
+	/**
+	 * Requires that the checks of a load found nothing and could look at everything.
+	 * @param name name of the test, for the output
+	 * @param report the report
+	 */
+	static void requirePassed(String name, LoadReport report) {
+		System.out.println(name + ", seed " + SEED + ":\n" + report.text());
+		assertThat(report.checks().violations().values()).as(report.checks().summary()).containsOnly(0L);
+		assertThat(report.checks().unverified()).as("look-ups that failed").isZero();
+		assertThat(report.checks().sessionReads().values()).as("checked session reads").isNotEmpty();
+		assertThat(report.checks().countersVerified()).as("counters compared").isPositive();
+	}
+
+	Optional<GroupView> group() {
+		return this.fleet.group(GROUP);
+	}
+
+	Optional<ViewAnswer> leaderView() {
+		return this.fleet.views().values().stream().filter(ViewAnswer::leader).findFirst();
+	}
+
+	@Override
+	public void close() {
+		this.fleet.close();
+	}
+
+	private boolean isReplicated() {
+		Optional<GroupView> group = group();
+		if (group.isEmpty() || group.get().primary().isEmpty()) {
+			return false;
+		}
+		JsonNode primary = status(group.get().primary());
+		return primary.path("role").asText().equals("PRIMARY") && this.fleet.memberNames().stream().allMatch((name) -> {
+			JsonNode status = status(name);
+			return status.path("term").equals(primary.path("term"))
+					&& status.path("position").equals(primary.path("position"));
+		});
+	}
+
+	private JsonNode status(String member) {
+		try {
+			return this.caller.get(memberAddress(member), "/status");
+		}
+		catch (UncheckedIOException ex) {
+			return MissingNode.getInstance();
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Tests that run real processes and inject failures.
+ */
+package org.magnolialead.processtests;
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/fleet/Fleet.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/fleet/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -25,6 +26,8 @@
 import org.magnolialead.testsupport.process.FreePorts;
 import org.magnolialead.testsupport.process.ManagedProcess;
 import org.magnolialead.testsupport.process.ProcessHarness;
+import org.magnolialead.testsupport.proxy.FaultMode;
+import org.magnolialead.testsupport.proxy.FaultProxy;
 import org.magnolialead.transport.peer.PeerClient;
 
 /**
@@ -64,12 +67,30 @@
 
 	private final Map<String, Integer> httpPorts = new HashMap<>();
 
+	/**
+	 * Proxy between the processes, or empty if they are connected directly.
+	 */
+	private final Optional<FaultProxy> proxy;
+
+	private final Map<String, Integer> routePorts = new HashMap<>();
+
 	/**
 	 * Creates a fleet that is not running yet.
 	 * @param folder folder for settings, data and logs
 	 * @param shape size of the fleet
 	 */
 	public Fleet(Path folder, FleetShape shape) {
+		this(folder, shape, false);
+	}
+
+	/**
+	 * Creates a fleet that is not running yet.
+	 * @param folder folder for settings, data and logs
+	 * @param shape size of the fleet
+	 * @param proxied whether connections from daemons to control daemons and to database
+	 * members run through a proxy that can cut them
+	 */
+	public Fleet(Path folder, FleetShape shape, boolean proxied) {
 		this.folder = folder;
 		this.shape = shape;
 		try {
@@ -80,7 +101,9 @@
 			throw new UncheckedIOException(ex);
 		}
 		this.harness = new ProcessHarness(folder, shape.javaOptions());
+		this.proxy = proxied ? Optional.of(new FaultProxy()) : Optional.empty();
 		reservePorts();
+		this.proxy.ifPresent(this::addRoutes);
 	}
 
 	/**
@@ -252,6 +275,46 @@
 		}
 	}
 
+	/**
+	 * Changes what happens to all connections between daemons and one control daemon, in
+	 * both directions of connecting. A follower answers a daemon that asks it with the
+	 * address of the leader on its own route, so all routes to a control daemon are
+	 * changed together.
+	 * @param control name of the control daemon
+	 * @param mode the mode
+	 */
+	public void changeControlRoutes(String control, FaultMode mode) {
+		for (String other : daemonNames()) {
+			if (!other.equals(control)) {
+				proxy().change(route(other, control), mode, 0);
+				if (controlNames().contains(other)) {
+					proxy().change(route(control, other), mode, 0);
+				}
+			}
+		}
+	}
+
+	/**
+	 * Returns the name of the route on which one daemon connects to a control daemon.
+	 * @param daemon name of the connecting daemon
+	 * @param control name of the control daemon
+	 * @return the name
+	 */
+	public static String route(String daemon, String control) {
+		return daemon + ">" + control;
+	}
+
+	/**
+	 * Returns the proxy. The route of each database member has the name of the member, as
+	 * {@code group-1/member-1}; it carries the connections of the owner and those of the
+	 * replicas that copy records.
+	 * @return the proxy
+	 * @throws IllegalStateException if the fleet has none
+	 */
+	public FaultProxy proxy() {
+		return this.proxy.orElseThrow(() -> new IllegalStateException("the fleet has no proxy"));
+	}
+
 	/**
 	 * Starts a stand-in, or starts it again with an empty log.
 	 * @param group name of the group
@@ -267,6 +330,9 @@
 				"--read-milliseconds", String.valueOf(this.shape.readMilliseconds()), "--write-milliseconds",
 				String.valueOf(this.shape.writeMilliseconds()), "--lag-milliseconds",
 				String.valueOf(this.shape.lagMilliseconds())));
+		if (this.proxy.isPresent()) {
+			arguments.addAll(List.of("--announced-address", HOST + ":" + this.routePorts.get(name)));
+		}
 		if (first) {
 			arguments.addAll(List.of("--role", "PRIMARY", "--term", "1"));
 		}
@@ -315,6 +381,7 @@
 	public void close() {
 		this.harness.close();
 		this.client.close();
+		this.proxy.ifPresent(FaultProxy::close);
 	}
 
 	private void initialize() {
@@ -345,7 +412,8 @@
 		text.append(control ? "[control]\ndata_folder = \"%s-data\"\nsnapshot_entries = 2000\n".formatted(name)
 				: "[session]\nkey_file = \"session.key\"\n");
 		text.append("[control.members]\n");
-		controlNames().forEach((member) -> text.append("%s = \"%s\"\n".formatted(member, peerAddress(member))));
+		controlNames()
+			.forEach((member) -> text.append("%s = \"%s\"\n".formatted(member, controlAddress(name, member))));
 		try {
 			return Files.writeString(this.folder.resolve(name + ".toml"), text);
 		}
@@ -354,12 +422,44 @@
 		}
 	}
 
-	private void reservePorts() {
+	private String controlAddress(String daemon, String control) {
+		Integer port = this.routePorts.get(route(daemon, control));
+		return (port != null) ? HOST + ":" + port : peerAddress(control);
+	}
+
+	private void addRoutes(FaultProxy routes) {
+		InetSocketAddress anyPort = new InetSocketAddress(HOST, 0);
+		for (String daemon : daemonNames()) {
+			for (String control : controlNames()) {
+				// A control daemon states its own address without a proxy.
+				if (!daemon.equals(control)) {
+					InetSocketAddress target = new InetSocketAddress(HOST, this.peerPorts.get(control));
+					String name = route(daemon, control);
+					this.routePorts.put(name, routes.addRoute(name, anyPort, target));
+				}
+			}
+		}
+		for (String member : qualifiedMemberNames()) {
+			InetSocketAddress target = new InetSocketAddress(HOST, this.httpPorts.get(member));
+			this.routePorts.put(member, routes.addRoute(member, anyPort, target));
+		}
+	}
+
+	private List<String> daemonNames() {
 		List<String> daemons = new ArrayList<>(controlNames());
 		daemons.addAll(entryNames());
-		List<String> members = groupNames().stream()
+		return daemons;
+	}
+
+	private List<String> qualifiedMemberNames() {
+		return groupNames().stream()
 			.flatMap((group) -> memberNames().stream().map((member) -> group + "/" + member))
 			.toList();
+	}
+
+	private void reservePorts() {
+		List<String> daemons = daemonNames();
+		List<String> members = qualifiedMemberNames();
 		List<Integer> ports = FreePorts.find(2 * daemons.size() + members.size());
 		int next = 0;
 		for (String daemon : daemons) {
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/Flow.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/proxy/Flow.java
@@ -96,8 +96,10 @@
 	 * @param channel the channel
 	 */
 	static void reset(Channel channel) {
-		channel.config().setOption(ChannelOption.SO_LINGER, 0);
-		channel.close();
+		if (channel.isOpen()) {
+			channel.config().setOption(ChannelOption.SO_LINGER, 0);
+			channel.close();
+		}
 	}
 
 	private void delay(ByteBuf bytes) {
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/DatabaseStandIn.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/DatabaseStandIn.java
@@ -461,7 +461,8 @@
 	}
 
 	private MemberDescription description() {
-		return this.settings.description(address(), this.leaving);
+		String announced = this.settings.announcedAddress();
+		return this.settings.description(announced.isEmpty() ? address() : announced, this.leaving);
 	}
 
 	private ObjectNode statistics() {
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/DatabaseStandInMain.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/DatabaseStandInMain.java
@@ -57,6 +57,9 @@
 	@Option(name = "--primary", usage = "address of the primary to follow from the start")
 	private String primary = "";
 
+	@Option(name = "--announced-address", usage = "address to announce, if it differs from the one to listen on")
+	private String announcedAddress = "";
+
 	private DatabaseStandInMain() {
 	}
 
@@ -94,7 +97,7 @@
 		return new StandInSettings(this.group, this.member, this.address.substring(0, separator),
 				Integer.parseInt(this.address.substring(separator + 1)), this.zone, announceAddresses, this.slots,
 				this.connectionLimit, this.connectionCost, this.read, this.write, this.lag, this.role, this.term,
-				this.primary);
+				this.primary, this.announcedAddress);
 	}
 
 }
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/StandInSettings.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/standin/StandInSettings.java
@@ -25,17 +25,20 @@
  * @param role role at the start
  * @param term term at the start
  * @param primary address of the primary to follow from the start, or an empty string
+ * @param announcedAddress address that the member announces, such as that of a proxy, or
+ * an empty string to announce the address that it listens on
  */
 public record StandInSettings(String group, String member, String host, int port, String availabilityZone,
 		List<String> announceAddresses, int slots, int connectionLimit, long connectionCostMilliseconds,
-		long readMilliseconds, long writeMilliseconds, long lagMilliseconds, MemberRole role, long term,
-		String primary) {
+		long readMilliseconds, long writeMilliseconds, long lagMilliseconds, MemberRole role, long term, String primary,
+		String announcedAddress) {
 
 	public StandInSettings {
 		Objects.requireNonNull(group, "group must not be null");
 		Objects.requireNonNull(member, "member must not be null");
 		Objects.requireNonNull(role, "role must not be null");
 		Objects.requireNonNull(primary, "primary must not be null");
+		Objects.requireNonNull(announcedAddress, "announcedAddress must not be null");
 		announceAddresses = List.copyOf(announceAddresses);
 		if (slots < 1 || connectionLimit < 1) {
 			throw new IllegalArgumentException("slots and connectionLimit must be positive");
@@ -54,7 +57,7 @@
 	 */
 	public static StandInSettings of(String group, String member) {
 		return new StandInSettings(group, member, "127.0.0.1", 0, "zone-1", List.of(), 2, 20, 10, 2, 3, 0,
-				MemberRole.REPLICA, 0, "");
+				MemberRole.REPLICA, 0, "", "");
 	}
 
 	/**
@@ -67,7 +70,8 @@
 	public StandInSettings withRole(MemberRole role, long term, String primary) {
 		return new StandInSettings(this.group, this.member, this.host, this.port, this.availabilityZone,
 				this.announceAddresses, this.slots, this.connectionLimit, this.connectionCostMilliseconds,
-				this.readMilliseconds, this.writeMilliseconds, this.lagMilliseconds, role, term, primary);
+				this.readMilliseconds, this.writeMilliseconds, this.lagMilliseconds, role, term, primary,
+				this.announcedAddress);
 	}
 
 	/**
@@ -78,8 +82,8 @@
 	public StandInSettings withPort(int port) {
 		return new StandInSettings(this.group, this.member, this.host, port, this.availabilityZone,
 				this.announceAddresses, this.slots, this.connectionLimit, this.connectionCostMilliseconds,
-				this.readMilliseconds, this.writeMilliseconds, this.lagMilliseconds, this.role, this.term,
-				this.primary);
+				this.readMilliseconds, this.writeMilliseconds, this.lagMilliseconds, this.role, this.term, this.primary,
+				this.announcedAddress);
 	}
 
 	/**
@@ -91,7 +95,8 @@
 	public StandInSettings withCapacity(int slots, int connectionLimit) {
 		return new StandInSettings(this.group, this.member, this.host, this.port, this.availabilityZone,
 				this.announceAddresses, slots, connectionLimit, this.connectionCostMilliseconds, this.readMilliseconds,
-				this.writeMilliseconds, this.lagMilliseconds, this.role, this.term, this.primary);
+				this.writeMilliseconds, this.lagMilliseconds, this.role, this.term, this.primary,
+				this.announcedAddress);
 	}
 
 	/**
@@ -105,7 +110,7 @@
 	public StandInSettings withMilliseconds(long connectionCost, long read, long write, long lag) {
 		return new StandInSettings(this.group, this.member, this.host, this.port, this.availabilityZone,
 				this.announceAddresses, this.slots, this.connectionLimit, connectionCost, read, write, lag, this.role,
-				this.term, this.primary);
+				this.term, this.primary, this.announcedAddress);
 	}
 
 	/**
@@ -116,7 +121,20 @@
 	public StandInSettings withAnnounceAddresses(List<String> addresses) {
 		return new StandInSettings(this.group, this.member, this.host, this.port, this.availabilityZone, addresses,
 				this.slots, this.connectionLimit, this.connectionCostMilliseconds, this.readMilliseconds,
-				this.writeMilliseconds, this.lagMilliseconds, this.role, this.term, this.primary);
+				this.writeMilliseconds, this.lagMilliseconds, this.role, this.term, this.primary,
+				this.announcedAddress);
+	}
+
+	/**
+	 * Returns these settings with another announced address.
+	 * @param announced address in the form {@code host:port}
+	 * @return the new settings
+	 */
+	public StandInSettings withAnnouncedAddress(String announced) {
+		return new StandInSettings(this.group, this.member, this.host, this.port, this.availabilityZone,
+				this.announceAddresses, this.slots, this.connectionLimit, this.connectionCostMilliseconds,
+				this.readMilliseconds, this.writeMilliseconds, this.lagMilliseconds, this.role, this.term, this.primary,
+				announced);
 	}
 
 	MemberDescription description(String address, boolean leaving) {
