Answer a joined resend as unknown while its first attempt may have run

Cause: a resend that waits for the first attempt of a non-repeatable request was never sent itself. When its deadline passed, or the ownership ended, it was answered as not run although the first attempt had been executed.

Change: the owner answers such a resend as unknown (NO_ANSWER, LEASE_LOST).

Before: OnceAndSessionTests.answerOfMemberIsLost(false): the member executed the request, its answer was dropped, and the resend received 504 NOT_RUN (2001). After: the resend receives 504 UNKNOWN (3001).

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OnceRequests.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OnceRequests.java
@@ -140,6 +140,17 @@
 		}
 	}
 
+	/**
+	 * Tells whether a request waits for the result of an earlier attempt with the same
+	 * key that may have been executed. Such a request must not be answered as not run.
+	 * @param request the request
+	 * @return {@code true} if so
+	 */
+	boolean isJoinedToSent(PendingRequest request) {
+		Entry entry = this.entries.get(request.request().idempotencyKey());
+		return entry != null && entry.first.wasSent() && entry.joined.contains(request);
+	}
+
 	private void begin(Entry entry) {
 		this.entries.put(entry.key, entry);
 		long forgetDeadline = System.currentTimeMillis() + REMEMBER_MILLISECONDS;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/StatementRunner.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/StatementRunner.java
@@ -178,7 +178,7 @@
 	}
 
 	private void failBecauseStopped(PendingRequest request) {
-		if (request.wasSent()) {
+		if (request.wasSent() || this.once.isJoinedToSent(request)) {
 			request.fail(ErrorCode.LEASE_LOST, Step.EXECUTE, "", "the ownership ended before the answer was final");
 		}
 		else {
@@ -684,7 +684,7 @@
 	}
 
 	private void answerOverdue(PendingRequest request) {
-		if (request.wasSent()) {
+		if (request.wasSent() || this.once.isJoinedToSent(request)) {
 			request.fail(ErrorCode.NO_ANSWER, Step.EXECUTE, "", "the deadline passed before the outcome was known");
 		}
 		else if (this.context.scheduler().remove(request)) {
