Send the fleet view as arrays and split it into parts

Cause: the complete view of 710 daemons and 1,200 groups is close to the frame limit of 1 MiB, and above it with names of 64 characters. A daemon that starts could then receive no lease.

Change: PeerCodec encodes the records of the view as arrays by mix-ins, which leave the JSON of announcements as it is. ControlState.changeSince ends a change at the version of the last record that fits into 512 KiB. The leader grants no lease with a part that is not the last one, and ControlLink asks for the next part at once. A heartbeat states up to which version the daemon knows of removed daemons; otherwise a part that ends before the retained removals would start the transfer again.

Before: one frame, whose size grew with the names.

Not changed: the answer to the operators' ViewQuery is still one frame.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/message/HeartbeatRequest.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/HeartbeatRequest.java
@@ -13,13 +13,17 @@
  * @param availabilityZone its availability zone
  * @param draining whether it is shutting down
  * @param viewVersion version of its fleet view
+ * @param removalsVersion version up to which it knows of removed daemons; not less than
+ * {@code viewVersion}, and greater while it receives a view in parts
  * @param ownedGroups reports about the groups it owns
  * @param announcements announcements of database members that differ from its view
  */
 public record HeartbeatRequest(String daemon, String incarnation, String peerAddress, String availabilityZone,
-		boolean draining, long viewVersion, List<OwnedGroupReport> ownedGroups, List<MemberDescription> announcements) {
+		boolean draining, long viewVersion, long removalsVersion, List<OwnedGroupReport> ownedGroups,
+		List<MemberDescription> announcements) {
 
 	public HeartbeatRequest {
+		removalsVersion = Math.max(removalsVersion, viewVersion);
 		ownedGroups = List.copyOf(ownedGroups);
 		announcements = List.copyOf(announcements);
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -186,11 +186,16 @@
 		if (!hasAuthority(current)) {
 			return withoutLease(null);
 		}
+		// Under a lease a daemon must not act on records that the next parts change.
+		if (change != null && change.partial()) {
+			return withoutLease(change);
+		}
 		return new HeartbeatAnswer(this.settings.leaseTiming().leaseMilliseconds(), leaderAddress(), change);
 	}
 
 	private static FleetViewChange changeFor(ControlState state, HeartbeatRequest request) {
-		return (request.viewVersion() < state.viewVersion()) ? state.changeSince(request.viewVersion()) : null;
+		return (request.viewVersion() < state.viewVersion())
+				? state.changeSince(request.viewVersion(), request.removalsVersion()) : null;
 	}
 
 	private HeartbeatAnswer withoutLease(FleetViewChange change) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -67,6 +67,9 @@
 
 	private volatile boolean beatInProgress;
 
+	/** Version up to which this daemon knows of removed daemons. */
+	private volatile long removalsVersion;
+
 	private volatile String leaderAddress = "";
 
 	private volatile boolean draining;
@@ -126,7 +129,7 @@
 		String address = currentAddress();
 		HeartbeatRequest request = new HeartbeatRequest(this.identity.daemon(), this.identity.incarnation(),
 				this.identity.peerAddress(), this.identity.availabilityZone(), this.draining, this.view.get().version(),
-				this.reports.get(), this.announcements.unknownToControl());
+				this.removalsVersion, this.reports.get(), this.announcements.unknownToControl());
 		long sentAt = this.clock.nanoseconds();
 		this.client.request(address, request, sentAt + HEARTBEAT_TIMEOUT_NANOSECONDS)
 			.whenCompleteAsync((answer, failure) -> beatAnswered(address, sentAt, answer, failure), this.scheduler);
@@ -139,6 +142,12 @@
 			retryBeat();
 			return;
 		}
+		if (heartbeat.change() != null && heartbeat.change().partial()) {
+			if (applyChange(heartbeat)) {
+				this.scheduler.execute(this::beatSafely);
+			}
+			return;
+		}
 		if (heartbeat.leaseMilliseconds() == 0) {
 			followHint(address, heartbeat.leaderAddress());
 			retryBeat();
@@ -158,6 +167,7 @@
 		FleetView before = this.view.get();
 		try {
 			this.view.apply(heartbeat.change());
+			this.removalsVersion = heartbeat.change().latestVersion();
 		}
 		catch (IllegalArgumentException ex) {
 			LogEvent.VIEW_REFUSED.log(LOGGER, this.leaderAddress, ex.getMessage());
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlControllerTests.java
@@ -239,7 +239,8 @@
 
 	private static HeartbeatRequest request(String daemon, String incarnation, long viewVersion,
 			List<OwnedGroupReport> reports, List<MemberDescription> announcements) {
-		return new HeartbeatRequest(daemon, incarnation, "h:1", "z1", false, viewVersion, reports, announcements);
+		return new HeartbeatRequest(daemon, incarnation, "h:1", "z1", false, viewVersion, viewVersion, reports,
+				announcements);
 	}
 
 	private SubmitCommandAnswer submit(ControlCommand command) {
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlMeasurement.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlMeasurement.java
@@ -20,7 +20,7 @@
 import org.magnolialead.api.message.HeartbeatRequest;
 import org.magnolialead.api.message.OwnedGroupReport;
 import org.magnolialead.engine.control.ControlState;
-import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.magnolialead.transport.peer.PeerCodec;
 
 /**
  * Measures time, message sizes and memory of the control state on one thread. Prints the
@@ -40,7 +40,7 @@
 
 	private static final int ANSWER_LENGTH = 200;
 
-	private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+	private static final ObjectMapper MAPPER = PeerCodec.createMapper();
 
 	private ControlMeasurement() {
 	}
@@ -154,7 +154,7 @@
 
 	private static HeartbeatRequest request(int daemon, long version, List<OwnedGroupReport> reports) {
 		return new HeartbeatRequest("entry-" + daemon, "incarnation-" + daemon, "10.1.2.3:7101", "hanoi-" + daemon % 4,
-				false, version, reports, List.of());
+				false, version, version, reports, List.of());
 	}
 
 	private static List<OwnedGroupReport> reports(int daemons, int groups) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlState.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlState.java
@@ -109,10 +109,22 @@
 	 * and empty if the version is not before the present one
 	 */
 	public FleetViewChange changeSince(long version) {
+		return changeSince(version, version);
+	}
+
+	/**
+	 * Returns what changed since a view version, or the first part of it if all of it
+	 * could exceed a frame of the peer protocol.
+	 * @param version view version of the receiver
+	 * @param removalsVersion version up to which the receiver knows of removed daemons
+	 * @return the change; complete if the version is 0 or the removals since then are not
+	 * retained, and empty if the version is not before the present one
+	 */
+	public FleetViewChange changeSince(long version, long removalsVersion) {
 		if (version >= this.viewVersion) {
 			return FleetViewChange.none(version);
 		}
-		boolean complete = version <= 0 || version < this.removedDaemons.retainedSince();
+		boolean complete = version <= 0 || removalsVersion < this.removedDaemons.retainedSince();
 		long since = complete ? -1 : version;
 		List<GroupView> changedGroups = new ArrayList<>();
 		this.groups.forEach((name, group) -> {
@@ -128,8 +140,12 @@
 		});
 		FleetConfiguration changed = (this.configurationChangedAt > since) ? this.configuration : null;
 		List<String> removed = complete ? List.of() : removedSince(since);
-		return new FleetViewChange(version, this.viewVersion, complete, changed, changedGroups, changedDaemons,
-				removed);
+		long toVersion = ViewParts.endOfPart(changedGroups, changedDaemons, this.viewVersion);
+		// The configuration comes with every part, so that no part shows the initial one.
+		return new FleetViewChange(version, toVersion, complete, changed,
+				changedGroups.stream().filter((group) -> group.version() <= toVersion).toList(),
+				changedDaemons.stream().filter((daemon) -> daemon.version() <= toVersion).toList(), removed,
+				this.viewVersion);
 	}
 
 	/**
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerCodec.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerCodec.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -12,6 +13,10 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import org.magnolialead.api.DaemonView;
+import org.magnolialead.api.FleetViewChange;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.message.MessageKind;
 import org.msgpack.core.MessageFormatException;
 import org.msgpack.core.MessagePack;
@@ -62,7 +67,8 @@
 	/**
 	 * Creates a mapper for the MessagePack form of messages and their parts. Unknown
 	 * properties are ignored, so that processes of neighbouring versions understand each
-	 * other.
+	 * other. The parts of the fleet view are arrays without property names, which more
+	 * than halves a complete view; new properties may only be added at their end.
 	 * @return the mapper
 	 */
 	public static ObjectMapper createMapper() {
@@ -70,6 +76,10 @@
 		return JsonMapper.builder(new MessagePackFactory())
 			.disable(MapperFeature.AUTO_DETECT_IS_GETTERS)
 			.disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+			.addMixIn(FleetViewChange.class, ArrayShape.class)
+			.addMixIn(GroupView.class, ArrayShape.class)
+			.addMixIn(DaemonView.class, ArrayShape.class)
+			.addMixIn(MemberDescription.class, ArrayShape.class)
 			.build();
 	}
 
@@ -178,4 +188,9 @@
 		}
 	}
 
+	@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+	private interface ArrayShape {
+
+	}
+
 }
--- a/magnolialead-transport/src/test/java/org/magnolialead/transport/peer/PeerCodecTests.java
+++ b/magnolialead-transport/src/test/java/org/magnolialead/transport/peer/PeerCodecTests.java
@@ -36,7 +36,7 @@
 	void messagesSurviveARoundTrip() {
 		MemberDescription member = new MemberDescription("g", "m", "127.0.0.1:1", "z", 2, 20, false);
 		FleetViewChange change = new FleetViewChange(1, 2, true, FleetConfiguration.initial(), List.of(), List.of(),
-				List.of("gone"));
+				List.of("gone"), 2);
 		List<Object> messages = List.of(new ViewQuery(), new HeartbeatAnswer(2_500, "", change),
 				new SubmitCommandRequest(new ControlCommand.AnnounceMember(member)),
 				new SubmitCommandAnswer(CommandResult.accepted(7), null, "a:1"),
