--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlStateMachine.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlStateMachine.java
@@ -1,6 +1,7 @@
 package org.magnolialead.daemon.control;
 
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 
 import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand;
@@ -33,8 +34,9 @@
 	}
 
 	@Override
-	public byte[] snapshot() {
-		return this.codec.encode(this.state.get());
+	public Supplier<byte[]> snapshot() {
+		ControlState taken = this.state.get();
+		return () -> this.codec.encode(taken);
 	}
 
 	@Override
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -10,12 +10,14 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.magnolialead.api.ErrorCode;
@@ -32,6 +34,7 @@
 import org.magnolialead.engine.consensus.ConsensusNode;
 import org.magnolialead.engine.consensus.ConsensusSettings;
 import org.magnolialead.engine.consensus.ConsensusSnapshot;
+import org.magnolialead.engine.consensus.SnapshotPosition;
 import org.magnolialead.engine.consensus.StoredState;
 import org.magnolialead.storage.DataFolder;
 import org.magnolialead.storage.DurableLog;
@@ -79,6 +82,13 @@
 
 	private final ScheduledExecutorService executor;
 
+	/**
+	 * Encodes and writes snapshots. With a million records that takes seconds, in which
+	 * the thread of the log would answer no heartbeat and the leader would lose its
+	 * authority.
+	 */
+	private final ExecutorService snapshotExecutor;
+
 	private final BlockingQueue<ConsensusMessage> messages = new LinkedBlockingQueue<>(QUEUE_LIMIT);
 
 	private final BlockingQueue<Proposal> proposals = new LinkedBlockingQueue<>(QUEUE_LIMIT);
@@ -91,6 +101,8 @@
 
 	private ConsensusNode node;
 
+	private boolean snapshotInProgress;
+
 	private long appliedIndex;
 
 	private volatile CommandLogStatus status;
@@ -127,6 +139,11 @@
 			thread.setDaemon(true);
 			return thread;
 		});
+		this.snapshotExecutor = Executors.newSingleThreadExecutor((task) -> {
+			Thread thread = new Thread(task, "control-snapshot-" + settings.name());
+			thread.setDaemon(true);
+			return thread;
+		});
 	}
 
 	/**
@@ -264,8 +281,11 @@
 	public void close() {
 		this.stopped = true;
 		this.executor.shutdown();
+		this.snapshotExecutor.shutdown();
 		try {
-			if (!this.executor.awaitTermination(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+			boolean terminated = this.executor.awaitTermination(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+					&& this.snapshotExecutor.awaitTermination(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+			if (!terminated) {
 				throw new MagnolialeadException(ErrorCode.STORAGE_FAILURE, Step.STORAGE, "",
 						"the control log did not stop within %d s".formatted(CLOSE_TIMEOUT_SECONDS));
 			}
@@ -296,7 +316,7 @@
 				.formatted(this.settings.name(), this.node.cluster()));
 		}
 		StoredState state = StoredState.bootstrap(UUID.randomUUID().toString(), this.consensusSettings.self(),
-				this.stateMachine.snapshot());
+				this.stateMachine.snapshot().get());
 		this.folder.startCluster(state);
 		createNode(state);
 		return new InitializeAnswer(true, "");
@@ -394,8 +414,9 @@
 			this.folder.log().sync();
 			persisted();
 		}
-		if (this.node.commitIndex() - this.node.snapshotIndex() >= this.settings.snapshotThreshold()) {
-			takeSnapshot();
+		boolean due = this.node.commitIndex() - this.node.snapshotIndex() >= this.settings.snapshotThreshold();
+		if (due && !this.snapshotInProgress) {
+			startSnapshot();
 		}
 		publish();
 		complete();
@@ -405,17 +426,40 @@
 		carryOut(this.node.persisted(this.node.lastIndex(), this.node.lastTerm(), this.clock.nanoseconds()));
 	}
 
-	private void takeSnapshot() {
-		ConsensusSnapshot snapshot = this.node.snapshot(this.stateMachine.snapshot(),
-				this.settings.snapshotThreshold() / 2);
-		saveSnapshot(snapshot);
-		persisted();
+	private void startSnapshot() {
+		this.snapshotInProgress = true;
+		SnapshotPosition position = this.node.snapshotPosition();
+		Supplier<byte[]> encoder = this.stateMachine.snapshot();
+		CompletableFuture.supplyAsync(() -> prepareSnapshot(position, encoder), this.snapshotExecutor)
+			.whenCompleteAsync((snapshot, cause) -> guarded(() -> finishSnapshot(snapshot, cause)).run(),
+					this.executor);
+	}
+
+	private ConsensusSnapshot prepareSnapshot(SnapshotPosition position, Supplier<byte[]> encoder) {
+		ConsensusSnapshot snapshot = position.with(encoder.get());
+		this.folder.prepareSnapshot(snapshot);
+		return snapshot;
+	}
+
+	// The log is kept until the snapshot is synced. A snapshot that the leader has sent
+	// in
+	// the meantime is later and stays in force.
+	private void finishSnapshot(ConsensusSnapshot snapshot, Throwable cause) {
+		this.snapshotInProgress = false;
+		if (cause != null) {
+			fail(cause);
+			return;
+		}
+		if (this.node.compact(snapshot, this.settings.snapshotThreshold() / 2)) {
+			this.folder.savePreparedSnapshot(storedEntries());
+			persisted();
+		}
+		finishBatch();
 	}
 
-	private void saveSnapshot(ConsensusSnapshot snapshot) {
+	private DurableLog.Content storedEntries() {
 		StoredState state = this.node.storedState();
-		this.folder.saveSnapshot(snapshot,
-				new DurableLog.Content(state.baseIndex(), state.baseTerm(), state.entries()));
+		return new DurableLog.Content(state.baseIndex(), state.baseTerm(), state.entries());
 	}
 
 	private void carryOut(List<ConsensusAction> actions) {
@@ -442,7 +486,7 @@
 			logger.log(System.Logger.Level.INFO, "4101 {0} joined cluster {1}", this.settings.name(), join.cluster());
 		}
 		else if (action instanceof ConsensusAction.InstallSnapshot install) {
-			saveSnapshot(install.snapshot());
+			this.folder.saveSnapshot(install.snapshot(), storedEntries());
 			this.stateMachine.restore(install.snapshot().data());
 			this.appliedIndex = install.snapshot().lastIndex();
 		}
@@ -503,6 +547,7 @@
 		logger.log(System.Logger.Level.ERROR, "4104 control log of " + this.settings.name() + " stopped", cause);
 		release();
 		this.executor.shutdown();
+		this.snapshotExecutor.shutdown();
 	}
 
 	private void release() {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ReplicatedStateMachine.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ReplicatedStateMachine.java
@@ -1,5 +1,7 @@
 package org.magnolialead.daemon.control;
 
+import java.util.function.Supplier;
+
 import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand;
 
@@ -17,10 +19,11 @@
 	CommandResult apply(ControlCommand command);
 
 	/**
-	 * Encodes the state.
-	 * @return the snapshot
+	 * Takes the present state without encoding it.
+	 * @return encodes the state that was taken; called on another thread, while commands
+	 * are applied
 	 */
-	byte[] snapshot();
+	Supplier<byte[]> snapshot();
 
 	/**
 	 * Replaces the state by a snapshot.
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/CommandLogCluster.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/CommandLogCluster.java
@@ -13,7 +13,10 @@
 import java.util.Random;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -45,6 +48,10 @@
 
 	private final Map<String, Numbers> states = new ConcurrentHashMap<>();
 
+	private final CountDownLatch encoding = new CountDownLatch(1);
+
+	private volatile boolean slow;
+
 	private int starts;
 
 	CommandLogCluster(Path folder, int snapshotThreshold) {
@@ -60,7 +67,7 @@
 		CommandLogSettings settings = new CommandLogSettings(name, this.addresses.get(name), this.folder.resolve(name),
 				this.addresses, Duration.ofMillis(50), Duration.ofMillis(250), Duration.ofMillis(500),
 				this.snapshotThreshold);
-		Numbers state = new Numbers();
+		Numbers state = new Numbers(this::awaitEncoding);
 		DefaultCommandLog log = new DefaultCommandLog(settings, state, this::send, MonotonicClock.SYSTEM,
 				new Random(++this.starts));
 		this.states.put(name, state);
@@ -155,6 +162,29 @@
 		this.logs.keySet().forEach((name) -> await(() -> state(name).equals(expected)));
 	}
 
+	/**
+	 * Lets no encoding of a snapshot end until {@link #finishEncoding()}.
+	 */
+	void holdEncoding() {
+		this.slow = true;
+	}
+
+	void finishEncoding() {
+		this.slow = false;
+		this.encoding.countDown();
+	}
+
+	private void awaitEncoding() {
+		try {
+			while (this.slow && !this.encoding.await(1, TimeUnit.SECONDS)) {
+				continue;
+			}
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException("interrupted", ex);
+		}
+	}
+
 	/**
 	 * Waits without a time limit; fails if a member stops by itself.
 	 * @param condition the condition to wait for
@@ -199,8 +229,17 @@
 
 		private final List<Long> numbers = new ArrayList<>();
 
+		private final Runnable beforeEncoding;
+
+		private volatile Thread applying;
+
+		Numbers(Runnable beforeEncoding) {
+			this.beforeEncoding = beforeEncoding;
+		}
+
 		@Override
 		public synchronized CommandResult apply(ControlCommand command) {
+			this.applying = Thread.currentThread();
 			long number = ((ControlCommand.ForgetRequests) command).wallClockTime();
 			if (number > 0 && !this.numbers.contains(number)) {
 				this.numbers.add(number);
@@ -209,9 +248,18 @@
 		}
 
 		@Override
-		public synchronized byte[] snapshot() {
-			ByteBuffer buffer = ByteBuffer.allocate(this.numbers.size() * Long.BYTES);
-			this.numbers.forEach(buffer::putLong);
+		public Supplier<byte[]> snapshot() {
+			List<Long> taken = copy();
+			return () -> encode(taken);
+		}
+
+		private byte[] encode(List<Long> taken) {
+			if (Thread.currentThread() == this.applying) {
+				throw new IllegalStateException("the snapshot is encoded on the thread that applies commands");
+			}
+			this.beforeEncoding.run();
+			ByteBuffer buffer = ByteBuffer.allocate(taken.size() * Long.BYTES);
+			taken.forEach(buffer::putLong);
 			return buffer.array();
 		}
 
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlControllerTests.java
@@ -210,7 +210,7 @@
 		SubmitCommandAnswer first = submit(new ChangeConfiguration("r", 0, null, null, null, 5));
 		submit(new ChangeConfiguration("s", 1, null, null, null, 6));
 		ControlStateMachine restored = new ControlStateMachine();
-		restored.restore(this.machine.snapshot());
+		restored.restore(this.machine.snapshot().get());
 		TestChecks.checkEqual(this.machine.state().view(), restored.state().view(), "view");
 		TestChecks.checkEqual(this.machine.state().request("g", "k"), restored.state().request("g", "k"), "request");
 		TestChecks.checkEqual(first.result(), restored.apply(new ChangeConfiguration("r", 0, null, null, null, 5)),
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlMeasurement.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlMeasurement.java
@@ -107,7 +107,7 @@
 			time("apply ForgetRequests that forgets all", 1,
 					(index) -> state.apply(new ForgetRequests(Long.MAX_VALUE)));
 			int[] length = new int[1];
-			time("encode snapshot", 1, (index) -> length[0] = machine.snapshot().length);
+			time("encode snapshot", 1, (index) -> length[0] = machine.snapshot().get().length);
 			System.out.printf("snapshot: %.1f MB%n", length[0] / 1e6);
 		}
 	}
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/DefaultCommandLogTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/DefaultCommandLogTests.java
@@ -81,6 +81,23 @@
 		this.cluster.awaitState(this.expected);
 	}
 
+	/**
+	 * Guards against a leader that answers nobody while it encodes a large snapshot, and
+	 * against a log that is removed before the snapshot that covers it is synced.
+	 */
+	@Test
+	void heartbeatsAndCommitsGoOnWhileSnapshotsAreEncoded() {
+		this.cluster.holdEncoding();
+		add(5 * SNAPSHOT_THRESHOLD);
+		this.cluster.awaitState(this.expected);
+		this.cluster.finishEncoding();
+		add(5 * SNAPSHOT_THRESHOLD);
+		List<String> names = List.of("a", "b", "c");
+		names.forEach(this.cluster::stop);
+		names.forEach(this.cluster::start);
+		this.cluster.awaitState(this.expected);
+	}
+
 	/** Guards against commands lost with the leader. */
 	@Test
 	void continuesAfterLossOfLeader() {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
@@ -169,17 +169,30 @@
 	}
 
 	/**
-	 * Records that the driver has stored a snapshot of the applied state.
-	 * @param data encoded state
+	 * Returns the position of the state after all entries that were handed out to be
+	 * applied.
+	 * @return the position
+	 */
+	public SnapshotPosition snapshotPosition() {
+		return new SnapshotPosition(this.commitIndex, this.log.termAt(this.commitIndex),
+				this.log.votersAt(this.commitIndex));
+	}
+
+	/**
+	 * Removes entries that a snapshot covers. The driver calls it once it has synced the
+	 * snapshot; entries may have been applied since its position was taken.
+	 * @param snapshot snapshot of the state at an earlier {@link #snapshotPosition()}
 	 * @param retainedEntries number of entries before the snapshot to keep for members
 	 * that are a little behind
-	 * @return the snapshot
+	 * @return {@code false} if a snapshot of the leader that is at least as late was
+	 * installed in the meantime; nothing was changed
 	 */
-	public ConsensusSnapshot snapshot(byte[] data, int retainedEntries) {
-		ConsensusSnapshot snapshot = new ConsensusSnapshot(this.commitIndex, this.log.termAt(this.commitIndex),
-				this.log.votersAt(this.commitIndex), data);
-		this.log.compact(snapshot, this.commitIndex + 1 - retainedEntries);
-		return snapshot;
+	public boolean compact(ConsensusSnapshot snapshot, int retainedEntries) {
+		if (snapshot.lastIndex() <= this.log.snapshotIndex()) {
+			return false;
+		}
+		this.log.compact(snapshot, snapshot.lastIndex() + 1 - retainedEntries);
+		return true;
 	}
 
 	/**
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
@@ -42,6 +42,8 @@
 
 	private boolean syncing;
 
+	private boolean encoding;
+
 	private long frozenUntil;
 
 	SimulatedMember(ConsensusSimulation simulation, String name, long clockOffset, double clockRate) {
@@ -94,6 +96,7 @@
 	void start(Map<String, String> peers) {
 		this.run++;
 		this.syncing = false;
+		this.encoding = false;
 		ConsensusSettings settings = new ConsensusSettings(identity(), peers, 100 * MILLISECOND, 500 * MILLISECOND,
 				1_000 * MILLISECOND, 5, 64, 4, this.simulation.snapshotPartBytes());
 		StoredState stored = this.disk.synced();
@@ -131,16 +134,38 @@
 
 	void handle(Function<ConsensusNode, List<ConsensusAction>> input) {
 		input.apply(this.node).forEach(this::carryOut);
-		if (this.node.commitIndex() - this.node.snapshotIndex() >= SNAPSHOT_ENTRIES && !this.syncing) {
-			this.node.snapshot(encodeState(), RETAINED_ENTRIES);
-			this.disk.replace(this.node.storedState());
-			persisted();
+		if (this.node.commitIndex() - this.node.snapshotIndex() >= SNAPSHOT_ENTRIES && !this.encoding) {
+			startSnapshot();
 		}
-		else if (this.disk.unsyncedBatches() > 0 && !this.syncing) {
+		if (this.disk.unsyncedBatches() > 0 && !this.syncing) {
 			startSync();
 		}
 	}
 
+	// Encoding takes time in which entries are applied and a snapshot may be installed.
+	private void startSnapshot() {
+		this.encoding = true;
+		int startedRun = this.run;
+		ConsensusSnapshot snapshot = this.node.snapshotPosition().with(encodeState());
+		long duration = this.simulation.random().nextLong(300 * MILLISECOND);
+		this.simulation.schedule(duration, this, () -> finishSnapshot(startedRun, snapshot));
+	}
+
+	private void finishSnapshot(int startedRun, ConsensusSnapshot snapshot) {
+		if (this.run != startedRun || !isRunning()) {
+			return;
+		}
+		if (this.syncing) {
+			this.simulation.schedule(MILLISECOND, this, () -> finishSnapshot(startedRun, snapshot));
+			return;
+		}
+		this.encoding = false;
+		if (this.node.compact(snapshot, RETAINED_ENTRIES)) {
+			this.disk.replace(this.node.storedState());
+			persisted();
+		}
+	}
+
 	private void startSync() {
 		this.syncing = true;
 		int startedRun = this.run;
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/DataFolder.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/DataFolder.java
@@ -32,6 +32,8 @@
 
 	private static final String SNAPSHOT = "snapshot";
 
+	private static final String PREPARED_SNAPSHOT = "snapshot-prepared";
+
 	private final Path folder;
 
 	private final FileChannel lockChannel;
@@ -120,6 +122,25 @@
 		this.log.replace(content);
 	}
 
+	/**
+	 * Writes and syncs a snapshot without putting it in force, so that the present
+	 * snapshot and the log stay valid. May run on another thread than the other methods,
+	 * one call at a time.
+	 * @param snapshot the snapshot
+	 */
+	public void prepareSnapshot(ConsensusSnapshot snapshot) {
+		new SnapshotFile(this.folder.resolve(PREPARED_SNAPSHOT)).write(snapshot);
+	}
+
+	/**
+	 * Puts the prepared snapshot in force and then replaces the log.
+	 * @param content the entries to keep
+	 */
+	public void savePreparedSnapshot(DurableLog.Content content) {
+		SyncedFiles.move(this.folder.resolve(PREPARED_SNAPSHOT), this.folder.resolve(SNAPSHOT));
+		this.log.replace(content);
+	}
+
 	/**
 	 * Starts a cluster in a folder that belongs to none. The cluster file is written
 	 * last, so a crash before that leaves a folder that belongs to no cluster.
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/SyncedFiles.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/SyncedFiles.java
@@ -34,7 +34,22 @@
 				writeFully(channel, content);
 				channel.force(true);
 			}
-			Files.move(temporary, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+		}
+		catch (IOException ex) {
+			throw StorageErrors.failure(path, "cannot be replaced", ex);
+		}
+		move(temporary, path);
+	}
+
+	/**
+	 * Replaces a file by another synced file of the same directory and syncs the
+	 * directory.
+	 * @param source the other file
+	 * @param path the file
+	 */
+	static void move(Path source, Path path) {
+		try {
+			Files.move(source, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
 			syncDirectory(path.getParent());
 		}
 		catch (IOException ex) {
