Back off with jitter while no control leader answers

Cause: ControlLink repeated a heartbeat or a command that no leader took every 20 ms, and the regular heartbeat went on beside it. 710 daemons would send 35,500 heartbeats/s (710 / 20 ms) to control daemons that return.

An error while a heartbeat is built schedules a retry too: before, it left the heartbeat marked as in progress for ever.

After, in the simulated time of RetryDelayTests: fewer than 85 requests in 10 s per daemon without a leader; each of 1,000 seeds finds the leader of an election of 1,500 ms more than 350 ms before the lease of 2,500 ms ends.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -41,8 +43,6 @@
 	 */
 	private static final long HEARTBEAT_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(350);
 
-	private static final long RETRY_DELAY_MILLISECONDS = 20;
-
 	private final Identity identity;
 
 	private final List<String> controlAddresses;
@@ -76,6 +76,12 @@
 
 	private volatile boolean leaseWasHeld;
 
+	/** Heartbeats in a row that brought no lease. */
+	private volatile int failedBeats;
+
+	/** Pending retry, replaced so that there is at most one. */
+	private volatile ScheduledFuture<?> retry;
+
 	ControlLink(Identity identity, List<String> controlAddresses, PeerClient client, MonotonicClock clock,
 			ScheduledExecutorService scheduler, LeaseGate leaseGate, FleetViewHolder view,
 			Supplier<List<OwnedGroupReport>> reports, AnnouncementBuffer announcements) {
@@ -91,7 +97,8 @@
 	}
 
 	void start() {
-		this.scheduler.scheduleAtFixedRate(this::beatSafely, 0, HEARTBEAT_INTERVAL_MILLISECONDS, TimeUnit.MILLISECONDS);
+		this.scheduler.scheduleAtFixedRate(this::beatUnlessRetrying, 0, HEARTBEAT_INTERVAL_MILLISECONDS,
+				TimeUnit.MILLISECONDS);
 	}
 
 	void drain() {
@@ -106,16 +113,28 @@
 	@Override
 	public CompletableFuture<CommandResult> submit(ControlCommand command, long deadline) {
 		CompletableFuture<CommandResult> result = new CompletableFuture<>();
-		trySubmit(command, deadline, false, result);
+		trySubmit(command, deadline, 0, false, result);
 		return result;
 	}
 
+	// A retry is scheduled after each failure and replaces the regular heartbeat.
+	private void beatUnlessRetrying() {
+		if (this.failedBeats == 0) {
+			beatSafely();
+		}
+		else {
+			noteLeaseChange("");
+		}
+	}
+
 	private void beatSafely() {
 		try {
 			beat();
 		}
 		catch (RuntimeException ex) {
 			LogEvent.REQUEST_FAILED_UNEXPECTEDLY.log(LOGGER, Step.CONTROL, this.leaderAddress, ex);
+			this.beatInProgress = false;
+			retryBeat();
 		}
 	}
 
@@ -146,6 +165,9 @@
 			if (applyChange(heartbeat)) {
 				this.scheduler.execute(this::beatSafely);
 			}
+			else {
+				retryBeat();
+			}
 			return;
 		}
 		if (heartbeat.leaseMilliseconds() == 0) {
@@ -154,6 +176,7 @@
 			return;
 		}
 		this.leaderAddress = address;
+		this.failedBeats = 0;
 		if (heartbeat.change() != null && !applyChange(heartbeat)) {
 			return;
 		}
@@ -192,10 +215,15 @@
 	}
 
 	private void retryBeat() {
-		this.scheduler.schedule(this::beatSafely, RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
+		long delay = RetryDelay.milliseconds(this.failedBeats, ThreadLocalRandom.current());
+		this.failedBeats++;
+		if (this.retry != null) {
+			this.retry.cancel(false);
+		}
+		this.retry = this.scheduler.schedule(this::beatSafely, delay, TimeUnit.MILLISECONDS);
 	}
 
-	private void trySubmit(ControlCommand command, long deadline, boolean mayHaveRun,
+	private void trySubmit(ControlCommand command, long deadline, int failures, boolean mayHaveRun,
 			CompletableFuture<CommandResult> result) {
 		if (deadline - this.clock.nanoseconds() <= 0) {
 			ErrorCode code = mayHaveRun ? ErrorCode.COMMAND_UNKNOWN : ErrorCode.UNREACHABLE;
@@ -206,11 +234,11 @@
 		String address = currentAddress();
 		long attemptDeadline = earlier(deadline, this.clock.nanoseconds() + 2 * HEARTBEAT_TIMEOUT_NANOSECONDS);
 		this.client.request(address, new SubmitCommandRequest(command), attemptDeadline)
-			.whenComplete((answer, failure) -> submitAnswered(command, deadline, mayHaveRun, address, answer, failure,
-					result));
+			.whenComplete((answer, failure) -> submitAnswered(command, deadline, failures, mayHaveRun, address, answer,
+					failure, result));
 	}
 
-	private void submitAnswered(ControlCommand command, long deadline, boolean mayHaveRun, String address,
+	private void submitAnswered(ControlCommand command, long deadline, int failures, boolean mayHaveRun, String address,
 			Object answer, Throwable failure, CompletableFuture<CommandResult> result) {
 		boolean stillUnknown = mayHaveRun;
 		if (answer instanceof SubmitCommandAnswer submitted) {
@@ -226,7 +254,8 @@
 			stillUnknown |= !Failures.surelyNotRun(failure);
 		}
 		boolean unknown = stillUnknown;
-		this.scheduler.schedule(() -> trySubmit(command, deadline, unknown, result), RETRY_DELAY_MILLISECONDS,
+		long delay = RetryDelay.milliseconds(failures, ThreadLocalRandom.current());
+		this.scheduler.schedule(() -> trySubmit(command, deadline, failures + 1, unknown, result), delay,
 				TimeUnit.MILLISECONDS);
 	}
 
--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/entry/RetryDelayTests.java
@@ -0,0 +1,69 @@
+package org.magnolialead.daemon.entry;
+
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link RetryDelay} in simulated time.
+ */
+class RetryDelayTests {
+
+	private static final long SEEDS = 1_000;
+
+	private static final long LEASE = 2_500;
+
+	private static final long ANSWER_TIMEOUT = 350;
+
+	/** Longest election timeout and one repeated election. */
+	private static final long ELECTION = 1_500;
+
+	/**
+	 * Guards against a fleet that floods returning control daemons, and against daemons
+	 * that all ask at the same moment.
+	 */
+	@Test
+	void daemonsAskRarelyAndAtDifferentTimes() {
+		Set<Long> thirds = new HashSet<>();
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			Random random = new Random(seed);
+			long time = 0;
+			int requests = 0;
+			while (time < 10_000) {
+				time += RetryDelay.milliseconds(requests++, random);
+				if (requests == 5) {
+					thirds.add(time);
+				}
+			}
+			assertThat(requests).as("requests in 10 s without a leader, seed " + seed).isLessThan(85);
+		}
+		assertThat(thirds).as("different times of the fifth request").hasSizeGreaterThan(100);
+	}
+
+	/**
+	 * Guards against a daemon whose lease ends although a leader was elected: the former
+	 * leader is silent, and each round asks it again.
+	 */
+	@Test
+	void daemonFindsNewLeaderLongBeforeItsLeaseEnds() {
+		for (long seed = 1; seed <= SEEDS; seed++) {
+			Random random = new Random(seed);
+			long time = ANSWER_TIMEOUT;
+			int failures = 0;
+			boolean found = false;
+			while (!found) {
+				time += RetryDelay.milliseconds(failures, random);
+				boolean silent = failures % 3 == 2;
+				found = !silent && time >= ELECTION;
+				time += silent ? ANSWER_TIMEOUT : 0;
+				failures++;
+			}
+			assertThat(time).as("time of the lease in ms, seed " + seed).isLessThan(LEASE - ANSWER_TIMEOUT);
+		}
+	}
+
+}
