--- /dev/null
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusRulesTests.java
@@ -0,0 +1,139 @@
+package org.magnolialead.engine.consensus;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+import org.magnolialead.api.message.ConsensusMessage.AppendAnswer;
+import org.magnolialead.api.message.ConsensusMessage.AppendRequest;
+import org.magnolialead.api.message.ConsensusMessage.SnapshotRequest;
+import org.magnolialead.api.message.ConsensusMessage.VoteAnswer;
+import org.magnolialead.api.message.ControlIdentity;
+import org.magnolialead.api.message.LogEntry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of rules that the simulation does not notice when they are missing.
+ */
+class ConsensusRulesTests {
+
+	private static final long ELECTION_TIMEOUT = 1_000;
+
+	private static final List<ControlIdentity> THREE = List.of(identity("a"), identity("b"), identity("c"));
+
+	/**
+	 * Guards against a committed entry that a later leader replaces: an entry of an
+	 * earlier term may still be replaced although a majority holds it.
+	 */
+	@Test
+	void entryOfEarlierTermIsCommittedOnlyWithAnEntryOfTheLeadersTerm() {
+		ConsensusNode node = member(THREE, 2);
+		elect(node, "b");
+		assertThat(node.term()).isEqualTo(3);
+		node.persisted(3, 3, ELECTION_TIMEOUT);
+		node.receive(new AppendAnswer(identity("b"), "cluster", 3, true, 2, 1), ELECTION_TIMEOUT);
+		assertThat(node.commitIndex()).as("a majority holds only the entry of term 2").isEqualTo(1);
+		node.receive(new AppendAnswer(identity("b"), "cluster", 3, true, 3, 2), ELECTION_TIMEOUT);
+		assertThat(node.commitIndex()).as("a majority holds the entry of term 3").isEqualTo(3);
+	}
+
+	/**
+	 * Guards against the loss of entries that this member has answered and that are
+	 * therefore committed, when a delayed snapshot of an earlier position arrives.
+	 */
+	@Test
+	void snapshotThatMatchesTheLogKeepsLaterEntries() {
+		ConsensusNode node = member(THREE, 5);
+		node.receive(new SnapshotRequest(identity("b"), "cluster", 2, 2, 3, THREE, 0, new byte[1], true, 1), 0);
+		assertThat(node.lastIndex()).isEqualTo(5);
+		assertThat(node.storedState().entries()).extracting(LogEntry::index).contains(4L, 5L);
+		assertThat(node.commitIndex()).isEqualTo(3);
+	}
+
+	/**
+	 * Guards against two majorities without a common member, which two changes of the
+	 * voters at once make possible.
+	 */
+	@Test
+	void nextChangeOfVotersWaitsForTheCommitOfThePreviousOne() {
+		ConsensusNode node = member(List.of(identity("a")), 1);
+		long now = ELECTION_TIMEOUT;
+		node.tick(now);
+		assertThat(node.isLeader()).isTrue();
+		node.persisted(2, 2, now);
+		now = exchange(node, now, 2);
+		assertThat(changesOfVoters(node)).as("the first change is not committed").isEqualTo(1);
+		now = exchange(node, now, Long.MAX_VALUE);
+		assertThat(changesOfVoters(node)).isEqualTo(2);
+		assertThat(node.voters()).hasSize(3);
+	}
+
+	/**
+	 * Lets both other members answer every message for several heartbeats.
+	 * @param node the leader
+	 * @param start present time
+	 * @param lastSynced last entry that the others sync
+	 * @return the time after the exchange
+	 */
+	private static long exchange(ConsensusNode node, long start, long lastSynced) {
+		long now = start;
+		for (int round = 0; round < 20; round++) {
+			now += 20;
+			List<ConsensusAction> actions = new ArrayList<>(node.tick(now));
+			Map<String, AppendRequest> latest = new HashMap<>();
+			for (ConsensusAction action : actions) {
+				if (action instanceof ConsensusAction.Send send && send.message() instanceof AppendRequest request) {
+					latest.put(send.address(), request);
+				}
+			}
+			for (Map.Entry<String, AppendRequest> sent : latest.entrySet()) {
+				AppendRequest request = sent.getValue();
+				long match = Math.min(request.previousIndex() + request.entries().size(), lastSynced);
+				node.receive(
+						new AppendAnswer(identity(sent.getKey()), "cluster", node.term(), true, match, request.round()),
+						now);
+				node.persisted(node.lastIndex(), node.lastTerm(), now);
+			}
+		}
+		return now;
+	}
+
+	private static long changesOfVoters(ConsensusNode node) {
+		return node.storedState().entries().stream().filter((entry) -> entry.kind() == LogEntry.Kind.VOTERS).count();
+	}
+
+	private static void elect(ConsensusNode node, String voter) {
+		node.tick(ELECTION_TIMEOUT);
+		long next = node.term() + 1;
+		node.receive(new VoteAnswer(identity(voter), "cluster", node.term(), next, true, true), ELECTION_TIMEOUT);
+		node.receive(new VoteAnswer(identity(voter), "cluster", next, next, false, true), ELECTION_TIMEOUT);
+		assertThat(node.isLeader()).isTrue();
+	}
+
+	/**
+	 * Creates member a with a snapshot up to index 1 and entries of term 2 after it.
+	 * @param voters voting members
+	 * @param lastIndex index of the last entry
+	 * @return the member
+	 */
+	private static ConsensusNode member(List<ControlIdentity> voters, int lastIndex) {
+		List<LogEntry> entries = new ArrayList<>();
+		for (int index = 2; index <= lastIndex; index++) {
+			entries.add(new LogEntry(2, index, LogEntry.Kind.COMMAND, new byte[8], List.of()));
+		}
+		ConsensusSettings settings = ConsensusSettings.of(identity("a"), Map.of("a", "a", "b", "b", "c", "c"), 100, 500,
+				ELECTION_TIMEOUT);
+		StoredState stored = new StoredState("cluster", new Vote((lastIndex > 1) ? 2 : 1, null),
+				new ConsensusSnapshot(1, 1, voters, new byte[0]), 1, 1, entries);
+		return new ConsensusNode(settings, stored, 0, new Random(1));
+	}
+
+	private static ControlIdentity identity(String name) {
+		return new ControlIdentity(name, "1", name);
+	}
+
+}
