Add magnolialead-ctl experiment, which measures the policies beside their baselines

The decision classes had measures of their own in test code, without hops, connection costs, long polls or the sharing of slots. The command drives the same classes in virtual time with models of members and entry daemons, and prints replica reads, the gap of a failover, service in floods and the sharing of slots beside their baselines.

--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
@@ -79,13 +79,14 @@
 	 */
 	private static final class Root {
 
-		@Argument(required = true, metaVar = "status|config|initialize|forget-member|load",
+		@Argument(required = true, metaVar = "status|config|initialize|forget-member|load|experiment",
 				handler = CommandHandler.class)
 		@SubCommands({ @SubCommand(name = "status", impl = StatusCommand.class),
 				@SubCommand(name = "config", impl = ConfigCommand.class),
 				@SubCommand(name = "initialize", impl = InitializeCommand.class),
 				@SubCommand(name = "forget-member", impl = ForgetMemberCommand.class),
-				@SubCommand(name = "load", impl = LoadCommand.class) })
+				@SubCommand(name = "load", impl = LoadCommand.class),
+				@SubCommand(name = "experiment", impl = ExperimentCommand.class) })
 		private CtlCommand command;
 
 	}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/experiment/DaemonFleet.java
@@ -0,0 +1,18 @@
+package org.magnolialead.ctl.experiment;
+
+/**
+ * Entry daemons that serve one group.
+ */
+interface DaemonFleet {
+
+	void submit(Request request);
+
+	void tally(Tally changed);
+
+	/**
+	 * Stops one daemon at once.
+	 * @param daemon number of the daemon
+	 */
+	void crash(int daemon);
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/experiment/PromotionGate.java
@@ -0,0 +1,19 @@
+package org.magnolialead.ctl.experiment;
+
+/**
+ * When a replica may be promoted after the term of a failed primary was sealed.
+ */
+@FunctionalInterface
+interface PromotionGate {
+
+	/** At once: only the owner acknowledges writes, and it has sealed the term. */
+	PromotionGate AT_ONCE = (sealedAt) -> sealedAt;
+
+	/**
+	 * Returns the earliest time of a reservation.
+	 * @param sealedAt time of the seal in nanoseconds
+	 * @return the time in nanoseconds
+	 */
+	long opensAt(long sealedAt);
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/experiment/Request.java
@@ -0,0 +1,85 @@
+package org.magnolialead.ctl.experiment;
+
+import org.magnolialead.api.Rank;
+
+/**
+ * Request of a caller, identified by reference.
+ */
+final class Request {
+
+	static final long TIMEOUT_NANOSECONDS = 500 * VirtualTime.MILLISECOND;
+
+	private final RequestClass requestClass;
+
+	private final String session;
+
+	private final int entryDaemon;
+
+	private final long arrival;
+
+	private final Tally tally;
+
+	private final boolean afterOwnWrite;
+
+	private boolean ended;
+
+	Request(RequestClass requestClass, String session, int entryDaemon, long arrival, Tally tally,
+			boolean afterOwnWrite) {
+		this.requestClass = requestClass;
+		this.session = session;
+		this.entryDaemon = entryDaemon;
+		this.arrival = arrival;
+		this.tally = tally;
+		this.afterOwnWrite = afterOwnWrite;
+		tally.offered(rank());
+	}
+
+	RequestClass requestClass() {
+		return this.requestClass;
+	}
+
+	Rank rank() {
+		return this.requestClass.rank();
+	}
+
+	String session() {
+		return this.session;
+	}
+
+	int entryDaemon() {
+		return this.entryDaemon;
+	}
+
+	long deadline() {
+		return this.arrival + TIMEOUT_NANOSECONDS;
+	}
+
+	void done(boolean byReplica, long now) {
+		if (end()) {
+			this.tally.done(this, byReplica, now - this.arrival, deadline() - now >= 0);
+		}
+	}
+
+	void refused(long now) {
+		if (end()) {
+			this.tally.refused(rank(), now - this.arrival);
+		}
+	}
+
+	void expired() {
+		if (end()) {
+			this.tally.expired(rank());
+		}
+	}
+
+	boolean isAfterOwnWrite() {
+		return this.afterOwnWrite;
+	}
+
+	private boolean end() {
+		boolean first = !this.ended;
+		this.ended = true;
+		return first;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/experiment/VirtualTime.java
@@ -0,0 +1,49 @@
+package org.magnolialead.ctl.experiment;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/**
+ * Events in the order of their time. The time starts below zero, so that comparisons that
+ * ignore the wrap-around of the monotonic clock would show.
+ */
+final class VirtualTime {
+
+	static final long MILLISECOND = 1_000_000L;
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::time).thenComparingLong(Event::sequence));
+
+	private long now = -MILLISECOND;
+
+	private long nextSequence;
+
+	long now() {
+		return this.now;
+	}
+
+	void after(long nanoseconds, Runnable action) {
+		this.events.add(new Event(this.now + nanoseconds, this.nextSequence++, action));
+	}
+
+	void every(long nanoseconds, Runnable action) {
+		after(nanoseconds, () -> {
+			action.run();
+			every(nanoseconds, action);
+		});
+	}
+
+	void run(long nanoseconds) {
+		long end = this.now + nanoseconds;
+		while (!this.events.isEmpty() && this.events.peek().time() - end <= 0) {
+			Event event = this.events.poll();
+			this.now = event.time();
+			event.action().run();
+		}
+		this.now = end;
+	}
+
+	private record Event(long time, long sequence, Runnable action) {
+	}
+
+}
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/experiment/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures the owner's decisions against plain baselines in virtual time.
+ */
+package org.magnolialead.ctl.experiment;
--- a/magnolialead-ctl/src/test/java/org/magnolialead/ctl/MagnolialeadCtlTests.java
+++ b/magnolialead-ctl/src/test/java/org/magnolialead/ctl/MagnolialeadCtlTests.java
@@ -5,11 +5,14 @@
 import java.io.PrintStream;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.magnolialead.api.ErrorCode;
@@ -47,7 +50,8 @@
 			"config set-floors --standard 0.4 --browsing 0.4 --control a:1 --expected-version 0",
 			"forget-member --control a:1 --group g", "load --mix profile=p", "load --direct a:1",
 			"load --direct a:1 --mix profile=p,rate=x", "load --direct a:1 --mix rate=1",
-			"load --direct a:1 --mix profile=p,colour=red", "load --direct a:1 --entry b:1 --mix profile=p" })
+			"load --direct a:1 --mix profile=p,colour=red", "load --direct a:1 --entry b:1 --mix profile=p",
+			"experiment --deployment nowhere", "experiment --groups 0" })
 	void wrongArgumentsEndWithCodeTwoAndOneLine(String line) {
 		int exitCode = run(this::unreachable, line.isEmpty() ? new String[0] : line.split(" "));
 		assertThat(exitCode).withFailMessage(() -> this.errors.toString()).isEqualTo(2);
@@ -116,6 +120,22 @@
 		assertThat(text(this.output).contains("c1 up:1 leader term 3")).isTrue();
 	}
 
+	/**
+	 * Guards against a report that differs between the terminal and the file, and against
+	 * names of deployments that depend on upper case.
+	 */
+	@Test
+	void experimentWritesTheReportAsTextAndJson(@TempDir Path folder) throws IOException {
+		Path file = folder.resolve("report.json");
+		assertThat(run(this::unreachable, "experiment", "--deployment", "foundation", "--groups", "1", "--seconds", "1",
+				"--json", file.toString()))
+			.withFailMessage(() -> this.errors.toString())
+			.isEqualTo(0);
+		assertThat(new ObjectMapper().readTree(file.toFile()).findValuesAsText("policy"))
+			.allSatisfy((policy) -> assertThat(text(this.output)).contains(policy))
+			.contains("STATIC_SHARES");
+	}
+
 	/**
 	 * Guards against a load generator that reports violations of a correct database, or
 	 * misses answers that belong to other requests.
