Close connections of shrinking shares in the experiment

The leased shares baseline used up to 48 of 35 connections, because a daemon kept idle connections after its share became smaller. Daemons now close them before others open more.

--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/experiment/SharesFleet.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/experiment/SharesFleet.java
@@ -17,6 +17,9 @@
 	/** Interval at which daemons look whether their accounts allow more statements. */
 	private static final long PUMP_NANOSECONDS = VirtualTime.MILLISECOND;
 
+	/** Time in which statements in progress end, so that connections can be closed. */
+	private static final long CLOSE_NANOSECONDS = 50 * VirtualTime.MILLISECOND;
+
 	/** Part of an even share that a daemon keeps without need, so that it can start. */
 	private static final double LEAST_SHARE = 0.25;
 
@@ -80,6 +83,7 @@
 		this.simulation.time().after(delay, () -> assign(needs, total));
 	}
 
+	// Shares that shrink do so first, so that connections are closed before others open.
 	private void assign(double[] needs, double total) {
 		int limit = this.simulation.group().deployment().connectionLimit();
 		long live = 0;
@@ -91,10 +95,18 @@
 		for (int i = 0; i < Deployment.DAEMONS; i++) {
 			if (!this.gone[i]) {
 				double part = (total != 0) ? needs[i] / total : 1.0 / live;
-				double share = least + part * (1 - LEAST_SHARE);
-				this.shares.get(i).change(share, 1 + (int) (part * spare), this.simulation.time().now());
+				change(i, least + part * (1 - LEAST_SHARE), 1 + (int) (part * spare));
 			}
 		}
 	}
 
+	private void change(int daemon, double slotShare, int connections) {
+		PartialShare share = this.shares.get(daemon);
+		boolean grows = connections > share.connections();
+		this.simulation.time().after(grows ? CLOSE_NANOSECONDS : 0, () -> {
+			share.change(slotShare, connections, this.simulation.time().now());
+			this.daemons.get(daemon).shareChanged();
+		});
+	}
+
 }
--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/experiment/SimulatedOwner.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/experiment/SimulatedOwner.java
@@ -151,6 +151,11 @@
 			.filter((name) -> this.positions.primary(this.group.view(), now).filter(name::equals).isPresent());
 	}
 
+	/** Closes connections beyond a share that became smaller. */
+	void shareChanged() {
+		applyCapacity(this.time.now());
+	}
+
 	private void applyCapacity(long now) {
 		Map<String, Integer> slots = new HashMap<>();
 		this.group.members().keySet().forEach((name) -> slots.put(name, this.share.slots(name, now)));
