--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
@@ -72,6 +72,7 @@
 	private int failed(int exitCode, String message) {
 		this.errors.println("magnolialead-ctl: " + String.valueOf(message).replaceAll("\\s*\\R\\s*", " "));
 		return exitCode;
+
 	}
 
 	/**
@@ -79,14 +80,15 @@
 	 */
 	private static final class Root {
 
-		@Argument(required = true, metaVar = "status|config|initialize|forget-member|load|report",
+		@Argument(required = true, metaVar = "status|config|initialize|forget-member|load|report|experiment",
 				handler = CommandHandler.class)
 		@SubCommands({ @SubCommand(name = "status", impl = StatusCommand.class),
 				@SubCommand(name = "config", impl = ConfigCommand.class),
 				@SubCommand(name = "initialize", impl = InitializeCommand.class),
 				@SubCommand(name = "forget-member", impl = ForgetMemberCommand.class),
 				@SubCommand(name = "load", impl = LoadCommand.class),
-				@SubCommand(name = "report", impl = ReportCommand.class) })
+				@SubCommand(name = "report", impl = ReportCommand.class),
+				@SubCommand(name = "experiment", impl = ExperimentCommand.class) })
 		private CtlCommand command;
 
 	}
