--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -1,9 +1,9 @@
-package org.magnolialead.daemon.log;
+package org.magnolialead.api.log;
 
 import java.lang.System.Logger.Level;
 
 /**
- * Events that the daemons log. Numbers are stable; docs/log-events.md describes each.
+ * Numbered events of the daemons. Numbers are stable; docs/log-events.md describes each.
  */
 public enum LogEvent {
 
@@ -44,13 +44,27 @@
 	/** An answer of a member was refused. */
 	MEMBER_ANSWER_REFUSED(3203, Level.WARNING, "answer of database member refused: group=%s member=%s cause=%s"),
 	/** This control daemon became leader. */
-	CONTROL_LEADER(4001, Level.INFO, "control leadership started: term=%s"),
+	CONTROL_LEADER(4001, Level.INFO, "control leadership started: daemon=%s term=%s"),
 	/** This control daemon stopped being leader. */
-	CONTROL_FOLLOWER(4002, Level.INFO, "control leadership ended: term=%s"),
-	/** A configuration change was accepted. */
-	CONFIGURATION_ACCEPTED(4003, Level.INFO, "configuration change accepted: request=%s version=%s"),
-	/** A control command that was due failed. */
-	CONTROL_COMMAND_FAILED(4004, Level.WARNING, "control command failed: command=%s cause=%s"),
+	CONTROL_FOLLOWER(4002, Level.INFO, "control leadership ended: daemon=%s term=%s"),
+	/** The control leader assigns, releases or forgets. */
+	CONTROL_DECISION(4003, Level.INFO, "control decision: command=%s"),
+	/** A command of the control leader was refused because the state has moved on. */
+	CONTROL_COMMAND_REFUSED(4004, Level.INFO, "control command refused: command=%s cause=%s"),
+	/** Looking for due commands failed. */
+	CONTROL_TICK_FAILED(4005, Level.ERROR, "looking for due control commands failed"),
+	/** This control daemon joined a cluster. */
+	CONTROL_JOINED(4006, Level.INFO, "control cluster joined: daemon=%s cluster=%s"),
+	/** The control log of this daemon stopped. */
+	CONTROL_LOG_STOPPED(4007, Level.ERROR, "control log stopped: daemon=%s"),
+	/** Damaged input on a peer connection. */
+	PEER_CONNECTION_DAMAGED(6001, Level.WARNING, "peer connection closed after damaged input: peer=%s"),
+	/** A handler of peer messages failed without an error code. */
+	PEER_HANDLER_FAILED(6002, Level.ERROR, "peer message could not be handled"),
+	/** A handler of HTTP requests failed without an error code. */
+	HTTP_HANDLER_FAILED(6003, Level.ERROR, "HTTP request could not be handled"),
+	/** An accepted HTTP connection could not be set up. */
+	HTTP_CONNECTION_FAILED(6004, Level.WARNING, "HTTP connection could not be set up: peer=%s"),
 	/** An invariant does not hold. */
 	INVARIANT_VIOLATED(9001, Level.ERROR, "invariant violated: %s");
 
@@ -90,6 +104,18 @@
 		return this.format;
 	}
 
+	/**
+	 * Logs this event with the stack trace of its cause.
+	 * @param logger logger of the reporting class
+	 * @param cause the cause
+	 * @param arguments values of the format in order
+	 */
+	public void log(System.Logger logger, Throwable cause, Object... arguments) {
+		if (logger.isLoggable(this.level)) {
+			logger.log(this.level, "ML-" + this.number + " " + this.format.formatted(arguments), cause);
+		}
+	}
+
 	/**
 	 * Logs this event.
 	 * @param logger logger of the reporting class
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Numbered log events of the daemons, catalogued in docs/log-events.md.
+ */
+package org.magnolialead.api.log;
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/log/LogEventTests.java
+++ b/magnolialead-api/src/test/java/org/magnolialead/api/log/LogEventTests.java
@@ -1,4 +1,4 @@
-package org.magnolialead.daemon.log;
+package org.magnolialead.api.log;
 
 import java.io.IOException;
 import java.nio.file.Files;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
@@ -7,7 +7,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import org.magnolialead.api.MagnolialeadException;
-import org.magnolialead.daemon.log.LogEvent;
+import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.daemon.settings.DaemonSettings;
 import org.magnolialead.daemon.settings.SettingsReader;
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -32,6 +32,7 @@
 import org.magnolialead.api.command.ControlCommand.RegisterDaemon;
 import org.magnolialead.api.command.ControlCommand.ReleaseOwner;
 import org.magnolialead.api.command.ControlCommand.ReservePromotion;
+import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.api.message.HeartbeatAnswer;
 import org.magnolialead.api.message.HeartbeatRequest;
 import org.magnolialead.api.message.OwnedGroupReport;
@@ -294,7 +295,7 @@
 		List<ControlCommand> due = current.due(this.machine::state, now);
 		List<CompletableFuture<CommandResult>> results = new ArrayList<>();
 		for (ControlCommand command : due) {
-			ControlEvent.of(command).log(LOGGER, command);
+			LogEvent.CONTROL_DECISION.log(LOGGER, command);
 			results.add(submit(current, command));
 		}
 		if (due.stream().anyMatch(ForgetDaemon.class::isInstance)) {
@@ -311,7 +312,7 @@
 			tick();
 		}
 		catch (RuntimeException ex) {
-			ControlEvent.TICK_FAILED.log(LOGGER, ex);
+			LogEvent.CONTROL_TICK_FAILED.log(LOGGER, ex);
 		}
 	}
 
@@ -360,7 +361,7 @@
 				current.end(command);
 			}
 			if (failure == null && !result.isAccepted()) {
-				ControlEvent.COMMAND_REFUSED.log(LOGGER, command + ": " + result.message());
+				LogEvent.CONTROL_COMMAND_REFUSED.log(LOGGER, command, result.message());
 			}
 		});
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -26,6 +26,7 @@
 import org.magnolialead.api.Step;
 import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.api.message.ConsensusMessage;
 import org.magnolialead.api.message.ControlIdentity;
 import org.magnolialead.api.message.InitializeAnswer;
@@ -483,7 +484,7 @@
 		}
 		else if (action instanceof ConsensusAction.JoinCluster join) {
 			this.folder.joinCluster(join.cluster());
-			logger.log(System.Logger.Level.INFO, "4101 {0} joined cluster {1}", this.settings.name(), join.cluster());
+			LogEvent.CONTROL_JOINED.log(logger, this.settings.name(), join.cluster());
 		}
 		else if (action instanceof ConsensusAction.InstallSnapshot install) {
 			this.folder.saveSnapshot(install.snapshot(), storedEntries());
@@ -491,8 +492,7 @@
 			this.appliedIndex = install.snapshot().lastIndex();
 		}
 		else if (action instanceof ConsensusAction.BecomeLeader leader) {
-			logger.log(System.Logger.Level.INFO, "4102 {0} became leader of term {1}", this.settings.name(),
-					Long.toString(leader.term()));
+			LogEvent.CONTROL_LEADER.log(logger, this.settings.name(), Long.toString(leader.term()));
 		}
 		else if (action instanceof ConsensusAction.StepDown stepDown) {
 			stepDown(stepDown.term());
@@ -503,8 +503,7 @@
 	private void stepDown(long term) {
 		publish();
 		abandonPending();
-		logger.log(System.Logger.Level.INFO, "4103 {0} stepped down as leader of term {1}", this.settings.name(),
-				Long.toString(term));
+		LogEvent.CONTROL_FOLLOWER.log(logger, this.settings.name(), Long.toString(term));
 	}
 
 	private void apply(LogEntry entry) {
@@ -544,7 +543,7 @@
 	private void fail(Throwable cause) {
 		this.failure = cause;
 		this.stopped = true;
-		logger.log(System.Logger.Level.ERROR, "4104 control log of " + this.settings.name() + " stopped", cause);
+		LogEvent.CONTROL_LOG_STOPPED.log(logger, cause, this.settings.name());
 		release();
 		this.executor.shutdown();
 		this.snapshotExecutor.shutdown();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -17,13 +17,13 @@
 import org.magnolialead.api.Step;
 import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.api.message.HeartbeatAnswer;
 import org.magnolialead.api.message.HeartbeatRequest;
 import org.magnolialead.api.message.OwnedGroupReport;
 import org.magnolialead.api.message.SubmitCommandAnswer;
 import org.magnolialead.api.message.SubmitCommandRequest;
 import org.magnolialead.daemon.filter.LeaseGate;
-import org.magnolialead.daemon.log.LogEvent;
 import org.magnolialead.transport.peer.PeerClient;
 
 /**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/SerialExecutor.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/SerialExecutor.java
@@ -6,7 +6,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.magnolialead.api.Step;
-import org.magnolialead.daemon.log.LogEvent;
+import org.magnolialead.api.log.LogEvent;
 
 /**
  * Runs tasks one at a time and in order on a shared executor.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/log/package-info.java
+++ /dev/null
@@ -1,4 +0,0 @@
-/**
- * Numbered log events of the daemons.
- */
-package org.magnolialead.daemon.log;
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpErrors.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpErrors.java
@@ -13,7 +13,7 @@
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.Outcome;
 import org.magnolialead.api.Step;
-import org.magnolialead.transport.netty.TransportEvent;
+import org.magnolialead.api.log.LogEvent;
 
 /**
  * JSON form of errors.
@@ -49,7 +49,7 @@
 		if (cause instanceof RejectedExecutionException) {
 			return reply(ErrorCode.OVERLOADED, Step.RECEIVE, "", "no thread is free", Outcome.NOT_RUN);
 		}
-		TransportEvent.HTTP_HANDLER_FAILED.log(LOGGER, cause);
+		LogEvent.HTTP_HANDLER_FAILED.log(LOGGER, cause);
 		return reply(ErrorCode.INVARIANT_VIOLATED, Step.RECEIVE, "", "internal error", Outcome.UNKNOWN);
 	}
 
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServer.java
@@ -15,8 +15,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.transport.netty.NettySupport;
-import org.magnolialead.transport.netty.TransportEvent;
 
 /**
  * HTTP/1.1 server with keep-alive and ordered pipelining. The requests of one connection
@@ -187,7 +187,7 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			TransportEvent.HTTP_CONNECTION_FAILED.log(LOGGER, cause, context.channel().remoteAddress());
+			LogEvent.HTTP_CONNECTION_FAILED.log(LOGGER, cause, context.channel().remoteAddress());
 			context.close();
 		}
 
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
@@ -21,9 +21,9 @@
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.Step;
+import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.api.message.ErrorAnswer;
 import org.magnolialead.transport.netty.NettySupport;
-import org.magnolialead.transport.netty.TransportEvent;
 
 /**
  * Accepts connections of other magnolialead processes. Damaged input closes the
@@ -98,7 +98,7 @@
 		if (cause instanceof RejectedExecutionException) {
 			return new ErrorAnswer(ErrorCode.OVERLOADED, Step.FORWARD, "no thread is free");
 		}
-		TransportEvent.PEER_HANDLER_FAILED.log(LOGGER, cause);
+		LogEvent.PEER_HANDLER_FAILED.log(LOGGER, cause);
 		return new ErrorAnswer(ErrorCode.INVARIANT_VIOLATED, Step.FORWARD, String.valueOf(cause));
 	}
 
@@ -147,7 +147,7 @@
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
 			// A lost connection is an IOException and needs no attention.
 			if (!(cause instanceof IOException)) {
-				TransportEvent.PEER_CONNECTION_DAMAGED.log(LOGGER, cause, context.channel().remoteAddress());
+				LogEvent.PEER_CONNECTION_DAMAGED.log(LOGGER, cause, context.channel().remoteAddress());
 			}
 			context.close();
 		}
