Prove at-most-once, sessions, departures, configuration and control with processes

FreePorts now chooses ports below the range of outgoing connections: a fleet failed to start because such a connection or a proxy route had taken a port between its choice and its use.

--- /dev/null
+++ b/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/ControlTests.java
@@ -0,0 +1,286 @@
+package org.magnolialead.processtests;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.message.ViewAnswer;
+import org.magnolialead.ctl.load.LoadReport;
+import org.magnolialead.testsupport.fleet.FleetShape;
+import org.magnolialead.testsupport.proxy.FaultMode;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Loss, freeze, cut and repair of control daemons. Guards against two leaders that act at
+ * once, two owners of one epoch and the loss of configuration or ledger.
+ */
+class ControlTests {
+
+	private static final String READS = "profile=scheduling,rate=60,kind=read,timeout=2000";
+
+	private static final String WRITES = "profile=scheduling,rate=25,kind=write,timeout=2000";
+
+	private static final String CONFIRMATIONS = "profile=confirmation,rate=10,kind=write,timeout=2000,resend=0.3";
+
+	private static final Pattern OWNERSHIP = Pattern.compile("ownership started: group=(\\S+) epoch=(\\d+)");
+
+	private static TestFleet test;
+
+	private static Operator operator;
+
+	@BeforeAll
+	static void start() {
+		test = TestFleet.start(FleetShape.small(), true);
+		operator = new Operator(test);
+	}
+
+	@AfterAll
+	static void stop() {
+		operator.close();
+		test.close();
+	}
+
+	@AfterEach
+	void restore() {
+		test.fleet().controlNames().forEach((name) -> test.fleet().changeControlRoutes(name, FaultMode.CONTINUE));
+		test.restore();
+		test.fleet().await("all control daemons to be equal", ControlTests::isControlEqual);
+		requireOneOwnerForEachEpoch();
+	}
+
+	/**
+	 * Guards against a fleet that stops, or groups that move, because the leader died.
+	 */
+	@Test
+	void leaderKilledUnderLoad() {
+		GroupView before = test.group().orElseThrow();
+		CompletableFuture<LoadReport> load = test.load(6, READS, WRITES, CONFIRMATIONS);
+		Pause.milliseconds(1_500);
+		String leader = leader();
+		test.fleet().process(leader).kill();
+		awaitLeaderOtherThan(leader);
+		TestFleet.requirePassed("control leader killed", load.join());
+		assertThat(test.group().orElseThrow().ownerEpoch()).isEqualTo(before.ownerEpoch());
+	}
+
+	/**
+	 * Guards against a leader that acts on its old authority after it was frozen.
+	 */
+	@Test
+	void leaderFrozenAndContinued() {
+		String leader = leader();
+		long version = operator.version();
+		test.fleet().process(leader).freeze();
+		awaitLeaderOtherThan(leader);
+		assertThat(operator.submit(Operator.put("while-frozen", version, "frozen", 2_000)).isAccepted()).isTrue();
+		test.fleet().process(leader).resume();
+		// The first command that it sees must not be decided on its old state.
+		operator.submitTo(leader, Operator.put("after-freeze", version, "frozen", 9_000))
+			.ifPresent((result) -> assertThat(result.isAccepted()).as("decision on an old version").isFalse());
+		test.fleet().await("the former leader to catch up", ControlTests::isControlEqual);
+		assertThat(operator.version()).isEqualTo(version + 1);
+		assertThat(maximumAge("frozen")).isEqualTo(2_000);
+	}
+
+	/**
+	 * Guards against two leaders and two owners at once: the leader is silently cut off
+	 * for seconds, and the owner is frozen until another daemon has taken its group.
+	 */
+	@Test
+	void leaderCutOffSilentlyWhileOwnerIsFrozen() {
+		GroupView before = test.group().orElseThrow();
+		String oldLeader = leader();
+		long version = operator.version();
+		AtomicBoolean watching = new AtomicBoolean(true);
+		List<String> twoLeaders = new CopyOnWriteArrayList<>();
+		CompletableFuture<Void> watch = CompletableFuture.runAsync(() -> watchLeaders(watching, twoLeaders));
+		CompletableFuture<LoadReport> load = test.load(14, READS, WRITES, CONFIRMATIONS);
+		Pause.milliseconds(1_500);
+		test.fleet().changeControlRoutes(oldLeader, FaultMode.CUT);
+		test.fleet().process(before.owner()).freeze();
+		test.fleet()
+			.await("another owner",
+					() -> test.group()
+						.filter((group) -> group.ownerEpoch() > before.ownerEpoch() && !group.owner().isEmpty()
+								&& !group.owner().equals(before.owner()))
+						.isPresent());
+		test.fleet().process(before.owner()).resume();
+		for (int attempt = 0; attempt < 3; attempt++) {
+			operator.submitTo(oldLeader, Operator.put("cut-off-" + attempt, version, "cut", 9_000))
+				.ifPresent((result) -> assertThat(result.isAccepted()).as("accepted by a leader cut off").isFalse());
+		}
+		CommandResult accepted = operator.submit(Operator.put("by-new-leader", version, "cut", 2_000));
+		assertThat(accepted.isAccepted()).as(accepted.message()).isTrue();
+		assertThat(leader()).isNotEqualTo(oldLeader);
+		Pause.milliseconds(2_000);
+		test.fleet().changeControlRoutes(oldLeader, FaultMode.CONTINUE);
+		TestFleet.requirePassed("leader cut off and owner frozen", load.join());
+		watching.set(false);
+		watch.join();
+		assertThat(twoLeaders).as("times at which two daemons had the authority of a leader").isEmpty();
+		test.fleet().await("the former leader to catch up", ControlTests::isControlEqual);
+		assertThat(maximumAge("cut")).isEqualTo(2_000);
+	}
+
+	/**
+	 * Guards against a member that returns with an empty disk and votes for a leader
+	 * without the committed commands, and against a repair that does not restore the
+	 * tolerance of another loss.
+	 */
+	@Test
+	void diskLostAndRepairedThenAnotherMemberLost() {
+		Answer confirmed = confirm("before-disk-loss");
+		long version = operator.version();
+		assertThat(operator.submit(Operator.put("disk", version, "disk", 3_000)).isAccepted()).isTrue();
+		String leader = leader();
+		List<String> followers = test.fleet().controlNames().stream().filter((name) -> !name.equals(leader)).toList();
+		String lost = followers.get(0);
+		test.fleet().process(lost).kill();
+		test.fleet().loseDisk(lost);
+		test.fleet().startDaemon(lost);
+		test.fleet().await("the member to catch up", () -> isRepaired(lost));
+		// The views name voters without their incarnations, so that the exchange of the
+		// old identity for the new one, which follows at once, is not seen.
+		Pause.milliseconds(1_500);
+		test.fleet().await("the member to be repaired", () -> isRepaired(lost));
+		test.fleet().process(leader).kill();
+		assertThat(operator.submit(Operator.put("disk-2", version + 1, "disk", 4_000)).isAccepted()).isTrue();
+		assertThat(maximumAge("disk")).isEqualTo(4_000);
+		requireRepeated("before-disk-loss", confirmed);
+	}
+
+	/**
+	 * Guards against configuration or ledger that is not on the disks.
+	 */
+	@Test
+	void allControlDaemonsKilledAndRestarted() {
+		Answer confirmed = confirm("before-restart");
+		long version = operator.version();
+		assertThat(operator.submit(Operator.put("restart", version, "restart", 3_000)).isAccepted()).isTrue();
+		test.fleet().controlNames().forEach((name) -> test.fleet().process(name).kill());
+		test.fleet().controlNames().forEach(test.fleet()::startDaemon);
+		test.fleet().await("a leader", () -> test.fleet().leader().isPresent());
+		assertThat(operator.version()).isEqualTo(version + 1);
+		assertThat(maximumAge("restart")).isEqualTo(3_000);
+		test.awaitSettled();
+		requireRepeated("before-restart", confirmed);
+	}
+
+	private static Answer confirm(String key) {
+		String owner = test.owner();
+		Call call = Call.increment("confirmation", key).idempotencyKey(key);
+		Answer answer = test.caller().send(test.fleet().httpAddress(owner), call);
+		assertThat(answer.isDone()).as("confirmation: " + answer).isTrue();
+		// The result is recorded after the answer.
+		Pause.milliseconds(500);
+		return answer;
+	}
+
+	/**
+	 * Requires that the ledger knows a request: a new owner, which has no memory of it,
+	 * repeats its answer.
+	 * @param key key of the request
+	 * @param first first answer
+	 */
+	private static void requireRepeated(String key, Answer first) {
+		GroupView before = test.group().orElseThrow();
+		test.fleet().process(before.owner()).freeze();
+		test.fleet()
+			.await("another owner",
+					() -> test.group().filter((group) -> group.ownerEpoch() > before.ownerEpoch()).isPresent());
+		test.fleet().process(before.owner()).resume();
+		Call call = Call.increment("confirmation", key).idempotencyKey(key).timeoutMilliseconds(10_000);
+		List<Answer> answers = new ArrayList<>();
+		test.fleet().await("an answer to the resend", () -> {
+			Answer answer = test.caller().send(test.fleet().httpAddress(test.otherEntry(before.owner())), call);
+			answers.add(answer);
+			return !answer.outcome().equals("NOT_RUN");
+		});
+		Answer resent = answers.get(answers.size() - 1);
+		assertThat(resent.isRepeated()).as("resent: " + resent).isTrue();
+		assertThat(resent.body()).isEqualTo(first.body());
+		assertThat(test.executions(key)).hasSize(1);
+	}
+
+	private static String leader() {
+		test.fleet().await("a leader", () -> test.fleet().leader().isPresent());
+		return test.fleet().leader().orElseThrow();
+	}
+
+	private static void awaitLeaderOtherThan(String leader) {
+		test.fleet()
+			.await("another leader", () -> test.fleet().leader().filter((name) -> !name.equals(leader)).isPresent());
+	}
+
+	private static long maximumAge(String profile) {
+		return test.leaderView().orElseThrow().view().configuration().profiles().get(profile).maximumAgeMilliseconds();
+	}
+
+	private static boolean isControlEqual() {
+		Map<String, ViewAnswer> views = test.fleet().views();
+		return views.size() == 3 && views.values().stream().anyMatch(ViewAnswer::leader)
+				&& views.values().stream().map((view) -> view.view().configuration()).distinct().count() == 1
+				&& views.values().stream().map(ViewAnswer::appliedIndex).distinct().count() == 1
+				&& views.values().stream().allMatch((view) -> view.voters().size() == 3);
+	}
+
+	/**
+	 * Tells whether a member has caught up and the cluster has three voters.
+	 * @param lost name of the member
+	 * @return {@code true} if so
+	 */
+	private static boolean isRepaired(String lost) {
+		Map<String, ViewAnswer> views = test.fleet().views();
+		return views.containsKey(lost) && isControlEqual()
+				&& test.fleet().process(lost).output().contains("daemon started");
+	}
+
+	private static void watchLeaders(AtomicBoolean watching, List<String> twoLeaders) {
+		while (watching.get()) {
+			// The second look at the first leader excludes a change between the answers.
+			List<String> first = leaders();
+			List<String> second = leaders();
+			first.retainAll(second);
+			if (first.size() > 1) {
+				twoLeaders.add(first.toString());
+			}
+			Pause.milliseconds(20);
+		}
+	}
+
+	private static List<String> leaders() {
+		List<String> leaders = new ArrayList<>();
+		test.fleet().views().forEach((name, view) -> {
+			if (view.leader()) {
+				leaders.add(name);
+			}
+		});
+		return leaders;
+	}
+
+	private static void requireOneOwnerForEachEpoch() {
+		Map<String, String> owners = new HashMap<>();
+		for (String entry : test.fleet().entryNames()) {
+			Matcher matcher = OWNERSHIP.matcher(test.fleet().process(entry).output());
+			while (matcher.find()) {
+				String previous = owners.put(matcher.group(1) + "/" + matcher.group(2), entry);
+				assertThat(previous).as("owner of epoch " + matcher.group()).isNull();
+			}
+		}
+		assertThat(owners).isNotEmpty();
+	}
+
+}
--- /dev/null
+++ b/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/DepartureTests.java
@@ -0,0 +1,142 @@
+package org.magnolialead.processtests;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.magnolialead.ctl.load.LoadReport;
+import org.magnolialead.testsupport.fleet.FleetShape;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Members that leave and daemons that shut down under load.
+ */
+class DepartureTests {
+
+	private static final String READS = "profile=scheduling,rate=80,kind=read,timeout=2000";
+
+	private static final String WRITES = "profile=scheduling,rate=30,kind=write,timeout=2000";
+
+	private static final String CONFIRMATIONS = "profile=confirmation,rate=10,kind=write,timeout=2000";
+
+	private static TestFleet test;
+
+	@BeforeAll
+	static void start() {
+		test = TestFleet.start(FleetShape.small(), false);
+	}
+
+	@AfterAll
+	static void stop() {
+		test.close();
+	}
+
+	@AfterEach
+	void restore() {
+		test.restore();
+	}
+
+	/**
+	 * Guards against work that is started at a replica that leaves.
+	 */
+	@Test
+	void leavingReplicaReceivesNoNewReads() {
+		String leaving = test.replicas().get(0);
+		CompletableFuture<LoadReport> load = test.load(8, READS, WRITES);
+		Pause.milliseconds(1_500);
+		test.caller().post(test.memberAddress(leaving), "/leave");
+		awaitKnownToLeave(leaving);
+		Pause.milliseconds(2_000);
+		// From here on reads at this member would take longer than their timeouts.
+		test.control(leaving, "service-time?read=60000&write=60000");
+		LoadReport report = load.join();
+		TestFleet.requirePassed("leaving replica", report);
+		JsonNode statistics = test.control(leaving, "statistics");
+		System.out.println("leaving replica, seed " + TestFleet.SEED + ": " + statistics);
+		assertThat(report.mixes().get(0).outcomes().keySet()).as("outcomes of reads").containsOnly("DONE");
+		returnMember(leaving);
+	}
+
+	/**
+	 * Guards against writes that are started at a primary that leaves, and against a
+	 * planned change that loses writes.
+	 */
+	@Test
+	void leavingPrimaryReceivesNoNewWrites() {
+		String leaving = test.primary();
+		long term = test.group().orElseThrow().term();
+		CompletableFuture<LoadReport> load = test.load(9, READS, WRITES, CONFIRMATIONS);
+		Pause.milliseconds(1_500);
+		test.caller().post(test.memberAddress(leaving), "/leave");
+		test.fleet()
+			.await("another primary",
+					() -> test.group()
+						.filter((group) -> group.term() > term && !group.primary().equals(leaving))
+						.isPresent());
+		int executed = executed(leaving);
+		test.fleet().await("writes to the new primary", () -> executed(test.primary()) > 20);
+		TestFleet.requirePassed("leaving primary", load.join());
+		assertThat(executed(leaving)).as("writes executed by the primary that left").isEqualTo(executed);
+		returnMember(leaving);
+	}
+
+	/**
+	 * Guards against requests that a graceful shutdown cuts: the owner of the group ends
+	 * while a balancer still sends requests to it until its readiness is withdrawn.
+	 */
+	@Test
+	void gracefulShutdownOfOwnerCutsNoRequest() {
+		String owner = test.owner();
+		try (Balancer balancer = new Balancer(test)) {
+			balancer.start();
+			test.fleet().await("requests before the shutdown", () -> balancer.answered() > 100);
+			long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(40);
+			assertThat(test.fleet().process(owner).terminate(deadline)).as("exit code").isPresent();
+			assertThat(test.fleet().process(owner).output()).contains("graceful shutdown finished: requests_cut=0");
+			int answered = balancer.answered();
+			test.fleet().await("requests after the shutdown", () -> balancer.answered() > answered + 100);
+			balancer.stop();
+			System.out.println("graceful shutdown, seed %d: %d requests done, failures %s".formatted(TestFleet.SEED,
+					balancer.answered(), balancer.failures()));
+			assertThat(balancer.failures()).isEqualTo(List.of());
+		}
+	}
+
+	/**
+	 * Guards against a platform that takes a graceful end for a crash.
+	 */
+	@Test
+	void gracefulShutdownEndsWithCodeZero() {
+		long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(40);
+		String idle = test.otherEntry(test.owner());
+		assertThat(test.fleet().process(idle).terminate(deadline)).as("exit code").hasValue(0);
+	}
+
+	private static void awaitKnownToLeave(String member) {
+		test.fleet()
+			.await("the member to be known as leaving",
+					() -> test.group().orElseThrow().member(member).orElseThrow().leaving());
+	}
+
+	private static int executed(String member) {
+		return test.control(member, "history").path("executed").size();
+	}
+
+	/**
+	 * Replaces the member that left by a new process that does not leave.
+	 * @param member name of the member
+	 */
+	private static void returnMember(String member) {
+		test.fleet().process(test.qualified(member)).kill();
+		test.fleet().startMember(TestFleet.GROUP, member);
+		test.fleet()
+			.await("the member to be back", () -> !test.group().orElseThrow().member(member).orElseThrow().leaving());
+	}
+
+}
--- /dev/null
+++ b/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/OnceAndSessionTests.java
@@ -0,0 +1,305 @@
+package org.magnolialead.processtests;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.magnolialead.testsupport.fleet.FleetShape;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Requests that must not run twice, reads of a session's own writes and answers of
+ * members that arrive swapped, late, twice or not at all.
+ */
+class OnceAndSessionTests {
+
+	private static TestFleet test;
+
+	private final Random random = new Random(TestFleet.SEED);
+
+	@BeforeAll
+	static void start() {
+		test = TestFleet.start(FleetShape.small(), false);
+	}
+
+	@AfterAll
+	static void stop() {
+		test.close();
+	}
+
+	@AfterEach
+	void restore() {
+		for (String member : test.fleet().memberNames()) {
+			test.control(member, "lag?milliseconds=5");
+			test.control(member, "service-time?read=2&write=3");
+			test.control(member, "drop-answers?count=0");
+			test.control(member, "swap-answers?count=0");
+			test.control(member, "duplicate-answers?count=0");
+			test.control(member, "answer-delay?count=0");
+		}
+		test.restore();
+	}
+
+	/**
+	 * Guards against a second execution by a new owner: the old one dies after the
+	 * statement has left and before its answer. The wait before the death varies, so that
+	 * some statements were executed and others were not.
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 100, 900 })
+	void ownerKilledDuringNonRepeatableRequests(int waitMilliseconds) {
+		String owner = test.owner();
+		String other = test.fleet().httpAddress(test.otherEntry(owner));
+		test.control(test.primary(), "service-time?read=2&write=400");
+		List<String> keys = new ArrayList<>();
+		List<CompletableFuture<Answer>> first = new ArrayList<>();
+		for (int i = 0; i < 4; i++) {
+			String key = "once-" + waitMilliseconds + "-" + i;
+			keys.add(key);
+			String address = (i % 2 == 0) ? other : test.fleet().httpAddress(owner);
+			first.add(test.caller().sendAsync(address, confirmation(key, 20_000)));
+		}
+		Pause.milliseconds(waitMilliseconds);
+		test.fleet().process(owner).kill();
+		test.control(test.primary(), "service-time?read=2&write=3");
+		for (int i = 0; i < keys.size(); i++) {
+			String key = keys.get(i);
+			Optional<Answer> firstAnswer = answerOf(first.get(i));
+			Answer resent = resend(other, key);
+			int executed = test.executions(key).size();
+			System.out.println("%s, seed %d: first %s, resent %s%s, executed %d".formatted(key, TestFleet.SEED,
+					firstAnswer.map(Answer::outcome).orElse("lost"), resent.outcome(),
+					resent.isRepeated() ? " (repeated)" : "", executed));
+			requireOnce(key, firstAnswer, resent, executed);
+		}
+	}
+
+	/**
+	 * Guards against a second execution after the member's answer was lost: the statement
+	 * was executed and nobody knows.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void answerOfMemberIsLost(boolean closesConnection) {
+		String key = "dropped-" + closesConnection;
+		test.control(test.primary(), "drop-answers?count=1&close=" + closesConnection);
+		String owner = test.owner();
+		Answer first = test.caller().send(test.fleet().httpAddress(owner), confirmation(key, 1_000));
+		Answer resent = test.caller().send(test.fleet().httpAddress(test.otherEntry(owner)), confirmation(key, 1_000));
+		System.out.println("%s, seed %d: first %s, resent %s".formatted(key, TestFleet.SEED, first, resent));
+		assertThat(first.outcome()).isEqualTo("UNKNOWN");
+		requireOnce(key, Optional.of(first), resent, test.executions(key).size());
+		assertThat(test.executions(key)).hasSize(1);
+	}
+
+	/**
+	 * Guards against a first answer that is lost to the caller: the same answer is sent
+	 * again by any daemon, also by a later owner.
+	 */
+	@Test
+	void finishedRequestIsRepeatedAfterOwnerWasKilled() {
+		String owner = test.owner();
+		String other = test.fleet().httpAddress(test.otherEntry(owner));
+		Answer first = test.caller().send(other, confirmation("finished", 5_000));
+		assertThat(first.isDone()).isTrue();
+		// The result is recorded after the answer, so the owner must live on until then.
+		test.fleet().await("the result to be recorded", () -> recordedDone(owner));
+		test.fleet().process(owner).kill();
+		Answer resent = resend(other, "finished");
+		assertThat(resent.isDone()).as("resent: " + resent).isTrue();
+		assertThat(resent.isRepeated()).isTrue();
+		assertThat(resent.body()).isEqualTo(first.body());
+		assertThat(test.executions("finished")).hasSize(1);
+	}
+
+	/**
+	 * Guards against stale reads of the own write through another daemon: with an older
+	 * token, and without one, while replicas are 1 s behind.
+	 */
+	@Test
+	void ownWriteIsReadThroughAnotherDaemonUnderLag() {
+		test.fleet().memberNames().forEach((member) -> test.control(member, "lag?milliseconds=1000"));
+		for (int i = 0; i < 12; i++) {
+			readOwnWrite("lag-" + i, false);
+		}
+	}
+
+	/**
+	 * Guards against stale reads of the own write by a new owner, which does not know the
+	 * sessions of the old one.
+	 */
+	@Test
+	void ownWriteIsReadAfterOwnerWasKilledUnderLag() {
+		test.fleet().memberNames().forEach((member) -> test.control(member, "lag?milliseconds=1000"));
+		readOwnWrite("owner-killed", true);
+	}
+
+	/**
+	 * Guards against answers that reach another caller when a member swaps, delays,
+	 * duplicates or loses them.
+	 */
+	@Test
+	void callersReceiveTheirOwnAnswers() {
+		List<String> faults = List.of("swap-answers?count=10", "duplicate-answers?count=10",
+				"answer-delay?milliseconds=150&count=10", "drop-answers?count=4&close=false");
+		List<CompletableFuture<Void>> checks = new ArrayList<>();
+		for (int i = 0; i < 240; i++) {
+			if (i % 20 == 0) {
+				String member = test.fleet().memberNames().get(this.random.nextInt(3));
+				test.control(member, faults.get(this.random.nextInt(faults.size())));
+			}
+			String value = "own-" + i;
+			String address = test.fleet().httpAddress(test.fleet().entryNames().get(i % 2));
+			Call call = Call.put("scheduling", "answer-" + i, value).timeoutMilliseconds(3_000);
+			checks.add(test.caller().sendAsync(address, call).thenAccept((answer) -> {
+				if (answer.isDone()) {
+					assertThat(answer.body().path("value").asText()).isEqualTo(value);
+				}
+			}));
+			Pause.milliseconds(5);
+		}
+		checks.forEach(CompletableFuture::join);
+	}
+
+	/**
+	 * Guards against statements of one transaction that reach the connection of another
+	 * caller's, with statements through both daemons and faulty answers of the member.
+	 */
+	@ParameterizedTest
+	@ValueSource(strings = { "none", "swap-answers?count=3", "duplicate-answers?count=3",
+			"answer-delay?milliseconds=200&count=3" })
+	void interleavedTransactionsAreNotMixed(String fault) {
+		String run = "transaction-" + fault.replaceAll("[^a-z]", "");
+		List<String> entries = test.fleet().entryNames().stream().map(test.fleet()::httpAddress).toList();
+		String[] transactions = new String[2];
+		Boolean[] committed = new Boolean[2];
+		for (int i = 0; i < 2; i++) {
+			transactions[i] = test.caller().send(entries.get(i), Call.begin("scheduling")).transaction();
+			assertThat(transactions[i]).isNotEmpty();
+		}
+		if (!fault.equals("none")) {
+			test.control(test.primary(), fault);
+		}
+		boolean[] failed = new boolean[2];
+		for (int step = 0; step < 6; step++) {
+			int i = step % 2;
+			String value = "caller-" + i + "-" + step;
+			String body = "{\"operation\":\"append\",\"key\":\"%s-%d\",\"value\":\"%s\"}".formatted(run, i, value);
+			// Statements alternate between the daemons.
+			Answer answer = test.caller()
+				.send(entries.get((step / 2) % 2), Call.inTransaction(transactions[i], "scheduling", body));
+			failed[i] |= !answer.isDone();
+			if (answer.isDone()) {
+				assertThat(answer.body().path("length").asInt()).as("own answer").isEqualTo(step / 2 + 1);
+			}
+		}
+		for (int i = 0; i < 2; i++) {
+			Answer commit = test.caller().send(entries.get(1 - i), Call.commit(transactions[i], "scheduling"));
+			committed[i] = commit.isDone();
+			assertThat(committed[i] && failed[i]).as("commit of a transaction that failed").isFalse();
+		}
+		System.out.println(run + ", seed " + TestFleet.SEED + ": committed " + List.of(committed));
+		for (int i = 0; i < 2; i++) {
+			requireTransactionWhole(run + "-" + i, "caller-" + i + "-", committed[i], fault.equals("none"));
+		}
+	}
+
+	private static void requireTransactionWhole(String key, String prefix, boolean committed, boolean mustCommit) {
+		List<JsonNode> executions = test.executions(key);
+		Set<String> indexes = new HashSet<>();
+		for (JsonNode execution : executions) {
+			assertThat(execution.path("value").asText()).startsWith(prefix);
+			indexes.add(execution.path("term") + "/" + execution.path("index"));
+		}
+		if (committed) {
+			assertThat(executions).as(key).hasSize(3);
+			assertThat(indexes).as("records of one transaction").hasSize(1);
+		}
+		if (mustCommit) {
+			assertThat(committed).isTrue();
+		}
+	}
+
+	private void readOwnWrite(String name, boolean killOwner) {
+		String owner = test.owner();
+		String first = test.fleet().httpAddress(killOwner ? test.otherEntry(owner) : owner);
+		String second = test.fleet().httpAddress(test.otherEntry(owner));
+		String key = name + "-key";
+		Answer old = test.caller().send(first, Call.put("scheduling", key, "old").session(name));
+		Answer written = test.caller().send(first, Call.put("scheduling", key, "new").session(name));
+		assertThat(written.isDone()).as("write: " + written).isTrue();
+		if (killOwner) {
+			test.fleet().process(owner).kill();
+		}
+		for (String token : List.of("", old.token(), written.token())) {
+			for (String profile : List.of("scheduling", "browsing")) {
+				Call call = Call.read(profile, key).session(name).token(token).timeoutMilliseconds(12_000);
+				Answer read = test.caller().send(second, call);
+				assertThat(read.isDone()).as("read: " + read).isTrue();
+				assertThat(read.body().path("value").asText()).as("read of profile %s by %s", profile, read.member())
+					.isEqualTo("new");
+			}
+		}
+	}
+
+	private static void requireOnce(String key, Optional<Answer> first, Answer resent, int executed) {
+		assertThat(executed).as("executions of " + key).isLessThanOrEqualTo(1);
+		assertThat(resent.outcome()).isIn("DONE", "UNKNOWN");
+		if (resent.isDone()) {
+			assertThat(executed).isEqualTo(1);
+		}
+		// A key that was freed may run with the resend, as its first execution.
+		first.filter((answer) -> answer.outcome().equals("NOT_RUN"))
+			.ifPresent((answer) -> assertThat(resent.isRepeated()).isFalse());
+		first.filter(Answer::isDone).ifPresent((answer) -> assertThat(executed).isEqualTo(1));
+	}
+
+	/**
+	 * Sends a request again until it is neither refused nor unanswered.
+	 * @param address address of the daemon
+	 * @param key key of the request
+	 * @return the answer
+	 */
+	private static Answer resend(String address, String key) {
+		List<Answer> answers = new ArrayList<>();
+		test.fleet().await("an answer to the resend", () -> {
+			Optional<Answer> answer = test.caller().trySend(address, confirmation(key, 8_000));
+			answer.filter((received) -> !received.outcome().equals("NOT_RUN")).ifPresent(answers::add);
+			return !answers.isEmpty();
+		});
+		return answers.get(0);
+	}
+
+	private static Call confirmation(String key, long timeoutMilliseconds) {
+		return Call.increment("confirmation", key).idempotencyKey(key).timeoutMilliseconds(timeoutMilliseconds);
+	}
+
+	private static Optional<Answer> answerOf(CompletableFuture<Answer> future) {
+		try {
+			return Optional.of(future.join());
+		}
+		catch (CompletionException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static boolean recordedDone(String owner) {
+		Answer resent = test.caller().send(test.fleet().httpAddress(owner), confirmation("finished", 5_000));
+		Pause.milliseconds(300);
+		return resent.isRepeated();
+	}
+
+}
--- /dev/null
+++ b/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/Operator.java
@@ -0,0 +1,96 @@
+package org.magnolialead.processtests;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+import org.magnolialead.api.FreshnessRule;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Profile;
+import org.magnolialead.api.Rank;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.command.ControlCommand.ChangeConfiguration;
+import org.magnolialead.api.message.SubmitCommandAnswer;
+import org.magnolialead.api.message.SubmitCommandRequest;
+import org.magnolialead.transport.peer.PeerClient;
+
+/**
+ * Sends commands to control daemons as operators do.
+ */
+final class Operator implements AutoCloseable {
+
+	private static final long ANSWER_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
+
+	private final PeerClient client = new PeerClient(MonotonicClock.SYSTEM);
+
+	private final TestFleet test;
+
+	Operator(TestFleet test) {
+		this.test = test;
+	}
+
+	/**
+	 * Submits a command to one control daemon.
+	 * @param control name of the control daemon
+	 * @param command the command
+	 * @return the result, or empty if the daemon does not lead, does not answer or does
+	 * not know
+	 */
+	Optional<CommandResult> submitTo(String control, ControlCommand command) {
+		try {
+			Object answer = this.client
+				.request(this.test.fleet().peerAddress(control), new SubmitCommandRequest(command),
+						MonotonicClock.SYSTEM.nanoseconds() + ANSWER_NANOSECONDS)
+				.join();
+			return (answer instanceof SubmitCommandAnswer submitted) ? Optional.ofNullable(submitted.result())
+					: Optional.empty();
+		}
+		catch (CompletionException ex) {
+			return Optional.empty();
+		}
+	}
+
+	/**
+	 * Submits a command to the leader until there is a result. A resend is safe, because
+	 * it repeats the request id.
+	 * @param command the command
+	 * @return the result
+	 */
+	CommandResult submit(ControlCommand command) {
+		CommandResult[] result = new CommandResult[1];
+		this.test.fleet().await("a result of " + command, () -> {
+			result[0] = this.test.fleet().leader().flatMap((leader) -> submitTo(leader, command)).orElse(null);
+			return result[0] != null;
+		});
+		return result[0];
+	}
+
+	long version() {
+		this.test.fleet().await("a leader", () -> this.test.leaderView().isPresent());
+		return this.test.fleet()
+			.views()
+			.values()
+			.stream()
+			.mapToLong((view) -> view.view().configuration().version())
+			.max()
+			.orElseThrow();
+	}
+
+	static ChangeConfiguration put(String requestId, long version, String profile, long maximumAge) {
+		Profile changed = new Profile(profile, Rank.STANDARD, FreshnessRule.MAXIMUM_AGE, maximumAge, true, true);
+		return new ChangeConfiguration(requestId, version, Map.of(profile, changed), List.of(), null, null);
+	}
+
+	static ChangeConfiguration remove(String requestId, long version, String profile) {
+		return new ChangeConfiguration(requestId, version, Map.of(), List.of(profile), null, null);
+	}
+
+	@Override
+	public void close() {
+		this.client.close();
+	}
+
+}
--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/process/FreePorts.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/process/FreePorts.java
@@ -6,12 +6,24 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Finds free ports on the loopback interface.
  */
 public final class FreePorts {
 
+	/**
+	 * Range below the one from which Linux takes the ports of outgoing connections (from
+	 * 32768), because such a connection may otherwise take a port between its choice and
+	 * its use.
+	 */
+	private static final int LEAST_PORT = 10_000;
+
+	private static final int PORT_LIMIT = 32_768;
+
+	private static final int ATTEMPTS = 1_000;
+
 	private FreePorts() {
 	}
 
@@ -24,7 +36,7 @@
 		List<ServerSocket> sockets = new ArrayList<>();
 		try {
 			for (int i = 0; i < count; i++) {
-				sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+				sockets.add(open());
 			}
 			return sockets.stream().map(ServerSocket::getLocalPort).toList();
 		}
@@ -36,6 +48,20 @@
 		}
 	}
 
+	private static ServerSocket open() throws IOException {
+		IOException last = null;
+		for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+			int port = ThreadLocalRandom.current().nextInt(LEAST_PORT, PORT_LIMIT);
+			try {
+				return new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+			}
+			catch (IOException ex) {
+				last = ex;
+			}
+		}
+		throw last;
+	}
+
 	private static void close(ServerSocket socket) {
 		try {
 			socket.close();
