--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/demo/DemoMain.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/demo/DemoMain.java
@@ -28,7 +28,13 @@
 
 	private static final String CTL_CLASS = "org.magnolialead.ctl.MagnolialeadCtl";
 
-	private static final long KILL_AFTER_MILLISECONDS = 5_000;
+	private static final long KILL_AFTER_MILLISECONDS = 4_000;
+
+	private static final int FAILOVER_SECONDS = 11;
+
+	private static final int FLOOD_SECONDS = 6;
+
+	private static final long PATIENCE_NANOSECONDS = TimeUnit.SECONDS.toNanos(60);
 
 	private static final int READ_MILLISECONDS = 8;
 
@@ -77,12 +83,14 @@
 				"profile=scheduling,rate=40,kind=write,operation=insert,timeout=1000",
 				"profile=browsing,rate=40,kind=read,timeout=1000");
 		print();
+		report();
 		return this.results.stream().allMatch(Result::passed);
 	}
 
 	private void failover() throws IOException, InterruptedException {
-		System.out.println("mixed load; the primary is killed after 5 s");
-		ManagedProcess load = load("failover", 14, "profile=confirmation,rate=30,kind=write,timeout=4000,resend=0.2",
+		System.out.println("mixed load; the primary is killed after 4 s");
+		ManagedProcess load = load("failover", FAILOVER_SECONDS,
+				"profile=confirmation,rate=30,kind=write,timeout=4000,resend=0.2",
 				"profile=scheduling,rate=20,kind=write,timeout=4000",
 				"profile=browsing,rate=150,kind=read,timeout=2000");
 		Thread.sleep(KILL_AFTER_MILLISECONDS);
@@ -97,7 +105,7 @@
 
 	private void flood(String name, String... mixes) throws IOException {
 		System.out.println(name);
-		finish(name, load(name, 7, mixes));
+		finish(name, load(name, FLOOD_SECONDS, mixes));
 	}
 
 	private ManagedProcess load(String name, int seconds, String... mixes) {
@@ -111,12 +119,22 @@
 	}
 
 	private void finish(String name, ManagedProcess load) throws IOException {
-		long deadline = MonotonicClock.SYSTEM.nanoseconds() + TimeUnit.SECONDS.toNanos(60);
-		int exitCode = load.awaitExit(deadline).orElse(-1);
+		int exitCode = load.awaitExit(MonotonicClock.SYSTEM.nanoseconds() + PATIENCE_NANOSECONDS).orElse(-1);
 		JsonNode report = Files.exists(report(name)) ? JSON.readTree(report(name).toFile()) : JSON.createObjectNode();
 		this.results.add(new Result(name, exitCode, report, load.output()));
 	}
 
+	private void report() {
+		Path page = this.folder.resolve("report.html");
+		ManagedProcess report = this.fleet.startOther("report", CTL_CLASS,
+				List.of("report", "--entry", this.fleet.entryAddresses(), "--html", page.toString(), "--save",
+						this.folder.resolve("report.json").toString()));
+		report.awaitExit(MonotonicClock.SYSTEM.nanoseconds() + PATIENCE_NANOSECONDS);
+		System.out.println();
+		System.out.println("Service-level burn, with plots in " + page);
+		System.out.println(report.output());
+	}
+
 	private Path report(String name) {
 		return this.folder.resolve(name.replace(' ', '-') + ".json");
 	}
