Refuse work whose expected wait exceeds half of its time

Work was admitted up to the whole time until its deadline. In a flood the queues were therefore as long as the timeout, and what reached a slot ended just before or after its deadline: 16% of the slot time of an urgent flood and 28% of that of a browsing flood went to work that ended too late. The expected wait may now take up half of the time.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
@@ -48,6 +48,13 @@
 	/** Part of its whole time that an item spends at most on waiting for a replica. */
 	private static final int PREFERENCE_TIME_DIVISOR = 4;
 
+	/**
+	 * Part of an item's time that its expected wait may take up. Admitted up to its whole
+	 * time, work reaches the head of a full queue just before its deadline, and much of
+	 * it ends too late.
+	 */
+	private static final double WAIT_SHARE = 0.5;
+
 	/** Greatest number of items moved to other lanes by one dispatch. */
 	private static final int MOVE_LIMIT = 64;
 
@@ -269,7 +276,7 @@
 		if (length >= this.policy.queueLimit(this.settings)) {
 			return new Admission.Refused(ErrorCode.OVERLOADED, milliseconds(wait));
 		}
-		double late = wait + serviceTime(item.rank(), eligible) - (item.deadline() - now);
+		double late = wait / WAIT_SHARE + serviceTime(item.rank(), eligible) - (item.deadline() - now);
 		if (this.policy.refusesEarly() && late > 0) {
 			return new Admission.Refused(ErrorCode.OVERLOADED, milliseconds(late));
 		}
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/GroupSchedulerTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/GroupSchedulerTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
@@ -264,6 +265,17 @@
 			Expect.that(after.service(Rank.URGENT) >= 0.99, "urgent service after " + after.service(Rank.URGENT));
 		}
 
+		// Guards against queues so long that work reaches a slot just before its deadline
+		// and ends too late.
+		@ParameterizedTest
+		@EnumSource(value = Rank.class, names = { "URGENT", "BROWSING" })
+		void floodsWasteLittleSlotTimeOnLateWork(Rank flooded) {
+			SchedulerSimulation simulation = new SchedulerSimulation(SchedulingPolicy.RANK_FLOORS, 5);
+			simulation.run(SchedulerSimulation.ORDINARY_LOAD, 1_000);
+			Phase flood = simulation.run(SchedulerSimulation.tenfold(flooded), 5_000);
+			Expect.that(flood.lateShare() <= 0.04, "share of slot time for late work " + flood.lateShare());
+		}
+
 		// Guards against starvation of reads that only replicas may serve.
 		@Test
 		void floorHoldsOnReplicas() {
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/SchedulerSimulation.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/SchedulerSimulation.java
@@ -122,6 +122,7 @@
 		Work work = dispatch.work();
 		Phase running = this.phases.get(this.phases.size() - 1);
 		running.slotTime.merge(work.load().rank(), service, Long::sum);
+		running.lateSlotTime += (work.deadline() - this.now < 0) ? service : 0;
 		if (work.deadline() - this.now >= 0) {
 			work.phase().count(work.phase().served, work.load().rank());
 			if (!dispatch.member().equals("primary")) {
@@ -156,6 +157,8 @@
 
 		private final Map<Rank, Long> slotTime = new EnumMap<>(Rank.class);
 
+		private long lateSlotTime;
+
 		Phase(long end) {
 			this.end = end;
 		}
@@ -173,8 +176,16 @@
 		}
 
 		double slotShare(Rank rank) {
-			double all = this.slotTime.values().stream().mapToLong(Long::longValue).sum();
-			return this.slotTime.getOrDefault(rank, 0L) / all;
+			return this.slotTime.getOrDefault(rank, 0L) / allSlotTime();
+		}
+
+		/** Share of slot time that statements used which ended after their deadline. */
+		double lateShare() {
+			return this.lateSlotTime / allSlotTime();
+		}
+
+		private double allSlotTime() {
+			return this.slotTime.values().stream().mapToLong(Long::longValue).sum();
 		}
 
 	}
