--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/GroupSchedulerTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/GroupSchedulerTests.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
@@ -85,6 +86,31 @@
 			Expect.equal(List.of("write0", "read"), dispatched(0));
 		}
 
+		// Guards against reads that take the primary's slots from writes whenever the
+		// replicas are busy for a moment, and against reads that wait longer than that.
+		@Test
+		void readsWaitBrieflyForReplicas() {
+			GroupSchedulerTests.this.scheduler.capacity(Map.of("primary", 1, "replica", 1));
+			offer("first", Rank.BROWSING, 0, LATER, "replica", "primary");
+			offer("second", Rank.BROWSING, 0, LATER, "replica", "primary");
+			Expect.equal(List.of("first"), dispatched(0));
+			Expect.equal(List.of(), dispatched(ServiceTime.START_NANOSECONDS - 1));
+			Expect.equal(List.of("second"), dispatched(ServiceTime.START_NANOSECONDS));
+		}
+
+		// Guards against waiting in vain for a replica that has no slots, and against
+		// urgent reads that wait beside a free slot.
+		@Test
+		void readsTakeThePrimaryWithoutBetterChoice() {
+			GroupSchedulerTests.this.scheduler.capacity(Map.of("primary", 2, "replica", 1));
+			offer("browsing", Rank.BROWSING, 0, LATER, "replica", "primary");
+			offer("urgent1", Rank.URGENT, 0, LATER, "replica", "primary");
+			offer("urgent2", Rank.URGENT, 0, LATER, "replica", "primary");
+			Expect.equal(List.of("urgent1", "urgent2"), dispatched(0));
+			GroupSchedulerTests.this.scheduler.capacity(Map.of("primary", 2));
+			Expect.equal(List.of("browsing"), dispatched(0));
+		}
+
 		// Guards against work that waits for ever after a replica has caught up.
 		@Test
 		void findsMembersThatBecomeEligibleWhileWorkWaits() {
@@ -239,6 +265,17 @@
 			Expect.that(after.service(Rank.URGENT) >= 0.99, "urgent service after " + after.service(Rank.URGENT));
 		}
 
+		// Guards against queues so long that work reaches a slot just before its deadline
+		// and ends too late.
+		@ParameterizedTest
+		@EnumSource(value = Rank.class, names = { "URGENT", "BROWSING" })
+		void floodsWasteLittleSlotTimeOnLateWork(Rank flooded) {
+			SchedulerSimulation simulation = new SchedulerSimulation(SchedulingPolicy.RANK_FLOORS, 5);
+			simulation.run(SchedulerSimulation.ORDINARY_LOAD, 1_000);
+			Phase flood = simulation.run(SchedulerSimulation.tenfold(flooded), 5_000);
+			Expect.that(flood.lateShare() <= 0.04, "share of slot time for late work " + flood.lateShare());
+		}
+
 		// Guards against starvation of reads that only replicas may serve.
 		@Test
 		void floorHoldsOnReplicas() {
