End a graceful shutdown with code 0 and name a port that is in use

Cause: Netty throws the checked BindException, which the listeners did not catch; the JVM ends with 143 after SIGTERM whatever the shutdown hook does, and the hook of java.util.logging closed the handlers before the daemon had stopped. Before: StartTests#peerPortInUse, #httpPortInUse and DepartureTests#gracefulShutdownEndsWithCodeZero failed.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Listeners.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Listeners.java
@@ -25,7 +25,8 @@
 		try {
 			return new PeerServer(settings.peer().host(), settings.peer().port(), handler, executor);
 		}
-		catch (RuntimeException ex) {
+		catch (Exception ex) {
+			// Netty throws the checked BindException without declaring it.
 			throw portInUse(settings, "peer.port", settings.peer().port(), ex);
 		}
 	}
@@ -38,13 +39,13 @@
 		try {
 			return new HttpServer(serverSettings, handler, executor);
 		}
-		catch (RuntimeException ex) {
+		catch (Exception ex) {
+			// Netty throws the checked BindException without declaring it.
 			throw portInUse(settings, "http.port", http.port(), ex);
 		}
 	}
 
-	private static MagnolialeadException portInUse(DaemonSettings settings, String key, int port,
-			RuntimeException cause) {
+	private static MagnolialeadException portInUse(DaemonSettings settings, String key, int port, Exception cause) {
 		Throwable root = cause;
 		while (root.getCause() != null) {
 			root = root.getCause();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
@@ -52,6 +52,7 @@
 		if (System.getProperty(LOG_FORMAT_PROPERTY) == null) {
 			System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
 		}
+		ShutdownLogManager.install();
 		int exitCode = new MagnolialeadMain().run(arguments);
 		if (exitCode != EXIT_OK) {
 			System.exit(exitCode);
@@ -90,16 +91,23 @@
 		}
 	}
 
+	/**
+	 * Stops the daemon and ends the process with code 0. The JVM would end with 128 plus
+	 * the number of the signal otherwise.
+	 * @param daemon the daemon
+	 */
+	private static void stop(Daemon daemon) {
+		daemon.shutDown();
+		ShutdownLogManager.close();
+		Runtime.getRuntime().halt(EXIT_OK);
+	}
+
 	private int start() {
 		try {
 			DaemonSettings checked = SettingsReader.read(this.settings);
 			Daemon daemon = Daemon.start(checked);
-			CountDownLatch closed = new CountDownLatch(1);
-			Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-				daemon.shutDown();
-				closed.countDown();
-			}, "shutdown"));
-			closed.await();
+			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
+			new CountDownLatch(1).await();
 			return EXIT_OK;
 		}
 		catch (MagnolialeadException ex) {
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ShutdownLogManager.java
@@ -0,0 +1,38 @@
+package org.magnolialead.daemon;
+
+import java.util.logging.LogManager;
+
+/**
+ * Log manager that keeps its handlers until the daemon has stopped. The log manager of
+ * the JDK closes them in a shutdown hook of its own, which runs beside the one of the
+ * daemon, so that the events of a graceful shutdown were lost.
+ */
+public final class ShutdownLogManager extends LogManager {
+
+	private volatile boolean stopped;
+
+	/**
+	 * Installs this log manager. Must be called before the first logger is made.
+	 */
+	static void install() {
+		System.setProperty("java.util.logging.manager", ShutdownLogManager.class.getName());
+	}
+
+	/**
+	 * Closes the handlers of the installed log manager.
+	 */
+	static void close() {
+		if (LogManager.getLogManager() instanceof ShutdownLogManager manager) {
+			manager.stopped = true;
+			manager.reset();
+		}
+	}
+
+	@Override
+	public void reset() {
+		if (this.stopped) {
+			super.reset();
+		}
+	}
+
+}
