--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/capacity/EntryCapacity.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/capacity/EntryCapacity.java
@@ -20,7 +20,9 @@
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.MonotonicClock;
 import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.message.HeartbeatAnswer;
+import org.magnolialead.daemon.entry.CommandSubmitter;
 import org.magnolialead.daemon.entry.EntryServices;
 import org.magnolialead.daemon.filter.LeaseGate;
 import org.magnolialead.daemon.owner.OwnershipController;
@@ -128,8 +130,7 @@
 		LeaseGate lease = new LeaseGate(System.nanoTime());
 		lease.renew(System.nanoTime() + TimeUnit.HOURS.toNanos(1));
 		OwnershipController owner = new OwnershipController("entry-0", "0123456789abcdef", MonotonicClock.SYSTEM,
-				workers, timer, connector, () -> view, lease,
-				(command, deadline) -> CompletableFuture.completedFuture(CommandResult.accepted(1)));
+				workers, timer, connector, () -> view, lease, new AcceptingControl());
 		owner.viewChanged(view);
 		Measure.pause(WARM_UP_MILLISECONDS);
 		long answers = MemberResponder.answers();
@@ -181,4 +182,21 @@
 
 	}
 
+	/**
+	 * Accepts each command and answers no query.
+	 */
+	private static final class AcceptingControl implements CommandSubmitter {
+
+		@Override
+		public CompletableFuture<CommandResult> submit(ControlCommand command, long deadline) {
+			return CompletableFuture.completedFuture(CommandResult.accepted(1));
+		}
+
+		@Override
+		public CompletableFuture<Object> query(Object query, long deadline) {
+			return new CompletableFuture<>();
+		}
+
+	}
+
 }
--- a/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/DepartureTests.java
+++ b/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/DepartureTests.java
@@ -98,6 +98,7 @@
 			test.fleet().await("requests before the shutdown", () -> balancer.answered() > 100);
 			long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(40);
 			assertThat(test.fleet().process(owner).terminate(deadline)).as("exit code").isPresent();
+			assertThat(test.fleet().process(owner).output()).contains("graceful shutdown finished: requests_cut=0");
 			int answered = balancer.answered();
 			test.fleet().await("requests after the shutdown", () -> balancer.answered() > answered + 100);
 			balancer.stop();
