Name the log manager as text so that it is installed

Cause: calling a method of the class initialized LogManager, which read the property before it was set. Before: events 1003 and 1004 were lost (DepartureTests#gracefulShutdownOfOwnerCutsNoRequest). After: both are logged when a daemon receives SIGTERM.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
@@ -24,6 +24,14 @@
 	 */
 	private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL%1$tz %4$s %5$s%6$s%n";
 
+	private static final String LOG_MANAGER_PROPERTY = "java.util.logging.manager";
+
+	/**
+	 * Name of {@link ShutdownLogManager}, as text because the JDK reads the property when
+	 * that class is initialized.
+	 */
+	private static final String LOG_MANAGER = "org.magnolialead.daemon.ShutdownLogManager";
+
 	private static final int EXIT_OK = 0;
 
 	private static final int EXIT_FAILED = 1;
@@ -52,7 +60,7 @@
 		if (System.getProperty(LOG_FORMAT_PROPERTY) == null) {
 			System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
 		}
-		ShutdownLogManager.install();
+		System.setProperty(LOG_MANAGER_PROPERTY, LOG_MANAGER);
 		int exitCode = new MagnolialeadMain().run(arguments);
 		if (exitCode != EXIT_OK) {
 			System.exit(exitCode);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ShutdownLogManager.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ShutdownLogManager.java
@@ -11,13 +11,6 @@
 
 	private volatile boolean stopped;
 
-	/**
-	 * Installs this log manager. Must be called before the first logger is made.
-	 */
-	static void install() {
-		System.setProperty("java.util.logging.manager", ShutdownLogManager.class.getName());
-	}
-
 	/**
 	 * Closes the handlers of the installed log manager.
 	 */
