Let urgent reads wait one service time for a replica as well

Since reads of lower ranks wait for replicas, urgent reads met busy replicas more often and took the primary's slots, where urgent writes then waited for them. All ranks wait now.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
@@ -462,7 +462,7 @@
 	 */
 	private boolean waitsForPreferred(Entry<W> entry, Lane<W> lane, long now) {
 		WorkItem<W> item = entry.item();
-		if (!this.policy.waitsForPreferred(item.rank()) || slots(lane.members()) == slots(lane.lastChoice())) {
+		if (!this.policy.waitsForPreferred() || slots(lane.members()) == slots(lane.lastChoice())) {
 			return false;
 		}
 		double limit = PREFERENCE_SERVICE_TIMES * serviceTime(item.rank(), lane.members());
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/SchedulingPolicy.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/SchedulingPolicy.java
@@ -25,8 +25,8 @@
 		}
 
 		@Override
-		boolean waitsForPreferred(Rank rank) {
-			return rank != Rank.URGENT;
+		boolean waitsForPreferred() {
+			return true;
 		}
 
 		@Override
@@ -78,7 +78,7 @@
 		}
 
 		@Override
-		boolean waitsForPreferred(Rank rank) {
+		boolean waitsForPreferred() {
 			return false;
 		}
 
@@ -120,11 +120,10 @@
 
 	/**
 	 * Tells whether work waits for a short time for a better member while its last choice
-	 * is free. Urgent work does not, because its latency counts most.
-	 * @param rank rank of the work
+	 * is free.
 	 * @return {@code true} if it waits
 	 */
-	abstract boolean waitsForPreferred(Rank rank);
+	abstract boolean waitsForPreferred();
 
 	abstract int queueLength(int ofRank, int ofAllRanks);
 
