--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/Expect.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/Expect.java
@@ -3,8 +3,7 @@
 import java.util.Objects;
 
 /**
- * Assertions of this package's tests. The style rules forbid JUnit's own assertions in
- * favour of AssertJ, which is not among the project's libraries.
+ * Assertions of this package's tests.
  */
 final class Expect {
 
--- a/magnolialead-transport/src/test/java/org/magnolialead/transport/TestChecks.java
+++ b/magnolialead-transport/src/test/java/org/magnolialead/transport/TestChecks.java
@@ -7,8 +7,7 @@
 import org.opentest4j.AssertionFailedError;
 
 /**
- * Assertions for the tests of this module. The style rules ask for AssertJ, which is not
- * among the dependencies of the project yet.
+ * Assertions for the tests of this module.
  */
 public final class TestChecks {
 
