--- a/magnolialead-api/src/main/java/org/magnolialead/api/FleetConfiguration.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/FleetConfiguration.java
@@ -12,9 +12,10 @@
  * @param rankFloors share of slot time from 0 to 1 that a rank keeps while it has work
  * waiting; the sum is at most 0.5
  * @param queueLimit greatest number of requests that wait per group and rank
+ * @param routes routes of sessions by database
  */
 public record FleetConfiguration(long version, Map<String, Profile> profiles, Map<Rank, Double> rankFloors,
-		int queueLimit) {
+		int queueLimit, RouteTable routes) {
 
 	/**
 	 * Greatest sum of all rank floors; the rest serves the most urgent work.
@@ -28,6 +29,7 @@
 
 	public FleetConfiguration {
 		profiles = Map.copyOf(profiles);
+		routes = (routes != null) ? routes : RouteTable.EMPTY;
 		rankFloors = Map.copyOf(rankFloors);
 		// Sums in the order of the ranks: the iteration order of the map differs between
 		// processes, and a sum rounded differently would be accepted by some only.
@@ -46,6 +48,18 @@
 		}
 	}
 
+	/**
+	 * Creates a configuration without routes.
+	 * @param version version of the configuration
+	 * @param profiles profiles by name
+	 * @param rankFloors guaranteed share of slot time by rank
+	 * @param queueLimit greatest number of requests that wait at one owner
+	 */
+	public FleetConfiguration(long version, Map<String, Profile> profiles, Map<Rank, Double> rankFloors,
+			int queueLimit) {
+		this(version, profiles, rankFloors, queueLimit, RouteTable.EMPTY);
+	}
+
 	/**
 	 * Returns the configuration of a fleet that was never configured.
 	 * @return version 0 with four profiles that suit the three ranks
--- a/magnolialead-api/src/main/java/org/magnolialead/api/LogPosition.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/LogPosition.java
@@ -41,6 +41,20 @@
 		return first.includes(second) ? first : second;
 	}
 
+	/**
+	 * Reads a position in the form {@code term.index}.
+	 * @param text the text
+	 * @return the position
+	 * @throws IllegalArgumentException if the text has another form
+	 */
+	public static LogPosition parse(String text) {
+		int dot = text.indexOf('.');
+		if (dot < 0) {
+			throw new IllegalArgumentException("position must have the form term.index, found \"" + text + "\"");
+		}
+		return new LogPosition(Long.parseLong(text.substring(0, dot)), Long.parseLong(text.substring(dot + 1)));
+	}
+
 	@Override
 	public int compareTo(LogPosition other) {
 		int byTerm = Long.compare(this.term, other.term);
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/RouteTable.java
@@ -0,0 +1,51 @@
+package org.magnolialead.api;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Complete set of routes under a number that operators choose and increase.
+ *
+ * @param number number given by the operator, 0 if none was accepted yet
+ * @param routes routes by name of the database
+ * @param connectionLimits greatest number of connections to one member, by group
+ * @param idleTransactionMilliseconds time in milliseconds after which an idle transaction
+ * may be ended
+ * @param document what the operator sent, kept to be returned unchanged
+ */
+public record RouteTable(long number, Map<String, Route> routes, Map<String, Integer> connectionLimits,
+		long idleTransactionMilliseconds, String document) {
+
+	/**
+	 * Table before the first change.
+	 */
+	public static final RouteTable EMPTY = new RouteTable(0, Map.of(), Map.of(), 1, "");
+
+	public RouteTable {
+		routes = Map.copyOf(routes);
+		connectionLimits = Map.copyOf(connectionLimits);
+		Objects.requireNonNull(document, "document must not be null");
+		if (number < 0 || idleTransactionMilliseconds < 1) {
+			throw new IllegalArgumentException(
+					"number must not be negative and idleTransactionMilliseconds must be positive, found %d and %d"
+						.formatted(number, idleTransactionMilliseconds));
+		}
+		for (Route route : routes.values()) {
+			if (!connectionLimits.containsKey(route.group())) {
+				throw new IllegalArgumentException(
+						"route \"%s\" names the unknown group \"%s\"".formatted(route.database(), route.group()));
+			}
+		}
+	}
+
+	/**
+	 * Returns the route of a database.
+	 * @param database name of the database
+	 * @return the route, or empty if the database is unknown
+	 */
+	public Optional<Route> route(String database) {
+		return Optional.ofNullable(this.routes.get(database));
+	}
+
+}
--- a/magnolialead-api/src/main/java/org/magnolialead/api/command/ControlCommand.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/command/ControlCommand.java
@@ -10,6 +10,7 @@
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.Profile;
 import org.magnolialead.api.Rank;
+import org.magnolialead.api.RouteTable;
 
 /**
  * Change of the replicated control state. Commands are deterministic: every value that
@@ -17,6 +18,7 @@
  */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
 @JsonSubTypes({ @Type(value = ControlCommand.ChangeConfiguration.class, name = "change-configuration"),
+		@Type(value = ControlCommand.ReplaceRoutes.class, name = "replace-routes"),
 		@Type(value = ControlCommand.AnnounceMember.class, name = "announce-member"),
 		@Type(value = ControlCommand.ForgetMember.class, name = "forget-member"),
 		@Type(value = ControlCommand.RegisterDaemon.class, name = "register-daemon"),
@@ -51,6 +53,15 @@
 		}
 	}
 
+	/**
+	 * Puts a complete set of routes in force if its number is higher than the present
+	 * one. A table with a lower or equal number is accepted and changes nothing.
+	 *
+	 * @param table the routes
+	 */
+	record ReplaceRoutes(RouteTable table) implements ControlCommand {
+	}
+
 	/**
 	 * Records what a database member announced.
 	 *
--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -15,6 +15,10 @@
 	SHUTDOWN_STARTED(1003, Level.INFO, "graceful shutdown started: requests_in_progress=%s"),
 	/** Graceful shutdown has ended. */
 	SHUTDOWN_FINISHED(1004, Level.INFO, "graceful shutdown finished: requests_cut=%s"),
+	/** The settings file was read again. */
+	SETTINGS_RELOADED(1005, Level.INFO, "settings read again: file=%s"),
+	/** The settings file was read again and is not valid. */
+	SETTINGS_REFUSED(1006, Level.WARNING, "settings refused, the present ones stay: %s"),
 	/** A request failed for an unexpected reason. */
 	REQUEST_FAILED_UNEXPECTEDLY(1101, Level.ERROR, "request failed unexpectedly: step=%s peer=%s cause=%s"),
 	/** The daemon obtained a lease. */
@@ -43,6 +47,17 @@
 	MEMBER_REACHABLE(3202, Level.INFO, "database member reachable: group=%s member=%s role=%s term=%s"),
 	/** An answer of a member was refused. */
 	MEMBER_ANSWER_REFUSED(3203, Level.WARNING, "answer of database member refused: group=%s member=%s cause=%s"),
+	/** This daemon found the primary of a group. */
+	SESSION_PRIMARY_FOUND(3301, Level.INFO, "primary found: group=%s member=%s term=%s index=%s"),
+	/** This daemon no longer sends writes to a member. */
+	SESSION_PRIMARY_LOST(3302, Level.WARNING, "primary lost: group=%s member=%s cause=%s"),
+	/** The owner looks for a member to promote. */
+	SESSION_PROMOTION_STARTED(3303, Level.WARNING, "promotion started: group=%s cause=%s epoch=%s"),
+	/** A promotion has ended. */
+	SESSION_PROMOTION_ENDED(3304, Level.INFO, "promotion ended: group=%s candidate=%s cause=%s"),
+	/** A statement of a session was answered with an error. */
+	SESSION_STATEMENT_FAILED(3305, Level.INFO,
+			"statement failed: request=%s database=%s verb=%s error=%s after_milliseconds=%s detail=%s"),
 	/** This control daemon became leader. */
 	CONTROL_LEADER(4001, Level.INFO, "control leadership started: daemon=%s term=%s"),
 	/** This control daemon stopped being leader. */
@@ -57,6 +72,12 @@
 	CONTROL_JOINED(4006, Level.INFO, "control cluster joined: daemon=%s cluster=%s"),
 	/** The control log of this daemon stopped. */
 	CONTROL_LOG_STOPPED(4007, Level.ERROR, "control log stopped: daemon=%s"),
+	/** An operator sent routes that are not valid. */
+	ROUTES_REFUSED(4008, Level.WARNING, "routes refused: from=%s cause=%s"),
+	/** An operator sent routes. */
+	ROUTES_RECEIVED(4009, Level.INFO, "routes received: number=%s from=%s outcome=%s"),
+	/** A report does not describe a member. */
+	MEMBER_REPORT_REFUSED(4010, Level.WARNING, "member report refused: member=%s cause=%s"),
 	/** Damaged input on a peer connection. */
 	PEER_CONNECTION_DAMAGED(6001, Level.WARNING, "peer connection closed after damaged input: peer=%s"),
 	/** A handler of peer messages failed without an error code. */
--- a/magnolialead-api/src/main/java/org/magnolialead/api/message/ConsensusMessage.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/ConsensusMessage.java
@@ -16,7 +16,8 @@
 		@Type(value = ConsensusMessage.AppendRequest.class, name = "append"),
 		@Type(value = ConsensusMessage.AppendAnswer.class, name = "appended"),
 		@Type(value = ConsensusMessage.SnapshotRequest.class, name = "snapshot"),
-		@Type(value = ConsensusMessage.SnapshotAnswer.class, name = "installed") })
+		@Type(value = ConsensusMessage.SnapshotAnswer.class, name = "installed"),
+		@Type(value = ConsensusMessage.JoinRequest.class, name = "join") })
 public sealed interface ConsensusMessage {
 
 	/**
@@ -130,4 +131,16 @@
 			boolean installed, long round) implements ConsensusMessage {
 	}
 
+	/**
+	 * Asks the leader to replicate to a control daemon that is no member yet. Sent where
+	 * the settings do not list the control daemons.
+	 *
+	 * @param from the daemon that wants to join
+	 * @param cluster the cluster that it belonged to, or an empty string
+	 * @param term term of the sender
+	 * @param forwarded whether a follower passed the request on to the leader
+	 */
+	record JoinRequest(ControlIdentity from, String cluster, long term, boolean forwarded) implements ConsensusMessage {
+	}
+
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -1,9 +1,11 @@
 package org.magnolialead.daemon;
 
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.MetricRegistry;
@@ -28,6 +30,7 @@
 import org.magnolialead.daemon.control.LedgerKeys;
 import org.magnolialead.daemon.control.WallClock;
 import org.magnolialead.daemon.settings.DaemonSettings;
+import org.magnolialead.transport.http.HttpHandler;
 import org.magnolialead.transport.http.HttpServer;
 import org.magnolialead.transport.peer.PeerClient;
 import org.magnolialead.transport.peer.PeerServer;
@@ -57,11 +60,15 @@
 
 	private final LedgerKeys ledgerKeys;
 
+	private final ScheduledExecutorService timer;
+
+	private final HttpHandler httpHandler;
+
 	private PeerServer peerServer;
 
 	private HttpServer httpServer;
 
-	private ControlDaemon(DaemonSettings settings) {
+	private ControlDaemon(DaemonSettings settings, DaemonExtension extension) {
 		this.settings = settings;
 		this.executor = Executors.newFixedThreadPool(settings.threads(), DaemonThreads.named("worker"));
 		this.peerClient = new PeerClient(this.clock);
@@ -70,15 +77,21 @@
 				settings.dataFolder().orElseThrow(), settings.controlMembers());
 		CommandLogSettings logSettings = new CommandLogSettings(defaults.name(), defaults.peerAddress(),
 				defaults.dataFolder(), defaults.peers(), defaults.heartbeatInterval(),
-				defaults.minimumElectionTimeout(), defaults.maximumElectionTimeout(), settings.snapshotEntries());
+				defaults.minimumElectionTimeout(), defaults.maximumElectionTimeout(), settings.snapshotEntries(),
+				settings.seeds().isPresent() ? settings.controlAddresses() : List.of());
 		this.log = new DefaultCommandLog(logSettings, machine, this.peerClient::send, this.clock, new SecureRandom());
 		this.ledgerKeys = new LedgerKeys(this.log, machine);
 		this.controller = new ControlController(ControlSettings.defaults(settings.name()), this.log, machine,
 				this.clock, WallClock.SYSTEM);
+		this.timer = Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("control-timer"));
+		ControlOperations operations = new ControlOperations(this.controller, this.log, machine, this.peerClient,
+				this.clock, this.timer, settings.controlAddresses().size());
+		this.httpHandler = extension.controlHandler(operations, settings,
+				new ControlHttpHandler(this.controller, this.log, this.metrics));
 	}
 
-	static ControlDaemon start(DaemonSettings settings) {
-		ControlDaemon daemon = new ControlDaemon(settings);
+	static ControlDaemon start(DaemonSettings settings, DaemonExtension extension) {
+		ControlDaemon daemon = new ControlDaemon(settings, extension);
 		try {
 			daemon.open();
 			return daemon;
@@ -91,14 +104,26 @@
 
 	private void open() {
 		this.peerServer = Listeners.peer(this.settings, this::handle, this.executor);
-		this.httpServer = Listeners.http(this.settings, new ControlHttpHandler(this.controller, this.log, this.metrics),
-				this.executor);
+		this.httpServer = Listeners.http(this.settings, this.httpHandler, this.executor);
+		startGroupIfFirst();
 		this.log.start();
 		this.controller.start();
 		LogEvent.DAEMON_STARTED.log(LOGGER, this.settings.name(), this.settings.role(), this.settings.peer().address(),
 				this.settings.http().host() + ":" + this.settings.http().port());
 	}
 
+	// All VMs of a fleet that starts for the first time know the same seeds, so one of
+	// them is chosen without a message. The others join it.
+	private void startGroupIfFirst() {
+		this.settings.seeds().ifPresent((seeds) -> {
+			String address = this.settings.http().host() + ":" + this.settings.http().port();
+			boolean first = seeds.firstStart() && seeds.addresses().get(0).equals(address);
+			if (first && this.log.cluster().isEmpty()) {
+				this.log.initialize();
+			}
+		});
+	}
+
 	private CompletableFuture<Object> handle(Object message) {
 		this.metrics.meter("peer." + message.getClass().getSimpleName()).mark();
 		if (message instanceof ConsensusMessage consensus) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Daemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Daemon.java
@@ -15,13 +15,15 @@
 	/**
 	 * Starts a daemon in the role of its settings.
 	 * @param settings checked settings
+	 * @param extension adapts the daemon to a platform
 	 * @return the running daemon
 	 * @throws org.magnolialead.api.MagnolialeadException if it cannot start
 	 */
-	static Daemon start(DaemonSettings settings) {
+	static Daemon start(DaemonSettings settings, DaemonExtension extension) {
 		return switch (settings.role()) {
-			case ENTRY -> EntryDaemon.start(settings);
-			case CONTROL -> ControlDaemon.start(settings);
+			case ENTRY -> settings.sessions().isPresent() ? SessionDaemon.start(settings, extension)
+					: EntryDaemon.start(settings);
+			case CONTROL -> ControlDaemon.start(settings, extension);
 		};
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
@@ -49,7 +49,10 @@
 	@Option(name = "--help", help = true, usage = "print this help")
 	private boolean help;
 
-	private MagnolialeadMain() {
+	private final DaemonExtension extension;
+
+	private MagnolialeadMain(DaemonExtension extension) {
+		this.extension = extension;
 	}
 
 	/**
@@ -57,11 +60,20 @@
 	 * @param arguments command line
 	 */
 	public static void main(String[] arguments) {
+		launch(arguments, DaemonExtension.NONE);
+	}
+
+	/**
+	 * Runs the binary with an extension for a platform.
+	 * @param arguments command line arguments
+	 * @param extension the extension
+	 */
+	public static void launch(String[] arguments, DaemonExtension extension) {
 		if (System.getProperty(LOG_FORMAT_PROPERTY) == null) {
 			System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
 		}
 		System.setProperty(LOG_MANAGER_PROPERTY, LOG_MANAGER);
-		int exitCode = new MagnolialeadMain().run(arguments);
+		int exitCode = new MagnolialeadMain(extension).run(arguments);
 		if (exitCode != EXIT_OK) {
 			System.exit(exitCode);
 		}
@@ -110,10 +122,23 @@
 		Runtime.getRuntime().halt(EXIT_OK);
 	}
 
+	// Seeds are the only settings that change while a daemon runs, and a daemon that runs
+	// has learned the addresses behind them. So the file is only checked.
+	private void reload() {
+		try {
+			SettingsReader.read(this.settings);
+			LogEvent.SETTINGS_RELOADED.log(System.getLogger(MagnolialeadMain.class.getName()), this.settings);
+		}
+		catch (MagnolialeadException ex) {
+			LogEvent.SETTINGS_REFUSED.log(System.getLogger(MagnolialeadMain.class.getName()), ex.getMessage());
+		}
+	}
+
 	private int start() {
 		try {
 			DaemonSettings checked = SettingsReader.read(this.settings);
-			Daemon daemon = Daemon.start(checked);
+			Daemon daemon = Daemon.start(checked, this.extension);
+			ReloadSignal.handle(this::reload);
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
 			new CountDownLatch(1).await();
 			return EXIT_OK;
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ReloadSignal.java
@@ -0,0 +1,42 @@
+package org.magnolialead.daemon;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+
+import org.magnolialead.api.log.LogEvent;
+
+/**
+ * Signal that asks a daemon to read its settings again. Without a handler the signal ends
+ * a Java process. The handler's types are no public API of the JDK, so they are found by
+ * name.
+ */
+final class ReloadSignal {
+
+	private static final System.Logger LOGGER = System.getLogger(ReloadSignal.class.getName());
+
+	private static final String NAME = "HUP";
+
+	private ReloadSignal() {
+	}
+
+	static void handle(Runnable reload) {
+		try {
+			Class<?> signalType = Class.forName("sun.misc.Signal");
+			Class<?> handlerType = Class.forName("sun.misc.SignalHandler");
+			Object handler = Proxy.newProxyInstance(ReloadSignal.class.getClassLoader(), new Class<?>[] { handlerType },
+					(proxy, method, arguments) -> {
+						if (method.getName().equals("handle")) {
+							reload.run();
+						}
+						return null;
+					});
+			Object signal = signalType.getConstructor(String.class).newInstance(NAME);
+			signalType.getMethod("handle", signalType, handlerType).invoke(null, signal, handler);
+		}
+		catch (ClassNotFoundException | NoSuchMethodException | InstantiationException | IllegalAccessException
+				| InvocationTargetException ex) {
+			LogEvent.SETTINGS_REFUSED.log(LOGGER, "signal " + NAME + " cannot be handled: " + ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
@@ -0,0 +1,183 @@
+package org.magnolialead.daemon;
+
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.log.LogEvent;
+import org.magnolialead.daemon.entry.ControlLink;
+import org.magnolialead.daemon.entry.EntryServices;
+import org.magnolialead.daemon.session.PromotionController;
+import org.magnolialead.daemon.session.SessionAdapter;
+import org.magnolialead.daemon.session.SessionService;
+import org.magnolialead.daemon.settings.DaemonSettings;
+import org.magnolialead.transport.http.HttpHandler;
+import org.magnolialead.transport.http.HttpReply;
+import org.magnolialead.transport.http.HttpServer;
+import org.magnolialead.transport.peer.PeerClient;
+
+/**
+ * Daemon in the entry role that serves sessions of database clients.
+ */
+final class SessionDaemon implements Daemon {
+
+	private static final System.Logger LOGGER = System.getLogger(SessionDaemon.class.getName());
+
+	private static final int INCARNATION_BYTES = 8;
+
+	private static final int OK = 200;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int UNAVAILABLE = 503;
+
+	/**
+	 * Time in milliseconds for which clients are still accepted after readiness was
+	 * withdrawn: two questions of a balancer that asks once a second.
+	 */
+	private static final long BALANCER_MILLISECONDS = 2_200;
+
+	/** Share of the grace after which remaining sessions are closed: three quarters. */
+	private static final double SESSIONS_SHARE = 0.75;
+
+	private static final long POLL_MILLISECONDS = 25;
+
+	private final DaemonSettings settings;
+
+	private final ExecutorService executor;
+
+	private final ScheduledExecutorService controlTimer;
+
+	private final PeerClient peerClient;
+
+	private final EntryServices entry;
+
+	private final SessionAdapter adapter;
+
+	private final SessionService sessions;
+
+	private final PromotionController promotions;
+
+	private volatile boolean draining;
+
+	private HttpServer httpServer;
+
+	private SessionDaemon(DaemonSettings settings, DaemonExtension extension) {
+		MonotonicClock clock = MonotonicClock.SYSTEM;
+		this.settings = settings;
+		this.executor = Executors.newSingleThreadExecutor(DaemonThreads.named("worker"));
+		this.controlTimer = Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("control-link"));
+		this.peerClient = new PeerClient(clock);
+		this.entry = new EntryServices(clock, this.peerClient, this.controlTimer);
+		String incarnation = randomIncarnation();
+		ControlLink link = this.entry.connect(settings, incarnation);
+		this.adapter = extension.sessionAdapter(settings);
+		this.sessions = new SessionService(this.adapter.loop(), clock, System::currentTimeMillis,
+				this.adapter.dialer());
+		this.promotions = new PromotionController(settings.name(), incarnation, this.sessions, this.entry.leaseGate(),
+				link, this.adapter.promotions());
+		this.entry.view().onChange(this.sessions::viewChanged);
+		this.entry.ownership(this.promotions);
+	}
+
+	static SessionDaemon start(DaemonSettings settings, DaemonExtension extension) {
+		SessionDaemon daemon = new SessionDaemon(settings, extension);
+		try {
+			daemon.open();
+			return daemon;
+		}
+		catch (RuntimeException ex) {
+			daemon.close();
+			throw ex;
+		}
+	}
+
+	private void open() {
+		this.httpServer = Listeners.http(this.settings, this.adapter.statusHandler(this::isReady, statusHandler()),
+				this.executor);
+		this.adapter.listen(this.sessions);
+		this.sessions.start();
+		this.promotions.start();
+		this.entry.start();
+		DaemonSettings.SessionSettings listening = this.settings.sessions().orElseThrow();
+		LogEvent.DAEMON_STARTED.log(LOGGER, this.settings.name(), this.settings.role(),
+				listening.host() + ":" + listening.port(),
+				this.settings.http().host() + ":" + this.settings.http().port());
+	}
+
+	private boolean isReady() {
+		return !this.draining && this.sessions.isServing();
+	}
+
+	private HttpHandler statusHandler() {
+		return (call) -> CompletableFuture.completedFuture(status(call.path()));
+	}
+
+	private HttpReply status(String path) {
+		return switch (path) {
+			case "/health" -> reply(OK, "healthy");
+			case "/readiness" -> isReady() ? reply(OK, "ready") : reply(UNAVAILABLE, "not ready");
+			default -> reply(NOT_FOUND, "no such path");
+		};
+	}
+
+	private static HttpReply reply(int status, String text) {
+		return HttpReply.json(status, ("{\"status\":\"" + text + "\"}").getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Override
+	public void shutDown() {
+		LogEvent.SHUTDOWN_STARTED.log(LOGGER, "sessions");
+		this.draining = true;
+		this.entry.drain();
+		this.adapter.loop().execute(this.promotions::drain);
+		long start = System.nanoTime();
+		long sessionsEnd = start + TimeUnit.MILLISECONDS
+			.toNanos((long) (this.settings.sessions().orElseThrow().graceMilliseconds() * SESSIONS_SHARE));
+		pause(BALANCER_MILLISECONDS);
+		int remaining = closeIdle();
+		while (remaining > 0 && sessionsEnd - System.nanoTime() > 0) {
+			pause(POLL_MILLISECONDS);
+			remaining = closeIdle();
+		}
+		CompletableFuture.runAsync(this.sessions::closeAll, this.adapter.loop()).join();
+		LogEvent.SHUTDOWN_FINISHED.log(LOGGER, remaining);
+		close();
+	}
+
+	private int closeIdle() {
+		return CompletableFuture.supplyAsync(this.sessions::closeIdle, this.adapter.loop()).join();
+	}
+
+	private void close() {
+		if (this.httpServer != null) {
+			this.httpServer.close();
+		}
+		this.adapter.close();
+		this.peerClient.close();
+		this.controlTimer.shutdownNow();
+		this.executor.shutdownNow();
+	}
+
+	private static String randomIncarnation() {
+		byte[] bytes = new byte[INCARNATION_BYTES];
+		new SecureRandom().nextBytes(bytes);
+		return HexFormat.of().formatHex(bytes);
+	}
+
+	private static void pause(long milliseconds) {
+		try {
+			Thread.sleep(milliseconds);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLog.java
@@ -64,4 +64,12 @@
 	 */
 	List<String> voters();
 
+	/**
+	 * Returns where entry daemons find the voting members.
+	 * @return peer addresses, or an empty list if the settings of all daemons list them
+	 */
+	default List<String> voterAddresses() {
+		return List.of();
+	}
+
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 
@@ -16,10 +17,12 @@
  * @param minimumElectionTimeout time without a leader during which votes are refused
  * @param maximumElectionTimeout upper bound of the random time until an election
  * @param snapshotThreshold number of applied entries after which a snapshot is taken
+ * @param seeds peer addresses at which other control daemons are looked for when the
+ * settings list no peers
  */
 public record CommandLogSettings(String name, String peerAddress, Path dataFolder, Map<String, String> peers,
 		Duration heartbeatInterval, Duration minimumElectionTimeout, Duration maximumElectionTimeout,
-		int snapshotThreshold) {
+		int snapshotThreshold, List<String> seeds) {
 
 	/** Default time between heartbeats of a leader. */
 	public static final Duration DEFAULT_HEARTBEAT_INTERVAL = Duration.ofMillis(100);
@@ -41,11 +44,30 @@
 		Objects.requireNonNull(minimumElectionTimeout, "minimumElectionTimeout must not be null");
 		Objects.requireNonNull(maximumElectionTimeout, "maximumElectionTimeout must not be null");
 		peers = Map.copyOf(peers);
+		seeds = List.copyOf(seeds);
 		if (snapshotThreshold <= 0) {
 			throw new IllegalArgumentException("snapshotThreshold must be positive: " + snapshotThreshold);
 		}
 	}
 
+	/**
+	 * Creates settings of a control daemon whose peers are listed.
+	 * @param name name of the daemon
+	 * @param peerAddress its address for the peer protocol
+	 * @param dataFolder folder for durable state
+	 * @param peers peer addresses of all control daemons by name
+	 * @param heartbeatInterval time between heartbeats of the leader
+	 * @param minimumElectionTimeout least time without a leader before an election
+	 * @param maximumElectionTimeout greatest time without a leader before an election
+	 * @param snapshotThreshold number of entries between snapshots
+	 */
+	public CommandLogSettings(String name, String peerAddress, Path dataFolder, Map<String, String> peers,
+			Duration heartbeatInterval, Duration minimumElectionTimeout, Duration maximumElectionTimeout,
+			int snapshotThreshold) {
+		this(name, peerAddress, dataFolder, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout,
+				snapshotThreshold, List.of());
+	}
+
 	/**
 	 * Returns settings with the default timings.
 	 * @param name name of this control daemon
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -14,6 +14,7 @@
 
 import org.magnolialead.api.DaemonView;
 import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.FleetView;
 import org.magnolialead.api.FleetViewChange;
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.MemberDescription;
@@ -31,6 +32,7 @@
 import org.magnolialead.api.command.ControlCommand.ForgetRequests;
 import org.magnolialead.api.command.ControlCommand.RegisterDaemon;
 import org.magnolialead.api.command.ControlCommand.ReleaseOwner;
+import org.magnolialead.api.command.ControlCommand.ReplaceRoutes;
 import org.magnolialead.api.command.ControlCommand.ReservePromotion;
 import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.api.message.HeartbeatAnswer;
@@ -56,8 +58,8 @@
 	 * the leader.
 	 */
 	private static final Set<Class<? extends ControlCommand>> PERMITTED_COMMANDS = Set.of(ChangeConfiguration.class,
-			ForgetMember.class, AnnounceMember.class, ReservePromotion.class, ConfirmPrimary.class, BeginRequest.class,
-			FinishRequest.class);
+			ForgetMember.class, AnnounceMember.class, ReplaceRoutes.class, ReservePromotion.class, ConfirmPrimary.class,
+			BeginRequest.class, FinishRequest.class);
 
 	/**
 	 * First command of a leadership, which changes nothing.
@@ -191,7 +193,8 @@
 		if (change != null && change.partial()) {
 			return withoutLease(change);
 		}
-		return new HeartbeatAnswer(this.settings.leaseTiming().leaseMilliseconds(), leaderAddress(), change);
+		return new HeartbeatAnswer(this.settings.leaseTiming().leaseMilliseconds(), leaderAddress(), change,
+				this.log.voterAddresses());
 	}
 
 	private static FleetViewChange changeFor(ControlState state, HeartbeatRequest request) {
@@ -283,6 +286,22 @@
 				versions);
 	}
 
+	/**
+	 * Returns the state that holds everything acknowledged before this call. A command
+	 * that changes nothing is committed first, because a leader that was suspended may
+	 * believe in an authority that has run out.
+	 * @return the view; fails with {@code NOT_LEADER} if this member does not lead
+	 */
+	public CompletableFuture<FleetView> confirmedView() {
+		Leadership current = currentLeadership();
+		if (current == null) {
+			return CompletableFuture.failedFuture(notLeader());
+		}
+		return current.ready()
+			.thenCompose((ledgerClock) -> submitToLog(FIRST_COMMAND))
+			.thenApply((result) -> this.machine.state().view());
+	}
+
 	/**
 	 * Submits the commands that are due if this member leads.
 	 */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -45,7 +45,7 @@
 
 	private final Identity identity;
 
-	private final List<String> controlAddresses;
+	private volatile List<String> controlAddresses;
 
 	private final PeerClient client;
 
@@ -176,12 +176,20 @@
 			return;
 		}
 		if (heartbeat.leaseMilliseconds() == 0) {
+			// A daemon that was restarted waits for the end of its earlier lease, but
+			// what the leader knows is of use before.
+			if (heartbeat.change() != null) {
+				applyChange(heartbeat);
+			}
 			followHint(address, heartbeat.leaderAddress());
 			retryBeat();
 			return;
 		}
 		this.leaderAddress = address;
 		this.failedBeats = 0;
+		if (!heartbeat.controlAddresses().isEmpty()) {
+			this.controlAddresses = heartbeat.controlAddresses();
+		}
 		if (heartbeat.change() != null && !applyChange(heartbeat)) {
 			return;
 		}
@@ -266,8 +274,8 @@
 
 	private String currentAddress() {
 		String leader = this.leaderAddress;
-		return (!leader.isEmpty()) ? leader
-				: this.controlAddresses.get(Math.floorMod(this.addressIndex.get(), this.controlAddresses.size()));
+		List<String> addresses = this.controlAddresses;
+		return (!leader.isEmpty()) ? leader : addresses.get(Math.floorMod(this.addressIndex.get(), addresses.size()));
 	}
 
 	private void leaderFailed(String address) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/EntryServices.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/EntryServices.java
@@ -6,7 +6,7 @@
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.MonotonicClock;
 import org.magnolialead.daemon.filter.LeaseGate;
-import org.magnolialead.daemon.owner.OwnershipController;
+import org.magnolialead.daemon.owner.GroupOwnership;
 import org.magnolialead.daemon.settings.DaemonSettings;
 import org.magnolialead.transport.peer.PeerClient;
 
@@ -27,7 +27,7 @@
 
 	private final AnnouncementBuffer announcements;
 
-	private volatile OwnershipController ownership;
+	private volatile GroupOwnership ownership;
 
 	private ControlLink link;
 
@@ -54,9 +54,9 @@
 	public ControlLink connect(DaemonSettings settings, String incarnation) {
 		ControlLink.Identity identity = new ControlLink.Identity(settings.name(), incarnation,
 				settings.peer().address(), settings.availabilityZone());
-		this.link = new ControlLink(identity, settings.controlMembers().values().stream().sorted().toList(),
-				this.client, this.clock, this.scheduler, this.leaseGate, this.view,
-				() -> (this.ownership != null) ? this.ownership.reports() : List.of(), this.announcements);
+		this.link = new ControlLink(identity, settings.controlAddresses(), this.client, this.clock, this.scheduler,
+				this.leaseGate, this.view, () -> (this.ownership != null) ? this.ownership.reports() : List.of(),
+				this.announcements);
 		return this.link;
 	}
 
@@ -64,7 +64,7 @@
 	 * Sets the controller that follows the fleet view.
 	 * @param controller the controller
 	 */
-	public void ownership(OwnershipController controller) {
+	public void ownership(GroupOwnership controller) {
 		this.ownership = controller;
 		this.view.onChange(controller::viewChanged);
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OwnershipController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/OwnershipController.java
@@ -27,7 +27,7 @@
 /**
  * Starts and ends the ownership of groups as the fleet view says.
  */
-public final class OwnershipController {
+public final class OwnershipController implements GroupOwnership {
 
 	private final String daemon;
 
@@ -60,11 +60,7 @@
 				ReadPolicy.FRESH_REPLICAS, SchedulingPolicy.RANK_FLOORS);
 	}
 
-	/**
-	 * Applies a new fleet view. Ownership that has ended acknowledges nothing once this
-	 * method returns.
-	 * @param view the new view
-	 */
+	@Override
 	public void viewChanged(FleetView view) {
 		this.owned.forEach((group, controller) -> {
 			GroupView groupView = view.groups().get(group);
@@ -131,10 +127,7 @@
 		this.owned.clear();
 	}
 
-	/**
-	 * Returns what the next heartbeat reports.
-	 * @return one report for each owned group
-	 */
+	@Override
 	public List<OwnedGroupReport> reports() {
 		return this.owned.values().stream().map(GroupOwnerController::report).toList();
 	}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
@@ -0,0 +1,375 @@
+package org.magnolialead.daemon.session;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.api.log.LogEvent;
+import org.magnolialead.daemon.entry.CommandSubmitter;
+import org.magnolialead.engine.session.PromotionChoice;
+import org.magnolialead.engine.session.PromotionChoice.Candidate;
+
+/**
+ * Replaces the primary of one group that this daemon owns. One promotion is in progress
+ * at a time: members are asked for what they have received, the term is reserved in the
+ * control log, the platform is told, and the result is recorded once the member leads.
+ */
+final class GroupPromotion {
+
+	private static final System.Logger LOGGER = System.getLogger(GroupPromotion.class.getName());
+
+	/** Time without any leading member after which one is promoted. */
+	private static final long NO_PRIMARY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(700);
+
+	/** Silence of the primary's connections after which it is asked something. */
+	private static final long PING_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
+
+	/** Time to wait for the answers of members. */
+	private static final long STATUS_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
+
+	/** Time after which a promotion that did not succeed is begun anew. */
+	private static final long ATTEMPT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
+	/** Wait after the platform refused an order. */
+	private static final long REFUSED_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+	/** Time for commands to the control log. */
+	private static final long COMMAND_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+	/** Time for a replica to receive what a primary had when it was demoted. */
+	private static final long CATCH_UP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(600);
+
+	private static final long POLL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(50);
+
+	private final PromotionController controller;
+
+	private final GroupRouter router;
+
+	private final long ownerEpoch;
+
+	private GroupView view;
+
+	private long pingedAt;
+
+	private long attempt;
+
+	private boolean inProgress;
+
+	private long attemptEndsAt;
+
+	private long notBefore;
+
+	private String candidate = "";
+
+	private boolean confirming;
+
+	private boolean stopped;
+
+	GroupPromotion(PromotionController controller, GroupRouter router, GroupView view) {
+		this.controller = controller;
+		this.router = router;
+		this.view = view;
+		this.ownerEpoch = view.ownerEpoch();
+		this.pingedAt = router.now();
+		// A new owner first learns from the members who leads.
+		this.notBefore = router.now() + NO_PRIMARY_NANOSECONDS;
+	}
+
+	long ownerEpoch() {
+		return this.ownerEpoch;
+	}
+
+	String group() {
+		return this.view.group();
+	}
+
+	void viewChanged(GroupView group) {
+		this.view = group;
+	}
+
+	void stop() {
+		this.stopped = true;
+	}
+
+	boolean isInProgress() {
+		return this.inProgress;
+	}
+
+	int reachableMembers() {
+		return (int) this.router.pools().stream().filter(MemberPool::hasConnection).count();
+	}
+
+	/**
+	 * Looks whether something is due.
+	 */
+	void tick() {
+		long now = this.router.now();
+		if (this.stopped || !this.controller.holdsLease()) {
+			return;
+		}
+		if (this.inProgress) {
+			followPromotion(now);
+			return;
+		}
+		pingIfSilent(now);
+		Optional<MemberPool> primary = this.router.primary();
+		if (primary.isEmpty()) {
+			if (now - this.router.primaryLostAt() >= NO_PRIMARY_NANOSECONDS && now - this.notBefore >= 0) {
+				start("no member leads", null);
+			}
+			return;
+		}
+		MemberPool pool = primary.get();
+		confirmIfNew(pool);
+		if (pool.health().isFailed(now) && now - this.notBefore >= 0) {
+			this.router.primaryLost(pool, "does not answer");
+			start("primary does not answer", null);
+		}
+		else if (pool.member().leaving() && now - this.notBefore >= 0 && hasSuccessor(pool)) {
+			start("primary is leaving", pool);
+		}
+	}
+
+	private boolean hasSuccessor(MemberPool leaving) {
+		return this.router.pools()
+			.stream()
+			.anyMatch((pool) -> pool != leaving && pool.isUsable() && pool.hasConnection());
+	}
+
+	private void pingIfSilent(long now) {
+		if (now - this.pingedAt >= PING_NANOSECONDS) {
+			this.pingedAt = now;
+			this.router.primary().ifPresent(this.router::ask);
+		}
+	}
+
+	// Records a primary that the control log does not know: the first one of the group,
+	// or one that an earlier owner promoted.
+	private void confirmIfNew(MemberPool pool) {
+		String member = pool.member().member();
+		if (this.confirming || member.equals(this.view.primary()) || !this.view.members().containsKey(member)) {
+			return;
+		}
+		this.confirming = true;
+		if (this.view.term() == 0 && this.view.reservedTerm() == 0) {
+			confirm(1, member);
+			return;
+		}
+		long term = this.view.reservedTerm() + 1;
+		submit(new ControlCommand.ReservePromotion(group(), this.ownerEpoch, this.view.reservedTerm(), term, member),
+				(result) -> confirm(term, member), () -> this.confirming = false);
+	}
+
+	private void confirm(long term, String member) {
+		submit(new ControlCommand.ConfirmPrimary(group(), this.ownerEpoch, term, member),
+				(result) -> this.confirming = false, () -> this.confirming = false);
+	}
+
+	private void start(String cause, MemberPool leaving) {
+		this.inProgress = true;
+		this.attempt++;
+		long number = this.attempt;
+		this.attemptEndsAt = this.router.now() + ATTEMPT_NANOSECONDS;
+		this.candidate = "";
+		LogEvent.SESSION_PROMOTION_STARTED.log(LOGGER, group(), cause, this.ownerEpoch);
+		List<MemberStatus> answers = new ArrayList<>();
+		for (MemberPool pool : this.router.pools()) {
+			if (pool != leaving) {
+				askStatus(pool, answers);
+			}
+		}
+		this.controller.services().after(STATUS_NANOSECONDS, () -> choose(number, answers, leaving));
+	}
+
+	private void askStatus(MemberPool pool, List<MemberStatus> answers) {
+		Optional<PooledConnection> free = pool.free(Map.of());
+		if (free.isEmpty()) {
+			pool.dialForWaiting();
+			return;
+		}
+		PooledConnection connection = free.get();
+		connection.take(this.router.now());
+		this.controller.services().after(STATUS_NANOSECONDS, () -> {
+			if (connection.isTaken() && answers.stream().noneMatch((status) -> status.pool() == pool)) {
+				connection.discard();
+			}
+		});
+		connection.send(MemberCommand.own(MemberCommand.Kind.STATUS), (reply) -> {
+			if (reply.error() == StatementError.CONNECTION_LOST) {
+				connection.discard();
+				return;
+			}
+			MemberStatus.parse(pool, reply).ifPresent(answers::add);
+			connection.release();
+		});
+	}
+
+	private boolean isCurrent(long number) {
+		return !this.stopped && this.inProgress && this.attempt == number && this.controller.holdsLease();
+	}
+
+	private void choose(long number, List<MemberStatus> answers, MemberPool leaving) {
+		if (!isCurrent(number)) {
+			return;
+		}
+		Optional<MemberStatus> leads = answers.stream()
+			.filter((status) -> status.primary() && status.term() >= this.router.progress().term())
+			.filter((status) -> leaving == null)
+			.findFirst();
+		if (leads.isPresent()) {
+			end("member %s leads".formatted(leads.get().pool().member().member()));
+			this.router.expectPrimary(leads.get().pool().member().member());
+			return;
+		}
+		List<Candidate> candidates = answers.stream().map(MemberStatus::candidate).toList();
+		Optional<Candidate> chosen = PromotionChoice.choose(candidates);
+		if (chosen.isEmpty()) {
+			end("no member answers");
+			return;
+		}
+		this.candidate = chosen.get().member();
+		reserve(number, leaving);
+	}
+
+	private void reserve(long number, MemberPool leaving) {
+		long term = this.view.reservedTerm() + 1;
+		ControlCommand command = new ControlCommand.ReservePromotion(group(), this.ownerEpoch, this.view.reservedTerm(),
+				term, this.candidate);
+		submit(command, (result) -> {
+			if (!isCurrent(number)) {
+				return;
+			}
+			if (leaving != null) {
+				demote(number, term, leaving);
+			}
+			else {
+				order(number, term);
+			}
+		}, () -> end("the promotion could not be recorded"));
+	}
+
+	// The leaving primary stops to accept writes first, so that its successor can receive
+	// all that was acknowledged.
+	private void demote(long number, long term, MemberPool leaving) {
+		Optional<PooledConnection> free = leaving.free(Map.of());
+		if (free.isEmpty()) {
+			this.controller.services().after(POLL_NANOSECONDS / 2, () -> {
+				if (isCurrent(number)) {
+					if (this.router.now() - this.attemptEndsAt < -ATTEMPT_NANOSECONDS / 2) {
+						demote(number, term, leaving);
+					}
+					else {
+						order(number, term);
+					}
+				}
+			});
+			return;
+		}
+		PooledConnection connection = free.get();
+		connection.take(this.router.now());
+		String memberTerm = Long.toString(this.router.progress().term() + 1);
+		connection.send(MemberCommand.own(MemberCommand.Kind.DEMOTE, memberTerm), (reply) -> {
+			if (reply.error() == StatementError.CONNECTION_LOST) {
+				connection.discard();
+			}
+			else {
+				connection.release();
+			}
+			if (isCurrent(number)) {
+				LogPosition target = MemberStatus.parse(leaving, reply)
+					.map(MemberStatus::received)
+					.orElse(LogPosition.NONE);
+				this.router.primaryLost(leaving, "is leaving");
+				awaitCaughtUp(number, term, target, this.router.now() + CATCH_UP_NANOSECONDS);
+			}
+		});
+	}
+
+	private void awaitCaughtUp(long number, long term, LogPosition target, long until) {
+		if (!isCurrent(number)) {
+			return;
+		}
+		MemberPool pool = this.router.pool(this.candidate);
+		if (pool == null || this.router.now() - until >= 0) {
+			order(number, term);
+			return;
+		}
+		List<MemberStatus> answers = new ArrayList<>();
+		askStatus(pool, answers);
+		this.controller.services().after(POLL_NANOSECONDS, () -> {
+			boolean caughtUp = answers.stream().anyMatch((status) -> status.received().includes(target));
+			if (caughtUp) {
+				if (isCurrent(number)) {
+					order(number, term);
+				}
+			}
+			else {
+				awaitCaughtUp(number, term, target, until);
+			}
+		});
+	}
+
+	private void order(long number, long term) {
+		LogEvent.PROMOTION_ORDERED.log(LOGGER, group(), this.candidate, term);
+		String ordered = this.candidate;
+		this.controller.order(group(), ordered, this.ownerEpoch, (result) -> {
+			if (!isCurrent(number)) {
+				return;
+			}
+			if (result == PromotionService.Result.ACCEPTED) {
+				this.router.expectPrimary(ordered);
+				return;
+			}
+			LogEvent.PROMOTION_FAILED.log(LOGGER, group(), ordered, term, result);
+			end("the platform answered " + result);
+			if (result == PromotionService.Result.REFUSED) {
+				this.notBefore = this.router.now() + REFUSED_NANOSECONDS;
+			}
+		});
+	}
+
+	private void followPromotion(long now) {
+		boolean ordered = !this.candidate.isEmpty();
+		Optional<MemberPool> primary = this.router.primary();
+		if (ordered && primary.isPresent() && primary.get().member().member().equals(this.candidate)) {
+			LogEvent.PRIMARY_CONFIRMED.log(LOGGER, group(), this.candidate, this.view.reservedTerm());
+			if (this.view.reservedTerm() > this.view.term() && this.view.candidate().equals(this.candidate)) {
+				this.confirming = true;
+				confirm(this.view.reservedTerm(), this.candidate);
+			}
+			end("promoted");
+			return;
+		}
+		if (ordered && primary.isEmpty()) {
+			this.router.ask(this.router.pool(this.candidate));
+		}
+		if (now - this.attemptEndsAt >= 0) {
+			end("took too long");
+		}
+	}
+
+	private void end(String cause) {
+		this.inProgress = false;
+		LogEvent.SESSION_PROMOTION_ENDED.log(LOGGER, group(), this.candidate, cause);
+	}
+
+	private void submit(ControlCommand command, Consumer<CommandResult> accepted, Runnable notAccepted) {
+		CommandSubmitter control = this.controller.control();
+		control.submit(command, this.router.now() + COMMAND_NANOSECONDS).whenCompleteAsync((result, failure) -> {
+			if (failure == null && result.isAccepted()) {
+				accepted.accept(result);
+			}
+			else {
+				notAccepted.run();
+			}
+		}, this.controller.services().loop());
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberDialer.java
@@ -0,0 +1,36 @@
+package org.magnolialead.daemon.session;
+
+import java.util.function.Consumer;
+
+import org.magnolialead.api.MemberDescription;
+
+/**
+ * Opens connections to database members.
+ */
+public interface MemberDialer {
+
+	/**
+	 * Opens a connection and checks that the expected member is behind the address.
+	 * @param member the member
+	 * @param handler receives the result on the executor of the sessions
+	 * @param closed called on that executor when an opened connection ends
+	 */
+	void dial(MemberDescription member, Consumer<DialResult> handler, Runnable closed);
+
+	/**
+	 * Result of an attempt to connect.
+	 *
+	 * @param channel the connection, or {@code null} if there is none
+	 * @param error why there is none, or {@code null}
+	 */
+	record DialResult(MemberChannel channel, StatementError error) {
+
+		public DialResult {
+			if ((channel == null) == (error == null)) {
+				throw new IllegalArgumentException("either a channel or an error must be given");
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -0,0 +1,166 @@
+package org.magnolialead.daemon.session;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.RouteTable;
+import org.magnolialead.engine.session.PreparedStatement;
+import org.magnolialead.engine.session.SuspensionDetector;
+
+/**
+ * Sessions of this daemon and the groups that serve them. All methods but
+ * {@link #viewChanged(FleetView)} and {@link #isServing()} are called on the serial
+ * executor.
+ */
+public final class SessionService {
+
+	private static final long TICK_MILLISECONDS = 20;
+
+	private final SessionServices services;
+
+	private final LongSupplier wallClock;
+
+	private final SuspensionDetector suspension;
+
+	private final Map<String, GroupRouter> routers = new HashMap<>();
+
+	private final Set<ClientSession> sessions = new HashSet<>();
+
+	private final Map<String, PreparedStatement> prepared = new HashMap<>();
+
+	private volatile RouteTable routes = RouteTable.EMPTY;
+
+	/**
+	 * Creates a service without groups.
+	 * @param loop serial executor on which everything runs
+	 * @param clock clock for all deadlines
+	 * @param wallClock wall clock in milliseconds, read only to notice a suspension
+	 * @param dialer opens connections to members
+	 */
+	public SessionService(ScheduledExecutorService loop, MonotonicClock clock, LongSupplier wallClock,
+			MemberDialer dialer) {
+		this.services = new SessionServices(loop, clock, dialer);
+		this.wallClock = wallClock;
+		this.suspension = new SuspensionDetector(clock.nanoseconds(), wallClock.getAsLong());
+	}
+
+	/**
+	 * Starts the regular work.
+	 */
+	public void start() {
+		this.services.loop()
+			.scheduleWithFixedDelay(this::tick, TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Applies a new fleet view. May be called on any thread.
+	 * @param view the new view
+	 */
+	public void viewChanged(FleetView view) {
+		this.services.loop().execute(() -> apply(view));
+	}
+
+	private void apply(FleetView view) {
+		this.routes = view.configuration().routes();
+		int daemons = (int) view.daemons().values().stream().filter((daemon) -> !daemon.draining()).count();
+		view.groups().values().forEach((group) -> {
+			Integer limit = this.routes.connectionLimits().get(group.group());
+			if (limit != null) {
+				router(group.group()).viewChanged(group, limit, daemons);
+			}
+		});
+	}
+
+	/**
+	 * Tells whether clients can be served.
+	 * @return {@code true} once routes are known
+	 */
+	public boolean isServing() {
+		return this.routes.number() > 0;
+	}
+
+	/**
+	 * Opens a session.
+	 * @param database name of the database
+	 * @param channel connection of the client
+	 * @return the session, or empty if there is no such database
+	 */
+	public Optional<ClientSession> open(String database, ClientChannel channel) {
+		if (this.routes.route(database).isEmpty()) {
+			return Optional.empty();
+		}
+		ClientSession session = new ClientSession(this, channel, database);
+		this.sessions.add(session);
+		return Optional.of(session);
+	}
+
+	/**
+	 * Closes the sessions that are between two operations.
+	 * @return the number of sessions that remain
+	 */
+	public int closeIdle() {
+		List.copyOf(this.sessions).stream().filter(ClientSession::isIdle).forEach(ClientSession::end);
+		return this.sessions.size();
+	}
+
+	/**
+	 * Closes all sessions. Open transactions are rolled back.
+	 */
+	public void closeAll() {
+		List.copyOf(this.sessions).forEach(ClientSession::end);
+	}
+
+	SessionServices services() {
+		return this.services;
+	}
+
+	RouteTable routes() {
+		return this.routes;
+	}
+
+	GroupRouter router(String group) {
+		return this.routers.computeIfAbsent(group, (name) -> new GroupRouter(name, this.services));
+	}
+
+	Collection<GroupRouter> routers() {
+		return this.routers.values();
+	}
+
+	/**
+	 * Returns a prepared statement with a name that is the same for all sessions.
+	 * @param writes whether it writes
+	 * @param shape what the client prepared
+	 * @return the statement
+	 */
+	PreparedStatement prepared(boolean writes, String shape) {
+		String key = (writes ? "w" : "r") + shape;
+		return this.prepared.computeIfAbsent(key,
+				(text) -> new PreparedStatement(writes, shape, "p" + this.prepared.size()));
+	}
+
+	void closed(ClientSession session) {
+		this.sessions.remove(session);
+	}
+
+	void checkSuspension() {
+		if (this.suspension.hasMoved(this.services.now(), this.wallClock.getAsLong())) {
+			this.routers.values().forEach((router) -> router.progress().forget());
+		}
+	}
+
+	private void tick() {
+		checkSuspension();
+		this.routers.values().forEach(GroupRouter::tick);
+	}
+
+}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -1,6 +1,7 @@
 package org.magnolialead.daemon.settings;
 
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
@@ -20,10 +21,12 @@
  * @param dataFolder folder for durable state; present for control daemons
  * @param snapshotEntries number of log entries between snapshots of a control daemon
  * @param threads number of threads that serve requests
+ * @param seeds where control daemons are found; present if the settings do not list them
+ * @param sessions settings for sessions of database clients; present if they are served
  */
 public record DaemonSettings(Path file, String name, DaemonRole role, String availabilityZone, PeerSettings peer,
 		Map<String, String> controlMembers, HttpSettings http, Optional<Path> sessionKeyFile, Optional<Path> dataFolder,
-		int snapshotEntries, int threads) {
+		int snapshotEntries, int threads, Optional<SeedSettings> seeds, Optional<SessionSettings> sessions) {
 
 	public DaemonSettings {
 		Objects.requireNonNull(file, "file must not be null");
@@ -33,6 +36,80 @@
 		controlMembers = Map.copyOf(controlMembers);
 	}
 
+	/**
+	 * Creates settings of a daemon that lists the control daemons and serves requests
+	 * over HTTP only.
+	 * @param file settings file, named in error messages
+	 * @param name name of the daemon
+	 * @param role role of the daemon
+	 * @param availabilityZone availability zone of its VM
+	 * @param peer address for the peer protocol
+	 * @param controlMembers peer addresses of all control daemons by name
+	 * @param http limits of the HTTP server
+	 * @param sessionKeyFile file with the key that signs session tokens
+	 * @param dataFolder folder for durable state
+	 * @param snapshotEntries number of log entries between snapshots
+	 * @param threads number of threads that serve requests
+	 */
+	public DaemonSettings(Path file, String name, DaemonRole role, String availabilityZone, PeerSettings peer,
+			Map<String, String> controlMembers, HttpSettings http, Optional<Path> sessionKeyFile,
+			Optional<Path> dataFolder, int snapshotEntries, int threads) {
+		this(file, name, role, availabilityZone, peer, controlMembers, http, sessionKeyFile, dataFolder,
+				snapshotEntries, threads, Optional.empty(), Optional.empty());
+	}
+
+	/**
+	 * Returns where control daemons are found at start.
+	 * @return peer addresses, at least one
+	 */
+	public List<String> controlAddresses() {
+		return this.seeds.map(SeedSettings::peerAddresses)
+			.orElseGet(() -> this.controlMembers.values().stream().sorted().toList());
+	}
+
+	/**
+	 * Control daemons that are known before any has answered. The others are learned from
+	 * them.
+	 *
+	 * @param addresses HTTP addresses of control daemons in the form {@code host:port};
+	 * the first one starts the group at the first start of the fleet
+	 * @param peerPort port for the peer protocol, the same on the VMs of all control
+	 * daemons
+	 * @param firstStart whether the fleet starts for the first time, with empty disks
+	 */
+	public record SeedSettings(List<String> addresses, int peerPort, boolean firstStart) {
+
+		public SeedSettings {
+			addresses = List.copyOf(addresses);
+			if (addresses.isEmpty()) {
+				throw new IllegalArgumentException("addresses must not be empty");
+			}
+		}
+
+		/**
+		 * Returns the addresses for the peer protocol.
+		 * @return one address for each seed
+		 */
+		public List<String> peerAddresses() {
+			return this.addresses.stream()
+				.map((address) -> address.substring(0, address.lastIndexOf(':')) + ":" + this.peerPort)
+				.toList();
+		}
+
+	}
+
+	/**
+	 * Settings for sessions of database clients.
+	 *
+	 * @param host IP number to listen on
+	 * @param port TCP port
+	 * @param promotionAddress address of the service that promotes database members
+	 * @param graceMilliseconds time in milliseconds between the request to stop and the
+	 * forced end of the process
+	 */
+	public record SessionSettings(String host, int port, String promotionAddress, long graceMilliseconds) {
+	}
+
 	/**
 	 * Address for the peer protocol.
 	 *
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -46,6 +48,8 @@
 
 	private static final int MAXIMUM_THREADS = 64;
 
+	private static final int MAXIMUM_GRACE_SECONDS = 3_600;
+
 	private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
 
 	private static final Pattern IP_NUMBER = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[?[0-9a-fA-F:]+\\]?");
@@ -78,17 +82,27 @@
 			throw root.invalid("http.port", String.valueOf(http.port()), "a port other than peer.port");
 		}
 		SettingsSection control = root.section("control");
-		Map<String, String> members = controlMembers(control.section("members"), control);
+		Optional<DaemonSettings.SeedSettings> seeds = seeds(control);
+		Map<String, String> members = seeds.isPresent() ? Map.of()
+				: controlMembers(control.section("members"), control);
 		Optional<Path> dataFolder = control.optionalText("data_folder").map((text) -> resolve(file, text));
 		int snapshotEntries = control.wholeNumber("snapshot_entries", 10, 10_000_000, DEFAULT_SNAPSHOT_ENTRIES);
 		control.refuseUnknownKeys();
 		SettingsSection session = root.section("session");
 		Optional<Path> keyFile = session.optionalText("key_file").map((text) -> resolve(file, text));
 		session.refuseUnknownKeys();
+		Optional<DaemonSettings.SessionSettings> sessions = sessions(root.section("sessions"));
 		root.refuseUnknownKeys();
-		checkRole(role, name, peer, members, dataFolder, keyFile, control, session);
+		checkRole(role, dataFolder, control);
+		if (role == DaemonRole.CONTROL && seeds.isEmpty() && !peer.address().equals(members.get(name))) {
+			throw control.invalid("members", members.toString(),
+					"a table in which \"%s\" has the address of this daemon, %s".formatted(name, peer.address()));
+		}
+		if (role == DaemonRole.ENTRY && sessions.isEmpty()) {
+			checkKeyFile(keyFile, session);
+		}
 		return new DaemonSettings(file, name, role, availabilityZone, peer, members, http, keyFile, dataFolder,
-				snapshotEntries, threads);
+				snapshotEntries, threads, seeds, sessions);
 	}
 
 	private static JsonNode parse(Path file) {
@@ -109,8 +123,13 @@
 	}
 
 	private static DaemonSettings.HttpSettings http(SettingsSection http) {
-		DaemonSettings.HttpSettings settings = new DaemonSettings.HttpSettings(ipNumber(http, "host"),
-				http.wholeNumber("port", 1, MAXIMUM_PORT),
+		Optional<String> address = http.optionalText("address");
+		address.ifPresent((text) -> checkAddress(http, "address", text));
+		String host = address.map((text) -> text.substring(0, text.lastIndexOf(':')))
+			.orElseGet(() -> ipNumber(http, "host"));
+		int port = address.map((text) -> Integer.parseInt(text.substring(text.lastIndexOf(':') + 1)))
+			.orElseGet(() -> http.wholeNumber("port", 1, MAXIMUM_PORT));
+		DaemonSettings.HttpSettings settings = new DaemonSettings.HttpSettings(host, port,
 				http.wholeNumber("maximum_body_bytes", 1, MAXIMUM_BODY_BYTES, DEFAULT_BODY_BYTES),
 				http.wholeNumber("maximum_header_bytes", 512, MAXIMUM_BODY_BYTES, DEFAULT_HEADER_BYTES),
 				http.wholeNumber("receive_timeout_milliseconds", 10, MAXIMUM_TIMEOUT_MILLISECONDS,
@@ -131,52 +150,73 @@
 		if (addresses.isEmpty()) {
 			throw control.invalid("members", "nothing", "a table with the name and address of each control daemon");
 		}
-		addresses.forEach((member, address) -> {
-			int colon = address.lastIndexOf(':');
-			boolean valid = colon > 0 && IP_NUMBER.matcher(address.substring(0, colon)).matches()
-					&& address.substring(colon + 1).matches("[1-9][0-9]{0,4}")
-					&& Integer.parseInt(address.substring(colon + 1)) <= MAXIMUM_PORT;
-			if (!valid) {
-				throw members.invalid(member, "\"" + address + "\"",
-						"an IP number and a port, such as \"10.0.0.1:7001\"");
-			}
-		});
+		addresses.forEach((member, address) -> checkAddress(members, member, address));
 		return addresses;
 	}
 
-	private static void checkRole(DaemonRole role, String name, DaemonSettings.PeerSettings peer,
-			Map<String, String> members, Optional<Path> dataFolder, Optional<Path> keyFile, SettingsSection control,
-			SettingsSection session) {
-		if (role == DaemonRole.CONTROL) {
-			if (dataFolder.isEmpty()) {
-				throw control.invalid("data_folder", "nothing", "a folder on a disk, as daemon.role is control");
-			}
-			if (!peer.address().equals(members.get(name))) {
-				throw control.invalid("members", members.toString(),
-						"a table in which \"%s\" has the address of this daemon, %s".formatted(name, peer.address()));
-			}
-			return;
+	private static Optional<DaemonSettings.SeedSettings> seeds(SettingsSection control) {
+		Optional<String> texts = control.optionalText("seeds");
+		if (texts.isEmpty()) {
+			return Optional.empty();
 		}
-		if (dataFolder.isPresent()) {
+		List<String> addresses = List.of(texts.get().split(","));
+		addresses.forEach((address) -> checkAddress(control, "seeds", address));
+		int peerPort = control.wholeNumber("peer_port", 1, MAXIMUM_PORT);
+		boolean firstStart = control.flag("first_start", false);
+		return Optional.of(new DaemonSettings.SeedSettings(addresses, peerPort, firstStart));
+	}
+
+	private static Optional<DaemonSettings.SessionSettings> sessions(SettingsSection sessions) {
+		if (!sessions.isPresent()) {
+			return Optional.empty();
+		}
+		String address = sessions.text("address");
+		checkAddress(sessions, "address", address);
+		String promotionAddress = sessions.text("promotion_address");
+		checkAddress(sessions, "promotion_address", promotionAddress);
+		long grace = TimeUnit.SECONDS.toMillis(sessions.wholeNumber("grace_seconds", 1, MAXIMUM_GRACE_SECONDS));
+		sessions.refuseUnknownKeys();
+		int colon = address.lastIndexOf(':');
+		return Optional.of(new DaemonSettings.SessionSettings(address.substring(0, colon),
+				Integer.parseInt(address.substring(colon + 1)), promotionAddress, grace));
+	}
+
+	private static void checkAddress(SettingsSection section, String key, String address) {
+		if (!isAddress(address)) {
+			throw section.invalid(key, "\"" + address + "\"", "an IP number and a port, such as \"10.0.0.1:7001\"");
+		}
+	}
+
+	private static boolean isAddress(String address) {
+		int colon = address.lastIndexOf(':');
+		return colon > 0 && IP_NUMBER.matcher(address.substring(0, colon)).matches()
+				&& address.substring(colon + 1).matches("[1-9][0-9]{0,4}")
+				&& Integer.parseInt(address.substring(colon + 1)) <= MAXIMUM_PORT;
+	}
+
+	private static void checkRole(DaemonRole role, Optional<Path> dataFolder, SettingsSection control) {
+		if (role == DaemonRole.CONTROL && dataFolder.isEmpty()) {
+			throw control.invalid("data_folder", "nothing", "a folder on a disk, as daemon.role is control");
+		}
+		if (role == DaemonRole.ENTRY && dataFolder.isPresent()) {
 			throw control.invalid("data_folder", dataFolder.get().toString(), "nothing, as daemon.role is entry");
 		}
+	}
+
+	private static void checkKeyFile(Optional<Path> keyFile, SettingsSection session) {
 		if (keyFile.isEmpty()) {
 			throw session.invalid("key_file", "nothing",
 					"a file with at least %d bytes, as daemon.role is entry".formatted(MINIMUM_KEY_BYTES));
 		}
-		checkKeyFile(keyFile.get(), session);
-	}
-
-	private static void checkKeyFile(Path keyFile, SettingsSection session) {
 		try {
-			long size = Files.size(keyFile);
+			long size = Files.size(keyFile.get());
 			if (size < MINIMUM_KEY_BYTES) {
 				throw session.invalid("key_file", "a file of %d bytes".formatted(size),
 						"a file with at least %d bytes".formatted(MINIMUM_KEY_BYTES));
 			}
 		}
 		catch (IOException ex) {
-			throw session.invalid("key_file", keyFile + ", which cannot be read", "a readable file");
+			throw session.invalid("key_file", keyFile.get() + ", which cannot be read", "a readable file");
 		}
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsSection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsSection.java
@@ -76,6 +76,14 @@
 		return (node != null) ? checkedNumber(key, node, minimum, maximum) : defaultValue;
 	}
 
+	boolean flag(String key, boolean defaultValue) {
+		JsonNode node = node(key);
+		if (node != null && !node.isBoolean()) {
+			throw invalid(key, node.toString(), "true or false");
+		}
+		return (node != null) ? node.booleanValue() : defaultValue;
+	}
+
 	Map<String, String> textsByKey() {
 		Map<String, String> texts = new LinkedHashMap<>();
 		if (this.table != null) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
@@ -15,6 +15,7 @@
 import org.magnolialead.api.message.ConsensusMessage;
 import org.magnolialead.api.message.ConsensusMessage.AppendAnswer;
 import org.magnolialead.api.message.ConsensusMessage.AppendRequest;
+import org.magnolialead.api.message.ConsensusMessage.JoinRequest;
 import org.magnolialead.api.message.ConsensusMessage.SnapshotAnswer;
 import org.magnolialead.api.message.ConsensusMessage.SnapshotRequest;
 import org.magnolialead.api.message.ConsensusMessage.VoteAnswer;
@@ -115,7 +116,10 @@
 	 */
 	public List<ConsensusAction> receive(ConsensusMessage message, long now) {
 		stepDownIfOverdue(now);
-		if (isAccepted(message)) {
+		if (message instanceof JoinRequest join) {
+			receive(join, now);
+		}
+		else if (isAccepted(message)) {
 			dispatch(message, now);
 			if (this.role == Role.LEADER) {
 				advanceCommitIndex();
@@ -315,7 +319,21 @@
 			return this.cluster.equals(message.cluster());
 		}
 		boolean fromLeader = message instanceof AppendRequest || message instanceof SnapshotRequest;
-		return fromLeader && this.settings.peers().containsKey(message.from().name());
+		return fromLeader && this.settings.admits(message.from().name());
+	}
+
+	// The leader starts to replicate to the sender, which then knows the cluster.
+	private void receive(JoinRequest join, long now) {
+		boolean sameCluster = join.cluster().isEmpty() || join.cluster().equals(this.cluster);
+		if (!this.settings.hasOpenMembership() || this.cluster.isEmpty() || !sameCluster) {
+			return;
+		}
+		if (this.role == Role.LEADER) {
+			this.leadership.admit(join.from(), now);
+		}
+		else if (this.leader != null && !join.forwarded()) {
+			send(this.leader, new JoinRequest(join.from(), join.cluster(), join.term(), true));
+		}
 	}
 
 	private void dispatch(ConsensusMessage message, long now) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
@@ -9,7 +9,8 @@
  * Settings of a {@link ConsensusNode}. All times are nanoseconds.
  *
  * @param self identity of this member
- * @param peers peer addresses of all configured control daemons by name
+ * @param peers peer addresses of all configured control daemons by name; empty if control
+ * daemons join by themselves
  * @param heartbeatInterval time between heartbeats of a leader
  * @param minimumElectionTimeout time without a leader during which votes are refused
  * @param maximumElectionTimeout upper bound of the random time until an election
@@ -73,6 +74,18 @@
 		return this.minimumElectionTimeout / 10 * 9;
 	}
 
+	/**
+	 * Tells whether control daemons join by themselves, because the settings list none.
+	 * @return {@code true} if membership is open
+	 */
+	public boolean hasOpenMembership() {
+		return this.peers.isEmpty();
+	}
+
+	boolean admits(String name) {
+		return hasOpenMembership() || this.peers.containsKey(name);
+	}
+
 	String addressOf(ControlIdentity member) {
 		return this.peers.getOrDefault(member.name(), member.address());
 	}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
@@ -26,6 +26,12 @@
 	/** Maximum election timeouts after which a silent learner is forgotten. */
 	private static final long LEARNER_TIMEOUTS = 10;
 
+	/** Maximum election timeouts after which a silent voter may be removed. */
+	private static final long SILENT_VOTER_TIMEOUTS = 8;
+
+	/** Least number of voters that tolerates a failure. */
+	private static final int MINIMUM_VOTERS = 3;
+
 	private final ConsensusSettings settings;
 
 	private final ReplicaLog log;
@@ -250,8 +256,19 @@
 	// an unknown incarnation becomes a learner.
 	private MemberProgress progressOf(ControlIdentity from, long now) {
 		MemberProgress progress = this.members.get(MemberKey.of(from));
-		if (progress != null || !isConfiguredPeer(from)) {
-			return progress;
+		return (progress != null) ? progress : admit(from, now);
+	}
+
+	/**
+	 * Starts to replicate to a control daemon that is no member yet.
+	 * @param from the daemon
+	 * @param now present time
+	 * @return its progress, or {@code null} if it may not become a member
+	 */
+	MemberProgress admit(ControlIdentity from, long now) {
+		boolean admitted = this.settings.admits(from.name()) && !from.name().equals(this.settings.self().name());
+		if (!admitted || this.members.containsKey(MemberKey.of(from))) {
+			return null;
 		}
 		this.members.values().removeIf((other) -> isOtherLearner(other.identity(), from));
 		MemberProgress learner = newProgress(from, now);
@@ -259,10 +276,6 @@
 		return learner;
 	}
 
-	private boolean isConfiguredPeer(ControlIdentity member) {
-		return this.settings.peers().containsKey(member.name()) && !member.name().equals(this.settings.self().name());
-	}
-
 	private boolean isOtherLearner(ControlIdentity member, ControlIdentity learner) {
 		return member.name().equals(learner.name()) && !MemberKey.contains(this.log.voters(), member);
 	}
@@ -330,6 +343,31 @@
 	 * @return the voters, or empty if no change is due
 	 */
 	Optional<List<ControlIdentity>> dueVoters(long now) {
+		Optional<List<ControlIdentity>> grown = votersWithLearner(now);
+		return grown.isPresent() ? grown : votersWithoutSilent(now);
+	}
+
+	// A VM that was replaced at another address never returns. It would count for the
+	// majority for ever, so that the group would tolerate one failure less. A voter that
+	// returns later joins again.
+	private Optional<List<ControlIdentity>> votersWithoutSilent(long now) {
+		List<ControlIdentity> voters = this.log.voters();
+		if (!this.settings.hasOpenMembership() || voters.size() <= MINIMUM_VOTERS) {
+			return Optional.empty();
+		}
+		long limit = now - SILENT_VOTER_TIMEOUTS * this.settings.maximumElectionTimeout();
+		return voters.stream()
+			.filter((voter) -> isSilentSince(voter, limit))
+			.findFirst()
+			.map((silent) -> voters.stream().filter((voter) -> !voter.equals(silent)).toList());
+	}
+
+	private boolean isSilentSince(ControlIdentity voter, long time) {
+		MemberProgress progress = this.members.get(MemberKey.of(voter));
+		return progress != null && progress.isSilentSince(time);
+	}
+
+	private Optional<List<ControlIdentity>> votersWithLearner(long now) {
 		return this.members.values()
 			.stream()
 			.filter((progress) -> isPromotable(progress, now))
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ConfigurationRules.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ConfigurationRules.java
@@ -7,6 +7,7 @@
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.FleetConfiguration;
 import org.magnolialead.api.Profile;
+import org.magnolialead.api.RouteTable;
 import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand.ChangeConfiguration;
 
@@ -34,6 +35,23 @@
 		return new Applied(applied.state().withAnswers(answers), applied.result());
 	}
 
+	/**
+	 * Puts a set of routes in force unless a higher or equal number is in force already.
+	 * An operator who resends an accepted table is therefore always told so again.
+	 * @param state the present state
+	 * @param table the routes
+	 * @return the new state and the answer
+	 */
+	static Applied replaceRoutes(ControlState state, RouteTable table) {
+		FleetConfiguration present = state.configuration();
+		if (table.number() <= present.routes().number()) {
+			return new Applied(state, CommandResult.accepted(present.version()));
+		}
+		FleetConfiguration next = new FleetConfiguration(present.version() + 1, present.profiles(),
+				present.rankFloors(), present.queueLimit(), table);
+		return new Applied(state.withConfiguration(next), CommandResult.accepted(next.version()));
+	}
+
 	private static Applied decide(ControlState state, ChangeConfiguration change) {
 		FleetConfiguration present = state.configuration();
 		if (change.expectedVersion() != present.version()) {
@@ -45,7 +63,7 @@
 			Map<String, Profile> profiles = profilesAfter(present, change);
 			FleetConfiguration next = new FleetConfiguration(present.version() + 1, profiles,
 					(change.rankFloors() != null) ? change.rankFloors() : present.rankFloors(),
-					(change.queueLimit() != null) ? change.queueLimit() : present.queueLimit());
+					(change.queueLimit() != null) ? change.queueLimit() : present.queueLimit(), present.routes());
 			return new Applied(state.withConfiguration(next), CommandResult.accepted(next.version()));
 		}
 		catch (IllegalArgumentException ex) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlState.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlState.java
@@ -81,6 +81,9 @@
 		if (command instanceof ControlCommand.ChangeConfiguration change) {
 			return ConfigurationRules.change(this, change);
 		}
+		if (command instanceof ControlCommand.ReplaceRoutes replace) {
+			return ConfigurationRules.replaceRoutes(this, replace.table());
+		}
 		if (command instanceof ControlCommand.RegisterDaemon register) {
 			return DaemonRules.register(this, register);
 		}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/GroupRules.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/GroupRules.java
@@ -87,14 +87,14 @@
 		Names.check("member name", member.member());
 		Names.check("member address", member.address());
 		Names.check("availability zone", member.availabilityZone());
-		GroupView group = state.groups().get(member.group());
-		if (group == null) {
-			group = new GroupView(member.group(), 0, 0, "", 0, "", "", 0, Map.of());
-		}
-		if (member.equals(group.members().get(member.member()))) {
+		GroupView announced = state.groups().get(member.group());
+		GroupView group = (announced != null) ? announced
+				: new GroupView(member.group(), 0, 0, "", 0, "", "", 0, Map.of());
+		if (member.equals(group.members().get(member.member())) || isOutdated(group, member)) {
 			return Applied.accepted(state);
 		}
 		Map<String, MemberDescription> members = new HashMap<>(group.members());
+		members.values().removeIf((known) -> isReplacedBy(group, known, member));
 		members.put(member.member(), member);
 		if (members.size() > MAXIMUM_MEMBERS) {
 			return Applied.refused(state, ErrorCode.BAD_REQUEST,
@@ -103,6 +103,26 @@
 		return Applied.accepted(state.withGroup(withMembers(group, members)));
 	}
 
+	// A report may be delayed until its sender has been replaced at the same address, or
+	// until after a later report in which the sender said that it leaves.
+	private static boolean isOutdated(GroupView group, MemberDescription member) {
+		MemberDescription present = group.members().get(member.member());
+		boolean returnsFromLeaving = present != null && present.leaving() && !member.leaving()
+				&& member.startedAtMilliseconds() > 0
+				&& present.startedAtMilliseconds() == member.startedAtMilliseconds();
+		return returnsFromLeaving || group.allMembers()
+			.stream()
+			.filter((known) -> known.member().equals(member.member()) || known.address().equals(member.address()))
+			.anyMatch(member::startedBefore);
+	}
+
+	// Only the later of two processes can be behind an address. Members that do not
+	// state when they started are kept.
+	private static boolean isReplacedBy(GroupView group, MemberDescription known, MemberDescription member) {
+		return known.address().equals(member.address()) && known.startedBefore(member)
+				&& !known.member().equals(group.primary()) && !known.member().equals(group.candidate());
+	}
+
 	private static Applied forgetMember(ControlState state, GroupView group, ForgetMember command) {
 		if (command.member().equals(group.primary())) {
 			return Applied.refused(state, ErrorCode.STALE_COMMAND,
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/PrimaryHealth.java
@@ -0,0 +1,59 @@
+package org.magnolialead.engine.session;
+
+/**
+ * Decides from the work that passes anyway whether the primary of a group has failed. Not
+ * safe for concurrent use.
+ */
+public final class PrimaryHealth {
+
+	/**
+	 * Silence of a member that was asked something, after which it counts as failed, in
+	 * nanoseconds. Several times the longest statement with a full queue before it.
+	 */
+	static final long SILENCE_NANOSECONDS = 600_000_000L;
+
+	/** Connections refused or reset in a row after which a member counts as failed. */
+	static final int FAILURES = 3;
+
+	private boolean waiting;
+
+	private long waitingSince;
+
+	private int failures;
+
+	/**
+	 * Notes that something was sent to the primary.
+	 * @param now present time in nanoseconds
+	 */
+	public void asked(long now) {
+		if (!this.waiting) {
+			this.waiting = true;
+			this.waitingSince = now;
+		}
+	}
+
+	/**
+	 * Notes an answer of the primary.
+	 */
+	public void answered() {
+		this.waiting = false;
+		this.failures = 0;
+	}
+
+	/**
+	 * Notes that a connection was refused, reset or could not be opened in time.
+	 */
+	public void failed() {
+		this.failures++;
+	}
+
+	/**
+	 * Tells whether the primary counts as failed.
+	 * @param now present time in nanoseconds
+	 * @return {@code true} if it was silent or refused connections for too long
+	 */
+	public boolean isFailed(long now) {
+		return this.failures >= FAILURES || (this.waiting && now - this.waitingSince >= SILENCE_NANOSECONDS);
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/PromotionChoice.java
@@ -0,0 +1,47 @@
+package org.magnolialead.engine.session;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.magnolialead.api.LogPosition;
+
+/**
+ * Chooses the member that replaces a primary.
+ */
+public final class PromotionChoice {
+
+	private PromotionChoice() {
+	}
+
+	/**
+	 * Returns the member that has received most, because a promotion rolls the others
+	 * back to what it has. A member that leaves is taken only if no other answers.
+	 * @param candidates members that answered
+	 * @return the member, or empty if none answered
+	 */
+	public static Optional<Candidate> choose(Collection<Candidate> candidates) {
+		return candidates.stream()
+			.max(Comparator.comparing(Candidate::leaving)
+				.reversed()
+				.thenComparing(Candidate::received)
+				.thenComparing(Candidate::member));
+	}
+
+	/**
+	 * Member that may be promoted.
+	 *
+	 * @param member name of the member
+	 * @param received position that it has received
+	 * @param leaving whether it is about to leave
+	 */
+	public record Candidate(String member, LogPosition received, boolean leaving) {
+
+		public Candidate {
+			Objects.requireNonNull(member, "member must not be null");
+			Objects.requireNonNull(received, "received must not be null");
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/WaitRule.java
@@ -0,0 +1,29 @@
+package org.magnolialead.engine.session;
+
+/**
+ * Decides on arrival whether a statement can be served before its deadline, so that what
+ * cannot be served is refused at once. Answers the load of a flood: without it the queue
+ * grows until every statement in it misses its deadline.
+ */
+public final class WaitRule {
+
+	/** Share of the time to the deadline that may be spent waiting: one half. */
+	private static final int SHARE_DIVISOR = 2;
+
+	private WaitRule() {
+	}
+
+	/**
+	 * Tells whether a statement should be refused.
+	 * @param ahead number of waiting statements that are served before it
+	 * @param connections number of connections that serve them
+	 * @param serviceNanoseconds smoothed time that a connection is busy with one
+	 * @param remainingNanoseconds time until the deadline
+	 * @return {@code true} if the expected wait takes more than half of that time
+	 */
+	public static boolean refuses(int ahead, int connections, long serviceNanoseconds, long remainingNanoseconds) {
+		long expected = ahead * serviceNanoseconds / Math.max(1, connections);
+		return expected > remainingNanoseconds / SHARE_DIVISOR;
+	}
+
+}
