--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
@@ -0,0 +1,318 @@
+package org.magnolialead.daemon.session;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnolialead.api.FleetConfiguration;
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.FreshnessRule;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.Route;
+import org.magnolialead.api.RouteTable;
+import org.magnolialead.daemon.session.ClientStatement.Verb;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Sessions against members that keep the state of each connection.
+ */
+class ClientSessionTests {
+
+	private static final int IDLE_TRANSACTION_MILLISECONDS = 3_000;
+
+	private final ManualLoop loop = new ManualLoop();
+
+	private final FakeGroup group = new FakeGroup(this.loop, "a", "b", "c");
+
+	private long wallClockOffset;
+
+	private final SessionService service = new SessionService(this.loop, this.loop,
+			() -> this.loop.milliseconds() + this.wallClockOffset, this.group);
+
+	@BeforeEach
+	void start() {
+		this.service.start();
+		this.service.viewChanged(view(this.group.view("", 0, ""), 1));
+		this.loop.run(200);
+	}
+
+	private static FleetView view(GroupView group, long number) {
+		Map<String, Route> routes = new HashMap<>();
+		List.of(new Route("primary", FakeGroup.NAME, FreshnessRule.LATEST, 0, 0, 800),
+				new Route("session", FakeGroup.NAME, FreshnessRule.SESSION, 2_500, 1, 800),
+				new Route("bounded", FakeGroup.NAME, FreshnessRule.MAXIMUM_AGE, 1_500, 2, 1_200))
+			.forEach((route) -> routes.put(route.database(), route));
+		RouteTable table = new RouteTable(number, routes, Map.of(FakeGroup.NAME, 18), IDLE_TRANSACTION_MILLISECONDS,
+				"");
+		FleetConfiguration initial = FleetConfiguration.initial();
+		FleetConfiguration configuration = new FleetConfiguration(number, initial.profiles(), initial.rankFloors(),
+				initial.queueLimit(), table);
+		return new FleetView(number, configuration, Map.of(FakeGroup.NAME, group), Map.of());
+	}
+
+	private TestClient client(String database) {
+		return new TestClient(this.loop, this.service, database);
+	}
+
+	private FakeGroup.Execution lastExecution() {
+		return this.group.executions().get(this.group.executions().size() - 1);
+	}
+
+	@Nested
+	class Isolation {
+
+		@Test
+		void connectionCarriesValuesOfTheSessionItServes() {
+			TestClient first = client("primary");
+			TestClient second = client("primary");
+			first.send(Verb.SET, "language", "vi");
+			second.send(Verb.SET, "zone", "west");
+			first.send(Verb.WRITE, "1", "x");
+			assertThat(lastExecution().values()).isEqualTo(Map.of("language", "vi"));
+			second.send(Verb.WRITE, "2", "y");
+			assertThat(lastExecution().values()).isEqualTo(Map.of("zone", "west"));
+			first.send(Verb.WRITE, "3", "z");
+			assertThat(lastExecution().values()).isEqualTo(Map.of("language", "vi"));
+		}
+
+		@Test
+		void equalNamesOfPreparedStatementsAreKeptApart() {
+			TestClient first = client("primary");
+			TestClient second = client("primary");
+			first.send(Verb.PREPARE_WRITE, "s1", "shape-one");
+			second.send(Verb.PREPARE_WRITE, "s1", "shape-two");
+			first.send(Verb.EXECUTE, "s1", "item");
+			assertThat(lastExecution().text()).isEqualTo("WRITE shape-one item");
+			second.send(Verb.EXECUTE, "s1", "item");
+			assertThat(lastExecution().text()).isEqualTo("WRITE shape-two item");
+		}
+
+		@Test
+		void closedNameIsUnknown() {
+			TestClient client = client("primary");
+			client.send(Verb.PREPARE_READ, "s1", "shape");
+			client.send(Verb.CLOSE, "s1", "");
+			assertThat(client.send(Verb.EXECUTE, "s1", "item").error()).isEqualTo(StatementError.NOT_PREPARED);
+		}
+
+		@Test
+		void noStatementRunsOnTheConnectionOfAnOpenTransaction() {
+			TestClient inTransaction = client("primary");
+			inTransaction.send(Verb.BEGIN);
+			inTransaction.send(Verb.WRITE, "1", "x");
+			int connection = lastExecution().connection();
+			for (int count = 0; count < 5; count++) {
+				client("primary").send(Verb.WRITE, "2", "y");
+				assertThat(lastExecution().connection()).isNotEqualTo(connection);
+			}
+			inTransaction.send(Verb.WRITE, "3", "z");
+			assertThat(lastExecution().connection()).isEqualTo(connection);
+			inTransaction.send(Verb.COMMIT);
+			assertThat(lastExecution().connection()).isEqualTo(connection);
+		}
+
+	}
+
+	@Nested
+	class Freshness {
+
+		@Test
+		void readOfAPrimaryRouteRunsInATransactionOfThePrimary() {
+			client("primary").send(Verb.READ, "1", "");
+			assertThat(lastExecution().member()).isEqualTo("a");
+			assertThat(lastExecution().inTransaction()).isTrue();
+		}
+
+		@Test
+		void replacedPrimaryServesNoReadOfAPrimaryRoute() {
+			TestClient client = client("primary");
+			client.send(Verb.READ, "1", "");
+			ClientSessionTests.this.group.promote("b");
+			assertThat(client.send(Verb.READ, "1", "", 400).isDone()).isTrue();
+			assertThat(lastExecution().member()).isEqualTo("b");
+		}
+
+		@Test
+		void sessionReadsItsOwnWriteWhileReplicasAreBehind() {
+			TestClient client = client("session");
+			client.send(Verb.WRITE, "1", "x");
+			client.send(Verb.READ, "1", "");
+			assertThat(lastExecution().member()).isEqualTo("a");
+		}
+
+		@Test
+		void replicaServesBoundedReadThatItIsFreshEnoughFor() {
+			client("bounded").send(Verb.READ, "1", "");
+			assertThat(lastExecution().member()).isIn("b", "c");
+		}
+
+		@Test
+		void replicaMissesNothingOlderThanTheBound() {
+			TestClient writer = client("primary");
+			writer.send(Verb.WRITE, "1", "x");
+			ClientSessionTests.this.loop.run(2_000);
+			client("bounded").send(Verb.READ, "1", "");
+			assertThat(lastExecution().member()).isEqualTo("a");
+		}
+
+		@Test
+		void knowledgeIsNotTrustedAfterASuspension() {
+			TestClient client = client("bounded");
+			client.send(Verb.READ, "1", "");
+			assertThat(lastExecution().member()).isIn("b", "c");
+			// The VM was suspended; meanwhile another daemon acknowledged a commit.
+			ClientSessionTests.this.wallClockOffset += 5_000;
+			ClientSessionTests.this.group.member("a").position(1, 7);
+			client.send(Verb.READ, "1", "");
+			assertThat(lastExecution().member()).isEqualTo("a");
+		}
+
+	}
+
+	@Nested
+	class LostAnswers {
+
+		@Test
+		void writeWhoseAnswerIsLostHasAnUnknownOutcome() {
+			TestClient client = client("primary");
+			ClientSessionTests.this.group.member("a").loseAnswers(1);
+			StatementReply reply = client.send(Verb.WRITE, "1", "x", 1_000);
+			assertThat(reply.error()).isEqualTo(StatementError.TIMED_OUT);
+			assertThat(ClientSessionTests.this.group.executions()).hasSize(1);
+		}
+
+		@Test
+		void readWhoseAnswerIsLostIsReadElsewhere() {
+			TestClient client = client("bounded");
+			ClientSessionTests.this.group.member("b").loseAnswers(1);
+			ClientSessionTests.this.group.member("c").loseAnswers(1);
+			assertThat(client.send(Verb.READ, "1", "", 600).isDone()).isTrue();
+		}
+
+		@Test
+		void transactionWhoseAnswerIsLostIsRolledBack() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			ClientSessionTests.this.group.member("a").loseAnswers(1);
+			StatementReply reply = client.send(Verb.WRITE, "1", "x", 600);
+			assertThat(reply.error()).isEqualTo(StatementError.ROLLED_BACK);
+			assertThat(reply.state()).isEqualTo(SessionState.FAILED_TRANSACTION);
+			ClientSessionTests.this.loop.run(1_000);
+			assertThat(ClientSessionTests.this.group.member("a").position().index()).isZero();
+		}
+
+		@Test
+		void commitWhoseAnswerIsLostHasAnUnknownOutcome() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			client.send(Verb.WRITE, "1", "x");
+			ClientSessionTests.this.group.member("a").loseAnswers(1);
+			StatementReply reply = client.send(Verb.COMMIT, "", "", 1_000);
+			assertThat(reply.error()).isEqualTo(StatementError.UNKNOWN_OUTCOME);
+			assertThat(reply.state()).isEqualTo(SessionState.IDLE);
+		}
+
+		@Test
+		void statementOfAMemberThatCrashesIsNotReportedAsNotRun() {
+			TestClient client = client("primary");
+			ClientSessionTests.this.group.member("a").loseAnswers(1);
+			client.send(Verb.WRITE, "1", "x", 10);
+			ClientSessionTests.this.group.member("a").crash();
+			ClientSessionTests.this.loop.run(100);
+			assertThat(client.replies()).singleElement()
+				.extracting(StatementReply::error)
+				.isEqualTo(StatementError.UNKNOWN_OUTCOME);
+		}
+
+	}
+
+	@Nested
+	class Ends {
+
+		@Test
+		void idleTransactionIsRolledBackAndItsClientLearnsOfIt() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			client.send(Verb.WRITE, "1", "x", IDLE_TRANSACTION_MILLISECONDS + 1_000);
+			assertThat(client.replies()).hasSize(2);
+			assertThat(client.send(Verb.WRITE, "2", "y").error()).isEqualTo(StatementError.ROLLED_BACK);
+			assertThat(client.send(Verb.ROLLBACK).state()).isEqualTo(SessionState.IDLE);
+			assertThat(ClientSessionTests.this.group.member("a").position().index()).isZero();
+		}
+
+		@Test
+		void transactionOfAClientThatLeftIsRolledBack() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			client.send(Verb.WRITE, "1", "x");
+			client.session().clientLeft();
+			ClientSessionTests.this.loop.run(100);
+			assertThat(ClientSessionTests.this.group.member("a").position().index()).isZero();
+			assertThat(client("primary").send(Verb.WRITE, "2", "y").isDone()).isTrue();
+		}
+
+		@Test
+		void onlySessionsBetweenOperationsAreClosedAtShutdown() {
+			TestClient idle = client("primary");
+			TestClient busy = client("primary");
+			busy.send(Verb.BEGIN);
+			assertThat(ClientSessionTests.this.service.closeIdle()).isOne();
+			assertThat(idle.isClosed()).isTrue();
+			assertThat(busy.isClosed()).isFalse();
+			assertThat(busy.send(Verb.COMMIT).isDone()).isTrue();
+			assertThat(ClientSessionTests.this.service.closeIdle()).isZero();
+		}
+
+		@Test
+		void commitOfAFailedTransactionIsNotReportedAsDone() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			client.send(Verb.EXECUTE, "unknown", "item");
+			assertThat(client.send(Verb.READ, "1", "").error()).isEqualTo(StatementError.MALFORMED);
+			StatementReply reply = client.send(Verb.COMMIT);
+			assertThat(reply.error()).isEqualTo(StatementError.ROLLED_BACK);
+			assertThat(reply.state()).isEqualTo(SessionState.IDLE);
+		}
+
+	}
+
+	@Nested
+	class Refusals {
+
+		@Test
+		void whatNoMemberCanServeIsRefusedWellBeforeItsDeadline() {
+			for (String member : List.of("a", "b", "c")) {
+				ClientSessionTests.this.group.member(member).crash();
+			}
+			ClientSessionTests.this.loop.run(100);
+			TestClient client = client("primary");
+			long sentAt = ClientSessionTests.this.loop.milliseconds();
+			client.send(Verb.WRITE, "1", "x", 1_000);
+			assertThat(client.replies()).singleElement()
+				.extracting(StatementReply::error)
+				.isEqualTo(StatementError.OVERLOADED);
+			assertThat(client.repliedAt().get(0) - sentAt).isLessThan(600);
+		}
+
+		@Test
+		void removedDatabaseIsRefusedFromTheNextTransactionOn() {
+			TestClient client = client("primary");
+			RouteTable none = new RouteTable(2, Map.of(), Map.of(FakeGroup.NAME, 18), IDLE_TRANSACTION_MILLISECONDS,
+					"");
+			FleetConfiguration initial = FleetConfiguration.initial();
+			client.send(Verb.BEGIN);
+			ClientSessionTests.this.service.viewChanged(new FleetView(2,
+					new FleetConfiguration(2, initial.profiles(), initial.rankFloors(), initial.queueLimit(), none),
+					Map.of(FakeGroup.NAME, ClientSessionTests.this.group.view("", 0, "")), Map.of()));
+			assertThat(client.send(Verb.WRITE, "1", "x").isDone()).isTrue();
+			assertThat(client.send(Verb.COMMIT).isDone()).isTrue();
+			assertThat(client.send(Verb.READ, "1", "").error()).isEqualTo(StatementError.UNKNOWN_DATABASE);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -0,0 +1,324 @@
+package org.magnolialead.daemon.session;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MemberDescription;
+
+/**
+ * Database group whose members keep what the sessions rely on: roles, log positions,
+ * transactions, session values and prepared statements of each connection.
+ */
+final class FakeGroup implements MemberDialer {
+
+	static final String NAME = "group";
+
+	private static final long LATENCY_MICROSECONDS = 500;
+
+	private final ManualLoop loop;
+
+	private final Map<String, Member> members = new LinkedHashMap<>();
+
+	/** What ran, in order, as {@code member connection text values}. */
+	private final List<Execution> executions = new ArrayList<>();
+
+	private int connections;
+
+	FakeGroup(ManualLoop loop, String... names) {
+		this.loop = loop;
+		for (String name : names) {
+			this.members.put(name, new Member(name));
+		}
+		this.members.get(names[0]).primary = true;
+	}
+
+	Member member(String name) {
+		return this.members.get(name);
+	}
+
+	List<Execution> executions() {
+		return this.executions;
+	}
+
+	GroupView view(String owner, long ownerEpoch, String confirmedPrimary, String... leaving) {
+		Map<String, MemberDescription> descriptions = new HashMap<>();
+		this.members.values()
+			.forEach((member) -> descriptions.put(member.name,
+					new MemberDescription(NAME, member.name, "10.0.0.1:" + (1_000 + this.members.size()), "zone", 2, 18,
+							List.of(leaving).contains(member.name), member.primary, 1)));
+		return new GroupView(NAME, 1, confirmedPrimary.isEmpty() ? 0 : 1, confirmedPrimary,
+				confirmedPrimary.isEmpty() ? 0 : 1, "", owner, ownerEpoch, descriptions);
+	}
+
+	void promote(String name) {
+		long term = this.members.values().stream().mapToLong((member) -> member.position.term()).max().orElseThrow();
+		Member promoted = member(name);
+		this.members.values().forEach((member) -> member.primary = member == promoted);
+		promoted.position = new LogPosition(term + 1, promoted.position.index());
+	}
+
+	@Override
+	public void dial(MemberDescription description, Consumer<DialResult> handler, Runnable closed) {
+		Member member = member(description.member());
+		after(() -> {
+			if (member.down) {
+				handler.accept(new DialResult(null, StatementError.CONNECTION_LOST));
+				return;
+			}
+			if (member.dark) {
+				this.loop.schedule(() -> handler.accept(new DialResult(null, StatementError.CONNECTION_LOST)), 500,
+						TimeUnit.MILLISECONDS);
+				return;
+			}
+			this.connections++;
+			Connection connection = new Connection(member, this.connections, closed);
+			member.open.add(connection);
+			handler.accept(new DialResult(connection, null));
+		});
+	}
+
+	private void after(Runnable task) {
+		this.loop.schedule(task, LATENCY_MICROSECONDS, TimeUnit.MICROSECONDS);
+	}
+
+	/**
+	 * Statement that a member ran.
+	 *
+	 * @param member name of the member
+	 * @param connection number of the connection
+	 * @param text text as it arrived
+	 * @param values session values of the connection at that time
+	 * @param inTransaction whether it ran in a transaction
+	 */
+	record Execution(String member, int connection, String text, Map<String, String> values, boolean inTransaction) {
+	}
+
+	/**
+	 * Member of the group.
+	 */
+	static final class Member {
+
+		private final String name;
+
+		private final List<Connection> open = new ArrayList<>();
+
+		private boolean primary;
+
+		private LogPosition position = new LogPosition(1, 0);
+
+		private boolean down;
+
+		private boolean dark;
+
+		private int answersToLose;
+
+		private Member(String name) {
+			this.name = name;
+		}
+
+		void position(long term, long index) {
+			this.position = new LogPosition(term, index);
+		}
+
+		LogPosition position() {
+			return this.position;
+		}
+
+		void crash() {
+			this.down = true;
+			List.copyOf(this.open).forEach(Connection::close);
+		}
+
+		void turnDark() {
+			this.dark = true;
+		}
+
+		void loseAnswers(int count) {
+			this.answersToLose = count;
+		}
+
+	}
+
+	private final class Connection implements MemberChannel {
+
+		private final Member member;
+
+		private final int number;
+
+		private final Runnable closed;
+
+		private final List<Consumer<StatementReply>> waiting = new ArrayList<>();
+
+		private final Map<String, String> values = new HashMap<>();
+
+		private final Map<String, String> prepared = new HashMap<>();
+
+		private boolean ended;
+
+		private boolean transaction;
+
+		private boolean plain;
+
+		private boolean wrote;
+
+		private Connection(Member member, int number, Runnable closed) {
+			this.member = member;
+			this.number = number;
+			this.closed = closed;
+		}
+
+		@Override
+		public void send(MemberCommand command, Consumer<StatementReply> handler) {
+			if (this.ended) {
+				after(() -> handler.accept(StatementReply.LOST));
+				return;
+			}
+			this.waiting.add(handler);
+			after(() -> {
+				if (this.ended || this.member.dark) {
+					return;
+				}
+				StatementReply reply = run(command);
+				boolean answerCounts = command.kind() == MemberCommand.Kind.FORWARD
+						|| command.kind() == MemberCommand.Kind.EXECUTE;
+				if (answerCounts && this.member.answersToLose > 0) {
+					this.member.answersToLose--;
+					return;
+				}
+				after(() -> {
+					if (this.waiting.remove(handler)) {
+						handler.accept(reply);
+					}
+				});
+			});
+		}
+
+		private StatementReply run(MemberCommand command) {
+			return switch (command.kind()) {
+				case BEGIN -> begin(true);
+				case BEGIN_READ -> reaches(command.after()) ? begin(false) : error(StatementError.BEHIND);
+				case ROLLBACK -> end();
+				case SET -> {
+					this.values.put(command.arguments().get(0), command.arguments().get(1));
+					yield done();
+				}
+				case PREPARE_READ, PREPARE_WRITE -> {
+					String kind = (command.kind() == MemberCommand.Kind.PREPARE_READ) ? "READ " : "WRITE ";
+					this.prepared.put(command.arguments().get(0), kind + command.arguments().get(1));
+					yield done();
+				}
+				case RESET -> {
+					this.values.clear();
+					this.prepared.clear();
+					yield done();
+				}
+				case STATUS -> new StatementReply(List
+					.of("%s %d %d.%d 0 0 0 1".formatted(this.member.primary ? "primary" : "replica",
+							this.member.position.term(), this.member.position.term(), this.member.position.index())),
+						"-", null, "", state(), this.member.position);
+				case DEMOTE -> {
+					this.member.primary = false;
+					yield new StatementReply(
+							List.of("replica %d %d.%d 0 0 0 1".formatted(this.member.position.term(),
+									this.member.position.term(), this.member.position.index())),
+							"-", null, "", state(), this.member.position);
+				}
+				case FORWARD, EXECUTE -> statement(command);
+			};
+		}
+
+		private StatementReply begin(boolean mayWrite) {
+			if (mayWrite && !this.member.primary) {
+				return error(StatementError.NOT_PRIMARY);
+			}
+			this.transaction = true;
+			this.plain = mayWrite;
+			this.wrote = false;
+			return done();
+		}
+
+		private StatementReply statement(MemberCommand command) {
+			String text = (command.kind() == MemberCommand.Kind.EXECUTE)
+					? this.prepared.get(command.arguments().get(0)) + " " + command.arguments().get(1)
+					: command.arguments().get(0);
+			boolean writes = text.startsWith("WRITE");
+			if (!reaches(command.after())) {
+				return error(StatementError.BEHIND);
+			}
+			if (!this.member.primary && (writes || this.transaction && this.plain)) {
+				return error(StatementError.NOT_PRIMARY);
+			}
+			FakeGroup.this.executions
+				.add(new Execution(this.member.name, this.number, text, Map.copyOf(this.values), this.transaction));
+			if (text.equals("COMMIT")) {
+				if (this.wrote) {
+					advance();
+				}
+				this.transaction = false;
+			}
+			else if (writes && this.transaction) {
+				this.wrote = true;
+			}
+			else if (writes) {
+				advance();
+			}
+			return new StatementReply(List.of(), "proof-" + command.identifier(), null, "", state(),
+					this.member.position);
+		}
+
+		private void advance() {
+			this.member.position = new LogPosition(this.member.position.term(), this.member.position.index() + 1);
+		}
+
+		private boolean reaches(LogPosition after) {
+			return after == null || this.member.position.includes(after);
+		}
+
+		private StatementReply end() {
+			this.transaction = false;
+			return done();
+		}
+
+		private StatementReply done() {
+			return new StatementReply(List.of(), "-", null, "", state(), this.member.position);
+		}
+
+		private StatementReply error(StatementError error) {
+			return new StatementReply(List.of(), null, error, "", state(), this.member.position);
+		}
+
+		private SessionState state() {
+			return this.transaction ? SessionState.TRANSACTION : SessionState.IDLE;
+		}
+
+		@Override
+		public boolean isOpen() {
+			return !this.ended;
+		}
+
+		@Override
+		public void close() {
+			if (this.ended) {
+				return;
+			}
+			this.ended = true;
+			this.transaction = false;
+			this.member.open.remove(this);
+			List<Consumer<StatementReply>> lost = List.copyOf(this.waiting);
+			this.waiting.clear();
+			after(() -> {
+				this.closed.run();
+				lost.forEach((handler) -> handler.accept(StatementReply.LOST));
+			});
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
@@ -0,0 +1,156 @@
+package org.magnolialead.daemon.session;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.magnolialead.api.DaemonView;
+import org.magnolialead.api.FleetConfiguration;
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.FreshnessRule;
+import org.magnolialead.api.GroupView;
+import org.magnolialead.api.Route;
+import org.magnolialead.api.RouteTable;
+import org.magnolialead.api.command.CommandResult;
+import org.magnolialead.api.command.ControlCommand;
+import org.magnolialead.daemon.entry.CommandSubmitter;
+import org.magnolialead.daemon.filter.LeaseGate;
+import org.magnolialead.daemon.session.ClientStatement.Verb;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Promotions by the daemon that owns the group.
+ */
+class PromotionControllerTests {
+
+	private static final String DAEMON = "daemon-1";
+
+	private static final String INCARNATION = "incarnation";
+
+	private static final long EPOCH = 7;
+
+	private final ManualLoop loop = new ManualLoop();
+
+	private final FakeGroup group = new FakeGroup(this.loop, "a", "b", "c");
+
+	private final SessionService service = new SessionService(this.loop, this.loop, this.loop::milliseconds,
+			this.group);
+
+	private final LeaseGate leaseGate = new LeaseGate(this.loop.nanoseconds());
+
+	private final List<ControlCommand> commands = new ArrayList<>();
+
+	private final List<String> orders = new ArrayList<>();
+
+	private final PromotionController controller = new PromotionController(DAEMON, INCARNATION, this.service,
+			this.leaseGate, new RecordingControl(), this::promote);
+
+	private PromotionService.Result answer = PromotionService.Result.ACCEPTED;
+
+	@BeforeEach
+	void start() {
+		this.service.start();
+		this.controller.start();
+		publish();
+		this.leaseGate.renew(this.loop.nanoseconds() + 1_000_000_000_000L);
+		this.loop.run(1_000);
+	}
+
+	private void publish(String... leaving) {
+		GroupView view = this.group.view(DAEMON, EPOCH, "a", leaving);
+		Route route = new Route("primary", FakeGroup.NAME, FreshnessRule.LATEST, 0, 0, 800);
+		RouteTable table = new RouteTable(1, Map.of("primary", route), Map.of(FakeGroup.NAME, 18), 3_000, "");
+		FleetConfiguration initial = FleetConfiguration.initial();
+		FleetConfiguration configuration = new FleetConfiguration(1, initial.profiles(), initial.rankFloors(),
+				initial.queueLimit(), table);
+		DaemonView daemon = new DaemonView(DAEMON, 1, INCARNATION, "10.0.0.9:1", "zone", false);
+		FleetView fleet = new FleetView(1, configuration, Map.of(FakeGroup.NAME, view), Map.of(DAEMON, daemon));
+		this.service.viewChanged(fleet);
+		this.controller.viewChanged(fleet);
+	}
+
+	private CompletableFuture<PromotionService.Result> promote(String name, String member, String holder,
+			long fencingToken) {
+		this.orders.add("%s %s %s %d".formatted(name, member, holder, fencingToken));
+		if (this.answer == PromotionService.Result.ACCEPTED) {
+			this.group.promote(member);
+		}
+		return CompletableFuture.completedFuture(this.answer);
+	}
+
+	@Test
+	void calmGroupIsLeftAlone() {
+		this.loop.run(10_000);
+		assertThat(this.orders).isEmpty();
+	}
+
+	@Test
+	void silentPrimaryIsReplacedByTheMemberThatReceivedMost() {
+		this.group.member("a").position(1, 9);
+		this.group.member("b").position(1, 5);
+		this.group.member("c").position(1, 8);
+		this.group.member("a").turnDark();
+		this.loop.run(4_000);
+		assertThat(this.orders).containsExactly("group c daemon-1 7");
+		assertThat(this.commands).anyMatch(ControlCommand.ReservePromotion.class::isInstance);
+		TestClient client = new TestClient(this.loop, this.service, "primary");
+		assertThat(client.send(Verb.WRITE, "1", "x").isDone()).isTrue();
+	}
+
+	@Test
+	void crashedPrimaryIsReplaced() {
+		this.group.member("a").crash();
+		this.loop.run(3_000);
+		assertThat(this.orders).hasSize(1);
+	}
+
+	@Test
+	void nothingIsOrderedWithoutALease() {
+		PromotionController unleased = new PromotionController(DAEMON, INCARNATION, this.service,
+				new LeaseGate(this.loop.nanoseconds()), new RecordingControl(), this::promote);
+		this.controller.drain();
+		unleased.start();
+		this.group.member("a").crash();
+		this.loop.run(5_000);
+		assertThat(this.orders).isEmpty();
+	}
+
+	@Test
+	void leavingPrimaryHandsOverWithoutLosingCommits() {
+		this.group.member("a").position(1, 9);
+		this.group.member("b").position(1, 9);
+		this.group.member("c").position(1, 4);
+		publish("a");
+		this.loop.run(3_000);
+		assertThat(this.orders).containsExactly("group b daemon-1 7");
+		assertThat(this.group.member("b").position().index()).isGreaterThanOrEqualTo(9);
+	}
+
+	@Test
+	void refusedOrderIsNotRepeatedAtOnce() {
+		this.answer = PromotionService.Result.REFUSED;
+		this.group.member("a").crash();
+		this.loop.run(4_000);
+		assertThat(this.orders).hasSizeBetween(1, 4);
+	}
+
+	private final class RecordingControl implements CommandSubmitter {
+
+		@Override
+		public CompletableFuture<CommandResult> submit(ControlCommand command, long deadline) {
+			PromotionControllerTests.this.commands.add(command);
+			return CompletableFuture.completedFuture(CommandResult.accepted(1));
+		}
+
+		@Override
+		public CompletableFuture<Object> query(Object query, long deadline) {
+			return CompletableFuture.failedFuture(new IllegalStateException("no queries are expected"));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/TestClient.java
@@ -0,0 +1,81 @@
+package org.magnolialead.daemon.session;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Client that notes the answers that it receives.
+ */
+final class TestClient implements ClientChannel {
+
+	private final ManualLoop loop;
+
+	private final ClientSession session;
+
+	private final List<StatementReply> replies = new ArrayList<>();
+
+	private final List<Long> repliedAt = new ArrayList<>();
+
+	private boolean closed;
+
+	private int statements;
+
+	TestClient(ManualLoop loop, SessionService service, String database) {
+		this.loop = loop;
+		this.session = service.open(database, this).orElseThrow();
+	}
+
+	/**
+	 * Sends a statement and lets time pass.
+	 * @param verb kind of the statement
+	 * @param name name that it gives
+	 * @param argument what follows the name
+	 * @param milliseconds time to wait
+	 * @return the answer, or {@code null} if none has come
+	 */
+	StatementReply send(ClientStatement.Verb verb, String name, String argument, long milliseconds) {
+		int before = this.replies.size();
+		this.statements++;
+		String text = (verb + " " + name + " " + argument).trim();
+		this.session
+			.receive(new ClientStatement("id" + this.statements, verb, name, argument, text, this.loop.nanoseconds()));
+		this.loop.run(milliseconds);
+		return (this.replies.size() > before) ? this.replies.get(before) : null;
+	}
+
+	StatementReply send(ClientStatement.Verb verb, String name, String argument) {
+		return send(verb, name, argument, 100);
+	}
+
+	StatementReply send(ClientStatement.Verb verb) {
+		return send(verb, "", "");
+	}
+
+	List<StatementReply> replies() {
+		return this.replies;
+	}
+
+	List<Long> repliedAt() {
+		return this.repliedAt;
+	}
+
+	boolean isClosed() {
+		return this.closed;
+	}
+
+	ClientSession session() {
+		return this.session;
+	}
+
+	@Override
+	public void reply(StatementReply reply) {
+		this.replies.add(reply);
+		this.repliedAt.add(this.loop.milliseconds());
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/SessionDecisionTests.java
@@ -0,0 +1,174 @@
+package org.magnolialead.engine.session;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnolialead.api.LogPosition;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Small decisions about connections, members and queues.
+ */
+class SessionDecisionTests {
+
+	private static final long MILLISECOND = 1_000_000L;
+
+	@Nested
+	class ConnectionValuesDecision {
+
+		private final ConnectionValues values = new ConnectionValues();
+
+		@Test
+		void onlyWhatDiffersIsSet() {
+			this.values.align(Map.of("a", "1", "b", "2"), null);
+			ConnectionValues.Alignment alignment = this.values.align(Map.of("a", "1", "b", "3"), null);
+			assertThat(alignment.reset()).isFalse();
+			assertThat(alignment.values()).containsExactly(Map.entry("b", "3"));
+		}
+
+		@Test
+		void valueThatTheSessionDoesNotHaveForcesAReset() {
+			this.values.align(Map.of("a", "1"), null);
+			ConnectionValues.Alignment alignment = this.values.align(Map.of("b", "2"), null);
+			assertThat(alignment.reset()).isTrue();
+			assertThat(alignment.values()).containsExactly(Map.entry("b", "2"));
+		}
+
+		@Test
+		void resetDropsPreparedStatements() {
+			PreparedStatement statement = new PreparedStatement(true, "shape", "p0");
+			assertThat(this.values.align(Map.of("a", "1"), statement).statement()).isEqualTo(statement);
+			assertThat(this.values.align(Map.of("a", "1"), statement).statement()).isNull();
+			assertThat(this.values.align(Map.of(), statement).statement()).isEqualTo(statement);
+		}
+
+		@Test
+		void preparedStatementsOfOneConnectionAreBounded() {
+			for (int number = 0; number < ConnectionValues.MAXIMUM_PREPARED; number++) {
+				this.values.align(Map.of(), new PreparedStatement(false, "shape" + number, "p" + number));
+			}
+			assertThat(this.values.align(Map.of(), new PreparedStatement(false, "more", "more")).reset()).isTrue();
+		}
+
+	}
+
+	@Nested
+	class PrimaryHealthDecision {
+
+		private final PrimaryHealth health = new PrimaryHealth();
+
+		@Test
+		void silenceAfterAQuestionIsAFailure() {
+			this.health.asked(0);
+			assertThat(this.health.isFailed(PrimaryHealth.SILENCE_NANOSECONDS - 1)).isFalse();
+			assertThat(this.health.isFailed(PrimaryHealth.SILENCE_NANOSECONDS)).isTrue();
+		}
+
+		@Test
+		void answerOrNoQuestionIsNoFailure() {
+			assertThat(this.health.isFailed(Long.MAX_VALUE / 2)).isFalse();
+			this.health.asked(0);
+			this.health.answered();
+			assertThat(this.health.isFailed(Long.MAX_VALUE / 2)).isFalse();
+		}
+
+		@Test
+		void refusedConnectionsInARowAreAFailure() {
+			for (int count = 1; count < PrimaryHealth.FAILURES; count++) {
+				this.health.failed();
+			}
+			assertThat(this.health.isFailed(0)).isFalse();
+			this.health.failed();
+			assertThat(this.health.isFailed(0)).isTrue();
+		}
+
+	}
+
+	@Nested
+	class PromotionChoiceDecision {
+
+		@Test
+		void memberThatReceivedMostIsChosen() {
+			assertThat(PromotionChoice.choose(List.of(candidate("b", 1, 5, false), candidate("c", 1, 9, false))))
+				.hasValueSatisfying((chosen) -> assertThat(chosen.member()).isEqualTo("c"));
+		}
+
+		@Test
+		void leavingMemberIsChosenOnlyIfNoOtherAnswers() {
+			assertThat(PromotionChoice.choose(List.of(candidate("b", 1, 5, false), candidate("c", 1, 9, true))))
+				.hasValueSatisfying((chosen) -> assertThat(chosen.member()).isEqualTo("b"));
+			assertThat(PromotionChoice.choose(List.of(candidate("c", 1, 9, true)))).isPresent();
+			assertThat(PromotionChoice.choose(List.of())).isEmpty();
+		}
+
+		private PromotionChoice.Candidate candidate(String member, long term, long index, boolean leaving) {
+			return new PromotionChoice.Candidate(member, new LogPosition(term, index), leaving);
+		}
+
+	}
+
+	@Nested
+	class SuspensionDecision {
+
+		@Test
+		void suspensionAndStepsAreNoticedOnce() {
+			SuspensionDetector detector = new SuspensionDetector(0, 1_000);
+			assertThat(detector.hasMoved(500 * MILLISECOND, 1_500)).isFalse();
+			assertThat(detector.hasMoved(600 * MILLISECOND, 4_600)).isTrue();
+			assertThat(detector.hasMoved(700 * MILLISECOND, 4_700)).isFalse();
+		}
+
+	}
+
+	/**
+	 * Plays a flood that is three times what the connections can serve: every statement
+	 * has 800 ms and takes 10 ms of one of two connections.
+	 */
+	@Nested
+	class WaitRuleDecision {
+
+		private static final int CONNECTIONS = 2;
+
+		private static final long SERVICE = 10;
+
+		private static final long DEADLINE = 800;
+
+		private static final int ARRIVALS = 6_000;
+
+		@Test
+		void floodIsServedInTimeByRefusingTheExcessAtOnce() {
+			int[] ruled = play(true);
+			int[] plain = play(false);
+			assertThat(ruled[0]).as("served in time").isGreaterThan(plain[0]);
+			assertThat(ruled[1]).as("served too late").isZero();
+		}
+
+		// One arrival every 5/3 ms; returns the statements served in time and too late.
+		private int[] play(boolean refuse) {
+			int inTime = 0;
+			int late = 0;
+			double freeAt = 0;
+			for (int number = 0; number < ARRIVALS; number++) {
+				double arrival = number * (double) SERVICE / CONNECTIONS / 3;
+				double start = Math.max(arrival, freeAt);
+				int ahead = (int) ((start - arrival) * CONNECTIONS / SERVICE);
+				if (refuse && WaitRule.refuses(ahead, CONNECTIONS, SERVICE * MILLISECOND, DEADLINE * MILLISECOND)) {
+					continue;
+				}
+				freeAt = start + (double) SERVICE / CONNECTIONS;
+				if (start + SERVICE <= arrival + DEADLINE) {
+					inTime++;
+				}
+				else {
+					late++;
+				}
+			}
+			return new int[] { inTime, late };
+		}
+
+	}
+
+}
