--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -30,7 +28,6 @@
 import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.api.message.ConsensusMessage;
-import org.magnolialead.api.message.ConsensusMessage.JoinRequest;
 import org.magnolialead.api.message.ControlIdentity;
 import org.magnolialead.api.message.InitializeAnswer;
 import org.magnolialead.api.message.LogEntry;
@@ -60,8 +57,6 @@
 
 	private static final int QUEUE_LIMIT = 10_000;
 
-	private static final long JOIN_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
-
 	private static final int BATCH_LIMIT = 1_000;
 
 	/** Bounds the time of one sync, so that heartbeats are not delayed. */
@@ -111,8 +106,6 @@
 
 	private long appliedIndex;
 
-	private long nextJoinRequest;
-
 	private volatile CommandLogStatus status;
 
 	private volatile boolean stopped;
@@ -140,9 +133,9 @@
 		this.folder = new DataFolder(settings.dataFolder());
 		ControlIdentity self = new ControlIdentity(settings.name(), this.folder.incarnation(), settings.peerAddress());
 		this.consensusSettings = ConsensusSettings.of(self, settings.peers(), settings.heartbeatInterval().toNanos(),
-				settings.minimumElectionTimeout().toNanos(), settings.maximumElectionTimeout().toNanos());
+				settings.minimumElectionTimeout().toNanos(), settings.maximumElectionTimeout().toNanos(),
+				settings.seeds());
 		createNode(this.folder.stored());
-		this.nextJoinRequest = clock.nanoseconds();
 		this.executor = Executors.newSingleThreadScheduledExecutor((task) -> {
 			Thread thread = new Thread(task, "control-log-" + settings.name());
 			thread.setDaemon(true);
@@ -366,27 +359,9 @@
 
 	private void tick() {
 		carryOut(this.node.tick(this.clock.nanoseconds()));
-		askToJoinIfDue();
 		finishBatch();
 	}
 
-	// A member that was removed while it was cut off learns of it from no one, so it asks
-	// as well.
-	private void askToJoinIfDue() {
-		long now = this.clock.nanoseconds();
-		boolean searching = this.consensusSettings.hasOpenMembership() && this.node.leaderAddress().isEmpty();
-		if (!searching || now - this.nextJoinRequest < 0) {
-			return;
-		}
-		this.nextJoinRequest = now + JOIN_INTERVAL_NANOSECONDS;
-		ControlIdentity self = this.consensusSettings.self();
-		Set<String> addresses = new LinkedHashSet<>(this.settings.seeds());
-		this.node.voters().forEach((voter) -> addresses.add(voter.address()));
-		addresses.remove(self.address());
-		JoinRequest request = new JoinRequest(self, this.node.cluster(), this.node.term(), false);
-		addresses.forEach((address) -> this.transport.send(address, request));
-	}
-
 	private void handleQueues() {
 		this.scheduled.set(false);
 		handleMessages();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -14,6 +14,7 @@
 import org.magnolialead.api.LogPosition;
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.log.LogEvent;
+import org.magnolialead.engine.session.ConnectionShare;
 import org.magnolialead.engine.session.PrimaryProgress;
 import org.magnolialead.engine.session.WaitRule;
 
@@ -35,11 +36,6 @@
 	/** Time for which a replica that lacked a position gets no further reads. */
 	private static final long BEHIND_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
 
-	/** Connections beyond the fair share that work on the primary may open. */
-	private static final int PRIMARY_EXTRAS = 2;
-
-	private static final int REPLICA_EXTRAS = 1;
-
 	private final String group;
 
 	private final SessionServices services;
@@ -108,7 +104,7 @@
 	 * @param daemons number of daemons that share them
 	 */
 	void viewChanged(GroupView view, int connectionLimit, int daemons) {
-		int share = Math.max(1, connectionLimit / Math.max(1, daemons));
+		int share = ConnectionShare.permanent(connectionLimit, daemons);
 		for (MemberDescription member : view.allMembers()) {
 			MemberPool pool = this.pools.get(member.member());
 			if (pool != null && !pool.member().address().equals(member.address())
@@ -121,7 +117,7 @@
 				this.pools.put(member.member(), pool);
 			}
 			boolean mayLead = member.member().equals(view.primary()) || member.reportsPrimary();
-			pool.update(member, share, share + (mayLead ? PRIMARY_EXTRAS : REPLICA_EXTRAS));
+			pool.update(member, share, ConnectionShare.greatest(share, mayLead));
 		}
 		List.copyOf(this.pools.values())
 			.stream()
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -1,5 +1,6 @@
 package org.magnolialead.daemon.session;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -38,6 +39,8 @@
 
 	private final Map<String, PreparedStatement> prepared = new HashMap<>();
 
+	private final List<Runnable> waitingForRoutes = new ArrayList<>();
+
 	private volatile RouteTable routes = RouteTable.EMPTY;
 
 	/**
@@ -72,6 +75,11 @@
 
 	private void apply(FleetView view) {
 		this.routes = view.configuration().routes();
+		if (isServing()) {
+			List<Runnable> tasks = List.copyOf(this.waitingForRoutes);
+			this.waitingForRoutes.clear();
+			tasks.forEach(Runnable::run);
+		}
 		int daemons = (int) view.daemons().values().stream().filter((daemon) -> !daemon.draining()).count();
 		view.groups().values().forEach((group) -> {
 			Integer limit = this.routes.connectionLimits().get(group.group());
@@ -104,6 +112,20 @@
 		return Optional.of(session);
 	}
 
+	/**
+	 * Runs a task once routes are known. A daemon that was just started must not tell
+	 * clients that there is no such database.
+	 * @param task the task, run at once if routes are known
+	 */
+	public void whenServing(Runnable task) {
+		if (isServing()) {
+			task.run();
+		}
+		else {
+			this.waitingForRoutes.add(task);
+		}
+	}
+
 	/**
 	 * Closes the sessions that are between two operations.
 	 * @return the number of sessions that remain
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
@@ -1,5 +1,6 @@
 package org.magnolialead.daemon.session;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -280,6 +281,48 @@
 
 	}
 
+	@Nested
+	class Start {
+
+		private final SessionService starting = new SessionService(ClientSessionTests.this.loop,
+				ClientSessionTests.this.loop, ClientSessionTests.this.loop::milliseconds,
+				ClientSessionTests.this.group);
+
+		@Test
+		void clientWaitsUntilRoutesAreKnown() {
+			List<Boolean> found = new ArrayList<>();
+			this.starting.whenServing(() -> found.add(this.starting.open("primary", new IgnoredChannel()).isPresent()));
+			assertThat(found).isEmpty();
+			this.starting.viewChanged(view(ClientSessionTests.this.group.view("", 0, ""), 1));
+			ClientSessionTests.this.loop.run(1);
+			assertThat(found).containsExactly(true);
+		}
+
+		@Test
+		void daemonThatKnowsNoOtherLeavesConnectionsToThem() {
+			this.starting.start();
+			this.starting.viewChanged(view(ClientSessionTests.this.group.view("", 0, ""), 1));
+			ClientSessionTests.this.loop.run(1_000);
+			MemberPool primary = this.starting.router(FakeGroup.NAME).primary().orElseThrow();
+			assertThat(primary.connectionCount()).isOne();
+		}
+
+	}
+
+	private static final class IgnoredChannel implements ClientChannel {
+
+		@Override
+		public void reply(StatementReply reply) {
+			throw new IllegalStateException("no answer is expected");
+		}
+
+		@Override
+		public void close() {
+			throw new IllegalStateException("no close is expected");
+		}
+
+	}
+
 	@Nested
 	class Refusals {
 
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -72,6 +73,8 @@
 
 	private long electionDeadline;
 
+	private long nextJoinRequest;
+
 	/**
 	 * Creates a member from its synced state.
 	 * @param settings the settings
@@ -88,6 +91,7 @@
 		this.persistedIndex = this.log.lastIndex();
 		this.commitIndex = this.log.snapshotIndex();
 		this.knownCommitIndex = this.commitIndex;
+		this.nextJoinRequest = now;
 		// The member may have answered a leader just before it was restarted.
 		heardFromLeader(now);
 	}
@@ -105,9 +109,26 @@
 		else if (isVoter() && now - this.electionDeadline >= 0) {
 			startPreVote(now);
 		}
+		askToJoinIfDue(now);
 		return takeActions();
 	}
 
+	// A member that was removed while it was cut off learns of it from no one, so voters
+	// by their own log ask as well. A leader forgets a learner that is silent for long.
+	private void askToJoinIfDue(long now) {
+		boolean unheard = this.leader == null || now - this.electionDeadline >= 0;
+		boolean searching = this.settings.hasOpenMembership() && this.role != Role.LEADER && unheard;
+		if (!searching || now - this.nextJoinRequest < 0) {
+			return;
+		}
+		this.nextJoinRequest = now + this.settings.minimumElectionTimeout() / 2;
+		JoinRequest request = new JoinRequest(this.settings.self(), this.cluster, term(), false);
+		Set<String> addresses = new LinkedHashSet<>(this.settings.seeds());
+		voters().forEach((voter) -> addresses.add(voter.address()));
+		addresses.remove(this.settings.self().address());
+		addresses.forEach((address) -> this.actions.add(new ConsensusAction.Send(address, request)));
+	}
+
 	/**
 	 * Handles a message. Messages of another cluster are ignored.
 	 * @param message the message
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
@@ -1,5 +1,6 @@
 package org.magnolialead.engine.consensus;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 
@@ -19,10 +20,12 @@
  * added, in bytes
  * @param maximumInFlight most unanswered messages with entries per member
  * @param snapshotPartBytes size of one part of a snapshot in bytes
+ * @param seeds addresses at which a member asks to join while it knows no leader; used
+ * only if the settings list no peers
  */
 public record ConsensusSettings(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
 		long minimumElectionTimeout, long maximumElectionTimeout, int maximumEntries, int maximumBytes,
-		int maximumInFlight, int snapshotPartBytes) {
+		int maximumInFlight, int snapshotPartBytes, List<String> seeds) {
 
 	private static final int DEFAULT_MAXIMUM_ENTRIES = 1_000;
 
@@ -36,6 +39,7 @@
 	public ConsensusSettings {
 		Objects.requireNonNull(self, "self must not be null");
 		peers = Map.copyOf(peers);
+		seeds = List.copyOf(seeds);
 		requirePositive(heartbeatInterval, "heartbeatInterval");
 		requirePositive(maximumEntries, "maximumEntries");
 		requirePositive(maximumBytes, "maximumBytes");
@@ -49,6 +53,25 @@
 		}
 	}
 
+	/**
+	 * Creates settings of a member whose peers are listed.
+	 * @param self identity of this member
+	 * @param peers peer addresses of all configured control daemons by name
+	 * @param heartbeatInterval time between heartbeats in nanoseconds
+	 * @param minimumElectionTimeout minimum election timeout in nanoseconds
+	 * @param maximumElectionTimeout maximum election timeout in nanoseconds
+	 * @param maximumEntries greatest number of entries in one message
+	 * @param maximumBytes size in bytes after which a message takes no further entry
+	 * @param maximumInFlight greatest number of unanswered messages with entries
+	 * @param snapshotPartBytes size of one part of a snapshot in bytes
+	 */
+	public ConsensusSettings(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
+			long minimumElectionTimeout, long maximumElectionTimeout, int maximumEntries, int maximumBytes,
+			int maximumInFlight, int snapshotPartBytes) {
+		this(self, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout, maximumEntries,
+				maximumBytes, maximumInFlight, snapshotPartBytes, List.of());
+	}
+
 	/**
 	 * Returns settings with default message limits.
 	 * @param self identity of this member
@@ -56,12 +79,14 @@
 	 * @param heartbeatInterval time between heartbeats in nanoseconds
 	 * @param minimumElectionTimeout minimum election timeout in nanoseconds
 	 * @param maximumElectionTimeout maximum election timeout in nanoseconds
+	 * @param seeds addresses at which a member asks to join
 	 * @return the settings
 	 */
 	public static ConsensusSettings of(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
-			long minimumElectionTimeout, long maximumElectionTimeout) {
+			long minimumElectionTimeout, long maximumElectionTimeout, List<String> seeds) {
 		return new ConsensusSettings(self, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout,
-				DEFAULT_MAXIMUM_ENTRIES, DEFAULT_MAXIMUM_BYTES, DEFAULT_MAXIMUM_IN_FLIGHT, DEFAULT_SNAPSHOT_PART_BYTES);
+				DEFAULT_MAXIMUM_ENTRIES, DEFAULT_MAXIMUM_BYTES, DEFAULT_MAXIMUM_IN_FLIGHT, DEFAULT_SNAPSHOT_PART_BYTES,
+				seeds);
 	}
 
 	/**
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
@@ -46,6 +46,33 @@
 		ConsensusSimulation.require(size == 1 || diskLosses > SEEDS_PER_SIZE, "too few disks were lost");
 	}
 
+	/**
+	 * Guards against the same where members find each other from seeds: a member that
+	 * never joins, that joins twice, or that was removed and stays out.
+	 * @param size number of members
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 3, 4 })
+	void keepsGuaranteesWithOpenMembership(int size) {
+		for (long seed = 1; seed <= SEEDS_PER_SIZE; seed++) {
+			new ConsensusSimulation(seed, size, ConsensusSimulation.Fault.NONE).withOpenMembership().run(SECONDS);
+		}
+	}
+
+	/**
+	 * Guards against a voter that was replaced at another address and counts for the
+	 * majority for ever.
+	 */
+	@Test
+	void removesAVoterThatStaysSilent() {
+		ConsensusSimulation simulation = new ConsensusSimulation(1, 4, ConsensusSimulation.Fault.NONE)
+			.withOpenMembership();
+		ConsensusSimulation.require(simulation.votersAfterLossOf("m3").size() == 3,
+				"the silent voter is removed while three others vote");
+		ConsensusSimulation.require(simulation.votersAfterLossOf("m2").size() == 3,
+				"three voters stay, so that a majority tolerates a failure once the third is back");
+	}
+
 	/**
 	 * Guards against a check that would not notice that members answer before they sync.
 	 */
@@ -112,7 +139,7 @@
 
 	private static ConsensusNode member() {
 		ConsensusSettings settings = ConsensusSettings.of(identity("a"), Map.of("a", "a", "b", "b", "c", "c"), 100, 500,
-				1_000);
+				1_000, List.of());
 		StoredState stored = StoredState.bootstrap("cluster", identity("a"), new byte[0]);
 		return new ConsensusNode(settings, stored, 0, new Random(1));
 	}
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusRulesTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusRulesTests.java
@@ -126,7 +126,7 @@
 			entries.add(new LogEntry(2, index, LogEntry.Kind.COMMAND, new byte[8], List.of()));
 		}
 		ConsensusSettings settings = ConsensusSettings.of(identity("a"), Map.of("a", "a", "b", "b", "c", "c"), 100, 500,
-				ELECTION_TIMEOUT);
+				ELECTION_TIMEOUT, List.of());
 		StoredState stored = new StoredState("cluster", new Vote((lastIndex > 1) ? 2 : 1, null),
 				new ConsensusSnapshot(1, 1, voters, new byte[0]), 1, 1, entries);
 		return new ConsensusNode(settings, stored, 0, new Random(1));
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
@@ -27,6 +27,8 @@
 
 	private static final long MILLISECOND = 1_000_000;
 
+	private static final int SEEDS = 3;
+
 	private static final long SECOND = 1_000 * MILLISECOND;
 
 	private final long seed;
@@ -78,6 +80,24 @@
 		this.initialVoter = this.members.get(0).identity().incarnation();
 	}
 
+	/**
+	 * Starts the members without a list of peers, so that they find each other from
+	 * seeds.
+	 * @return this simulation
+	 */
+	ConsensusSimulation withOpenMembership() {
+		this.peers.clear();
+		return this;
+	}
+
+	/**
+	 * Returns where members ask to join if their settings list no peers.
+	 * @return addresses of the first members
+	 */
+	List<String> seeds() {
+		return this.members.stream().limit(SEEDS).map(SimulatedMember::name).toList();
+	}
+
 	long time() {
 		return this.time;
 	}
@@ -125,6 +145,23 @@
 		guarded(() -> fail(seconds));
 	}
 
+	/**
+	 * Takes a member away for good and returns the voters after 20 s.
+	 * @param name name of the member
+	 * @return the committed voters
+	 */
+	Set<String> votersAfterLossOf(String name) {
+		if (this.time == 0) {
+			this.members.get(0).bootstrap();
+			this.members.forEach((member) -> member.start(this.peers));
+			propose();
+			runUntil(10 * SECOND);
+		}
+		member(name).crash();
+		runUntil(this.time + 20 * SECOND);
+		return committedVoters();
+	}
+
 	private void guarded(Runnable task) {
 		try {
 			task.run();
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
@@ -98,7 +98,7 @@
 		this.syncing = false;
 		this.encoding = false;
 		ConsensusSettings settings = new ConsensusSettings(identity(), peers, 100 * MILLISECOND, 500 * MILLISECOND,
-				1_000 * MILLISECOND, 5, 64, 4, this.simulation.snapshotPartBytes());
+				1_000 * MILLISECOND, 5, 64, 4, this.simulation.snapshotPartBytes(), this.simulation.seeds());
 		StoredState stored = this.disk.synced();
 		this.state = (stored.snapshot() != null) ? decodeState(stored.snapshot().data()) : 0;
 		long now = clock();
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateTests.java
@@ -3,15 +3,19 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.FleetView;
 import org.magnolialead.api.FleetViewChange;
+import org.magnolialead.api.FreshnessRule;
 import org.magnolialead.api.GroupView;
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.Rank;
+import org.magnolialead.api.Route;
+import org.magnolialead.api.RouteTable;
 import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.command.ControlCommand.AnnounceMember;
@@ -25,6 +29,7 @@
 import org.magnolialead.api.command.ControlCommand.ForgetRequests;
 import org.magnolialead.api.command.ControlCommand.RegisterDaemon;
 import org.magnolialead.api.command.ControlCommand.ReleaseOwner;
+import org.magnolialead.api.command.ControlCommand.ReplaceRoutes;
 import org.magnolialead.api.command.ControlCommand.ReservePromotion;
 
 /**
@@ -134,6 +139,83 @@
 
 	}
 
+	@Nested
+	class Routes {
+
+		private RouteTable table(long number, String document) {
+			Route route = new Route("database", "g", FreshnessRule.LATEST, 0, 0, 800);
+			return new RouteTable(number, Map.of("database", route), Map.of("g", 18), 3_000, document);
+		}
+
+		/**
+		 * Guards against a configuration that goes back, and against an operator who
+		 * resends an accepted one and is refused.
+		 */
+		@Test
+		void highestNumberStaysInForceAndEveryNumberIsAccepted() {
+			TestChecks.check(apply(new ReplaceRoutes(table(7, "seven"))).isAccepted(), context());
+			TestChecks.check(apply(new ReplaceRoutes(table(5, "five"))).isAccepted(), context());
+			TestChecks.check(apply(new ReplaceRoutes(table(7, "seven"))).isAccepted(), context());
+			TestChecks.checkEqual("seven", state().configuration().routes().document(), context());
+			TestChecks.check(apply(new ReplaceRoutes(table(9, "nine"))).isAccepted(), context());
+			TestChecks.checkEqual("nine", state().configuration().routes().document(), context());
+		}
+
+		/**
+		 * Guards against other content under the number in force being obeyed.
+		 */
+		@Test
+		void otherContentUnderTheSameNumberChangesNothing() {
+			apply(new ReplaceRoutes(table(7, "seven")));
+			apply(new ReplaceRoutes(table(7, "other")));
+			TestChecks.checkEqual("seven", state().configuration().routes().document(), context());
+		}
+
+		/**
+		 * Guards against a change of profiles that drops the routes.
+		 */
+		@Test
+		void profilesAndRoutesChangeIndependently() {
+			apply(new ReplaceRoutes(table(7, "seven")));
+			apply(queueLimit("request", state().configuration().version(), 9));
+			TestChecks.checkEqual(7L, state().configuration().routes().number(), context());
+		}
+
+	}
+
+	@Nested
+	class Reports {
+
+		private MemberDescription report(String name, String address, boolean leaving, long startedAt) {
+			return new MemberDescription("g", name, address, "z1", 2, 18, leaving, false, startedAt);
+		}
+
+		/**
+		 * Guards against a delayed report of a process that has crashed replacing its
+		 * successor at the same address.
+		 */
+		@Test
+		void lateReportOfAReplacedProcessIsIgnored() {
+			apply(new AnnounceMember(report("old", "a:1", false, 100)));
+			apply(new AnnounceMember(report("new", "a:1", false, 200)));
+			apply(new AnnounceMember(report("old", "a:1", false, 100)));
+			TestChecks.checkEqual(Set.of("new"), group().members().keySet(), context());
+		}
+
+		/**
+		 * Guards against a delayed report that takes back a member's wish to leave.
+		 */
+		@Test
+		void memberThatLeavesDoesNotReturnAsTheSameProcess() {
+			apply(new AnnounceMember(report("m1", "a:1", true, 100)));
+			apply(new AnnounceMember(report("m1", "a:1", false, 100)));
+			TestChecks.check(group().member("m1").orElseThrow().leaving(), context());
+			apply(new AnnounceMember(report("m1", "a:1", false, 200)));
+			TestChecks.check(!group().member("m1").orElseThrow().leaving(), context());
+		}
+
+	}
+
 	@Nested
 	class Owners {
 
