--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -1,6 +1,7 @@
 package org.magnolialead.daemon;
 
 import java.security.SecureRandom;
+import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
@@ -73,12 +74,11 @@
 		this.executor = Executors.newFixedThreadPool(settings.threads(), DaemonThreads.named("worker"));
 		this.peerClient = new PeerClient(this.clock);
 		ControlStateMachine machine = new ControlStateMachine();
-		CommandLogSettings defaults = CommandLogSettings.withDefaults(settings.name(), settings.peer().address(),
-				settings.dataFolder().orElseThrow(), settings.controlMembers());
-		CommandLogSettings logSettings = new CommandLogSettings(defaults.name(), defaults.peerAddress(),
-				defaults.dataFolder(), defaults.peers(), defaults.heartbeatInterval(),
-				defaults.minimumElectionTimeout(), defaults.maximumElectionTimeout(), settings.snapshotEntries(),
-				settings.seeds().isPresent() ? settings.controlAddresses() : List.of());
+		CommandLogSettings logSettings = CommandLogSettings
+			.withDefaults(settings.name(), settings.peer().address(), settings.dataFolder().orElseThrow(),
+					settings.controlMembers())
+			.with(Duration.ofMillis(settings.electionTimeoutMilliseconds()), settings.snapshotEntries(),
+					settings.seeds().isPresent() ? settings.controlAddresses() : List.of());
 		this.log = new DefaultCommandLog(logSettings, machine, this.peerClient::send, this.clock, new SecureRandom());
 		this.ledgerKeys = new LedgerKeys(this.log, machine);
 		this.controller = new ControlController(ControlSettings.defaults(settings.name()), this.log, machine,
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
@@ -36,6 +36,8 @@
 	/** Default number of applied entries after which a snapshot is taken. */
 	public static final int DEFAULT_SNAPSHOT_THRESHOLD = 10_000;
 
+	private static final int HEARTBEATS_PER_TIMEOUT = 5;
+
 	public CommandLogSettings {
 		Objects.requireNonNull(name, "name must not be null");
 		Objects.requireNonNull(peerAddress, "peerAddress must not be null");
@@ -50,6 +52,20 @@
 		}
 	}
 
+	/**
+	 * Returns settings with other elections and snapshots.
+	 * @param electionTimeout least time without a leader before an election; the greatest
+	 * is twice that, and the leader sends five heartbeats in it
+	 * @param entries number of entries between snapshots
+	 * @param seedAddresses peer addresses at which other control daemons are looked for
+	 * @return the settings
+	 */
+	public CommandLogSettings with(Duration electionTimeout, int entries, List<String> seedAddresses) {
+		return new CommandLogSettings(this.name, this.peerAddress, this.dataFolder, this.peers,
+				electionTimeout.dividedBy(HEARTBEATS_PER_TIMEOUT), electionTimeout, electionTimeout.multipliedBy(2),
+				entries, seedAddresses);
+	}
+
 	/**
 	 * Creates settings of a control daemon whose peers are listed.
 	 * @param name name of the daemon
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -25,11 +25,21 @@
 
 	private static final int MAXIMUM_DIAL_DOUBLINGS = 4;
 
-	/** Wait after the member refused a connection because it has too many. */
-	private static final long LIMIT_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(300);
+	/** Wait for a permanent connection after the member refused one for its limit. */
+	private static final long LIMIT_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
+
+	/** Wait for a further connection after the member refused one for its limit. */
+	private static final long EXTRA_LIMIT_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
 
 	/** Time after which a connection beyond the fair share is closed if unused. */
-	private static final long EXTRA_IDLE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+	private static final long EXTRA_IDLE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(300);
+
+	/**
+	 * Time after the first view in which only permanent connections are opened. When a
+	 * whole fleet starts, members still count the connections of its earlier processes
+	 * for 3 s.
+	 */
+	private static final long START_NANOSECONDS = TimeUnit.SECONDS.toNanos(3);
 
 	private final GroupRouter router;
 
@@ -64,7 +74,7 @@
 		this.dialer = dialer;
 		this.member = member;
 		this.nextDialAt = now;
-		this.nextExtraDialAt = now;
+		this.nextExtraDialAt = now + START_NANOSECONDS;
 		this.behindUntil = now;
 	}
 
@@ -171,7 +181,7 @@
 		}
 		if (result.error() == StatementError.TOO_MANY_CONNECTIONS) {
 			this.health.answered();
-			this.nextExtraDialAt = now() + LIMIT_DELAY_NANOSECONDS;
+			this.nextExtraDialAt = now() + EXTRA_LIMIT_DELAY_NANOSECONDS;
 			this.nextDialAt = now() + LIMIT_DELAY_NANOSECONDS;
 			return;
 		}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -20,13 +20,19 @@
  * daemons
  * @param dataFolder folder for durable state; present for control daemons
  * @param snapshotEntries number of log entries between snapshots of a control daemon
+ * @param electionTimeoutMilliseconds least time in milliseconds without a control leader
+ * before an election
  * @param threads number of threads that serve requests
  * @param seeds where control daemons are found; present if the settings do not list them
  * @param sessions settings for sessions of database clients; present if they are served
  */
 public record DaemonSettings(Path file, String name, DaemonRole role, String availabilityZone, PeerSettings peer,
 		Map<String, String> controlMembers, HttpSettings http, Optional<Path> sessionKeyFile, Optional<Path> dataFolder,
-		int snapshotEntries, int threads, Optional<SeedSettings> seeds, Optional<SessionSettings> sessions) {
+		int snapshotEntries, long electionTimeoutMilliseconds, int threads, Optional<SeedSettings> seeds,
+		Optional<SessionSettings> sessions) {
+
+	/** Default of the least time without a control leader before an election. */
+	static final int DEFAULT_ELECTION_TIMEOUT_MILLISECONDS = 500;
 
 	public DaemonSettings {
 		Objects.requireNonNull(file, "file must not be null");
@@ -55,7 +61,7 @@
 			Map<String, String> controlMembers, HttpSettings http, Optional<Path> sessionKeyFile,
 			Optional<Path> dataFolder, int snapshotEntries, int threads) {
 		this(file, name, role, availabilityZone, peer, controlMembers, http, sessionKeyFile, dataFolder,
-				snapshotEntries, threads, Optional.empty(), Optional.empty());
+				snapshotEntries, DEFAULT_ELECTION_TIMEOUT_MILLISECONDS, threads, Optional.empty(), Optional.empty());
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
@@ -48,6 +48,8 @@
 
 	private static final int MAXIMUM_THREADS = 64;
 
+	private static final int LEAST_ELECTION_TIMEOUT_MILLISECONDS = 100;
+
 	private static final int MAXIMUM_GRACE_SECONDS = 3_600;
 
 	private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
@@ -87,6 +89,8 @@
 				: controlMembers(control.section("members"), control);
 		Optional<Path> dataFolder = control.optionalText("data_folder").map((text) -> resolve(file, text));
 		int snapshotEntries = control.wholeNumber("snapshot_entries", 10, 10_000_000, DEFAULT_SNAPSHOT_ENTRIES);
+		int electionTimeout = control.wholeNumber("election_timeout_milliseconds", LEAST_ELECTION_TIMEOUT_MILLISECONDS,
+				MAXIMUM_TIMEOUT_MILLISECONDS, DaemonSettings.DEFAULT_ELECTION_TIMEOUT_MILLISECONDS);
 		control.refuseUnknownKeys();
 		SettingsSection session = root.section("session");
 		Optional<Path> keyFile = session.optionalText("key_file").map((text) -> resolve(file, text));
@@ -102,7 +106,7 @@
 			checkKeyFile(keyFile, session);
 		}
 		return new DaemonSettings(file, name, role, availabilityZone, peer, members, http, keyFile, dataFolder,
-				snapshotEntries, threads, seeds, sessions);
+				snapshotEntries, electionTimeout, threads, seeds, sessions);
 	}
 
 	private static JsonNode parse(Path file) {
