--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
@@ -39,7 +39,7 @@
 		this.service.start();
 		this.service.viewChanged(view(this.group.view("", 0, ""), 1));
 		// Further connections are opened only after the start phase.
-		this.loop.run(2_000);
+		this.loop.run(1_100);
 	}
 
 	private static FleetView view(GroupView group, long number) {
