--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/DefaultGroupDispatcher.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/DefaultGroupDispatcher.java
@@ -6,7 +6,6 @@
 
 import org.magnolialead.api.DaemonView;
 import org.magnolialead.api.ErrorCode;
-import org.magnolialead.api.FleetView;
 import org.magnolialead.api.GroupView;
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.MonotonicClock;
@@ -174,8 +173,9 @@
 	}
 
 	/**
-	 * Reads and repeatable writes may run twice. A non-repeatable write may be sent to
-	 * the owner again, because its idempotency key is recorded before it runs.
+	 * Reads may run twice. A write with an idempotency key may be sent to the owner
+	 * again, because a non-repeatable one is recorded before it runs; any other write may
+	 * have run, and would take effect twice.
 	 * @param request the request
 	 * @return {@code true} if so
 	 */
@@ -183,10 +183,9 @@
 		if (request.kind() == StatementKind.READ) {
 			return true;
 		}
-		FleetView present = this.view.get();
-		Profile profile = present.configuration().profiles().get(request.profile());
-		boolean keyed = !request.idempotencyKey().isEmpty();
-		return request.kind() == StatementKind.WRITE && profile != null && (profile.repeatable() || keyed);
+		Profile profile = this.view.get().configuration().profiles().get(request.profile());
+		boolean recorded = profile != null && !profile.repeatable() && !request.idempotencyKey().isEmpty();
+		return request.kind() == StatementKind.WRITE && recorded;
 	}
 
 	private void attemptLater(Dispatch dispatch) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/PendingRequest.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/PendingRequest.java
@@ -157,9 +157,13 @@
 		this.recorded = true;
 	}
 
+	/**
+	 * Tells whether the request may run again although it may have run: only if it
+	 * changes nothing.
+	 * @return {@code true} for a read outside a transaction
+	 */
 	boolean mayBeSentAgain() {
-		return !this.request.kind().isTransactional()
-				&& (!this.request.kind().changesData() || this.profile.repeatable());
+		return !this.request.kind().isTransactional() && !this.request.kind().changesData();
 	}
 
 	void complete(ExecuteAnswer completed) {
--- a/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/OnceAndSessionTests.java
+++ b/magnolialead-process-tests/src/test/java/org/magnolialead/processtests/OnceAndSessionTests.java
@@ -105,6 +105,23 @@
 		assertThat(test.executions(key)).hasSize(1);
 	}
 
+	/**
+	 * Guards against a write that takes effect twice for one request because its first
+	 * answer was lost. A repeatable profile permits its caller to send the write again,
+	 * not the daemon to run it again on its own.
+	 */
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void answerToARepeatableWriteIsLost(boolean closesConnection) {
+		String key = "repeatable-" + closesConnection;
+		test.control(test.primary(), "drop-answers?count=1&close=" + closesConnection);
+		Answer answer = test.caller()
+			.send(test.fleet().httpAddress(test.owner()), Call.increment("scheduling", key).timeoutMilliseconds(3_000));
+		System.out.println("%s, seed %d: %s".formatted(key, TestFleet.SEED, answer));
+		assertThat(test.executions(key)).hasSize(1);
+		assertThat(answer.outcome()).isEqualTo("UNKNOWN");
+	}
+
 	/**
 	 * Guards against a first answer that is lost to the caller: the same answer is sent
 	 * again by any daemon, also by a later owner.
