--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/EventBudget.java
@@ -0,0 +1,58 @@
+package org.magnolialead.api.log;
+
+/**
+ * Limit on how often one kind of event is logged, so that a flood of failures does not
+ * become a flood of lines. Not safe for concurrent use.
+ */
+public final class EventBudget {
+
+	private static final long NANOSECONDS_PER_SECOND = 1_000_000_000L;
+
+	private final int linesPerSecond;
+
+	private long secondEndsAt;
+
+	private int lines;
+
+	private long dropped;
+
+	/**
+	 * Creates a budget.
+	 * @param linesPerSecond greatest number of lines in one second
+	 * @param now present time in nanoseconds
+	 */
+	public EventBudget(int linesPerSecond, long now) {
+		this.linesPerSecond = linesPerSecond;
+		this.secondEndsAt = now + NANOSECONDS_PER_SECOND;
+	}
+
+	/**
+	 * Takes one line from the budget.
+	 * @param now present time in nanoseconds
+	 * @return {@code false} if the line has to be dropped
+	 */
+	public boolean take(long now) {
+		if (now - this.secondEndsAt >= 0) {
+			this.secondEndsAt = now + NANOSECONDS_PER_SECOND;
+			this.lines = 0;
+		}
+		if (this.lines >= this.linesPerSecond) {
+			this.dropped++;
+			return false;
+		}
+		this.lines++;
+		return true;
+	}
+
+	/**
+	 * Returns how many lines were dropped since the last call. To be called before a line
+	 * is logged, so that readers know what is missing.
+	 * @return the number
+	 */
+	public long takeDropped() {
+		long number = this.dropped;
+		this.dropped = 0;
+		return number;
+	}
+
+}
--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -58,6 +58,8 @@
 	/** A statement of a session was answered with an error. */
 	SESSION_STATEMENT_FAILED(3305, Level.INFO,
 			"statement failed: request=%s database=%s verb=%s error=%s after_milliseconds=%s detail=%s"),
+	/** Failed statements were not logged, because there were too many. */
+	SESSION_LINES_DROPPED(3306, Level.WARNING, "lines of failed statements dropped: count=%s"),
 	/** This control daemon became leader. */
 	CONTROL_LEADER(4001, Level.INFO, "control leadership started: daemon=%s term=%s"),
 	/** This control daemon stopped being leader. */
--- /dev/null
+++ b/magnolialead-api/src/test/java/org/magnolialead/api/log/EventBudgetTests.java
@@ -0,0 +1,28 @@
+package org.magnolialead.api.log;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against log lines whose number grows with a flood, and against lines that are
+ * dropped without a word.
+ */
+class EventBudgetTests {
+
+	private static final long SECOND = 1_000_000_000L;
+
+	@Test
+	void linesOfOneSecondAreLimitedAndTheRestIsCounted() {
+		EventBudget budget = new EventBudget(3, 0);
+		int taken = 0;
+		for (int line = 0; line < 10; line++) {
+			taken += budget.take(SECOND / 2) ? 1 : 0;
+		}
+		assertThat(taken).isEqualTo(3);
+		assertThat(budget.take(2 * SECOND)).isTrue();
+		assertThat(budget.takeDropped()).isEqualTo(7);
+		assertThat(budget.takeDropped()).isZero();
+	}
+
+}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
@@ -277,7 +277,7 @@
 		if (this.closed) {
 			return;
 		}
-		if (reply.error() != null) {
+		if (reply.error() != null && this.service.mayLogFailure()) {
 			long milliseconds = TimeUnit.NANOSECONDS.toMillis(services().now() - statement.receivedAt());
 			LogEvent.SESSION_STATEMENT_FAILED.log(LOGGER, statement.identifier(), this.database, statement.verb(),
 					reply.error(), milliseconds, reply.detail());
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
@@ -195,11 +195,16 @@
 				asked++;
 			}
 		}
+		if (asked == 0) {
+			// The connections are in use, for example to ask who leads.
+			end("no member could be asked");
+			return;
+		}
 		awaitAnswers(number, answers, asked, this.router.now() + STATUS_NANOSECONDS, leaving);
 	}
 
 	private void awaitAnswers(long number, List<MemberStatus> answers, int asked, long until, MemberPool leaving) {
-		boolean complete = asked > 0 && answers.size() == asked;
+		boolean complete = answers.size() == asked;
 		if (complete || this.router.now() - until >= 0) {
 			choose(number, answers, leaving);
 			return;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -52,6 +52,8 @@
 
 	private MemberPool primary;
 
+	private long provedAt;
+
 	private MemberPool formerPrimary;
 
 	private long primaryLostAt;
@@ -68,6 +70,7 @@
 		this.group = group;
 		this.services = services;
 		this.primaryLostAt = services.now();
+		this.provedAt = this.primaryLostAt;
 	}
 
 	String group() {
@@ -342,13 +345,17 @@
 		if (position == null) {
 			return;
 		}
-		boolean earlierTerm = position.term() < this.progress.term();
-		if (earlierTerm) {
+		// An answer that was overtaken says nothing about who leads now.
+		if (askedAt - this.provedAt < 0) {
 			return;
 		}
-		this.progress.note(askedAt, position);
-		if (this.primary != pool && this.pools.get(pool.member().member()) == pool) {
+		this.provedAt = askedAt;
+		if (this.primary == pool) {
+			this.progress.note(askedAt, position);
+		}
+		else if (this.pools.get(pool.member().member()) == pool) {
 			this.primary = pool;
+			this.progress.restart(askedAt, position);
 			LogEvent.SESSION_PRIMARY_FOUND.log(LOGGER, this.group, pool.member().member(), position.term(),
 					position.index());
 			pump();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -15,6 +15,8 @@
 import org.magnolialead.api.FleetView;
 import org.magnolialead.api.MonotonicClock;
 import org.magnolialead.api.RouteTable;
+import org.magnolialead.api.log.EventBudget;
+import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.SuspensionDetector;
 
@@ -25,8 +27,13 @@
  */
 public final class SessionService {
 
+	private static final System.Logger LOGGER = System.getLogger(SessionService.class.getName());
+
 	private static final long TICK_MILLISECONDS = 20;
 
+	/** Failed statements that are logged in one second. */
+	private static final int FAILURES_PER_SECOND = 50;
+
 	private final SessionServices services;
 
 	private final LongSupplier wallClock;
@@ -41,6 +48,8 @@
 
 	private final List<Runnable> waitingForRoutes = new ArrayList<>();
 
+	private final EventBudget failures;
+
 	private volatile RouteTable routes = RouteTable.EMPTY;
 
 	/**
@@ -54,6 +63,7 @@
 			MemberDialer dialer) {
 		this.services = new SessionServices(loop, clock, dialer);
 		this.wallClock = wallClock;
+		this.failures = new EventBudget(FAILURES_PER_SECOND, clock.nanoseconds());
 		this.suspension = new SuspensionDetector(clock.nanoseconds(), wallClock.getAsLong());
 	}
 
@@ -170,6 +180,21 @@
 				(text) -> new PreparedStatement(writes, shape, "p" + this.prepared.size()));
 	}
 
+	/**
+	 * Takes a line from the budget of failed statements.
+	 * @return {@code false} if the line has to be dropped
+	 */
+	boolean mayLogFailure() {
+		if (!this.failures.take(this.services.now())) {
+			return false;
+		}
+		long dropped = this.failures.takeDropped();
+		if (dropped > 0) {
+			LogEvent.SESSION_LINES_DROPPED.log(LOGGER, dropped);
+		}
+		return true;
+	}
+
 	void closed(ClientSession session) {
 		this.sessions.remove(session);
 	}
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -31,6 +31,8 @@
 
 	private int connections;
 
+	private boolean termKept;
+
 	FakeGroup(ManualLoop loop, String... names) {
 		this.loop = loop;
 		for (String name : names) {
@@ -61,7 +63,17 @@
 		long term = this.members.values().stream().mapToLong((member) -> member.position.term()).max().orElseThrow();
 		Member promoted = member(name);
 		this.members.values().forEach((member) -> member.primary = member == promoted);
-		promoted.position = new LogPosition(term + 1, promoted.position.index());
+		if (!this.termKept) {
+			promoted.position = new LogPosition(term + 1, promoted.position.index());
+		}
+	}
+
+	/**
+	 * Lets a promoted member state the term of its last commit until it commits, as
+	 * members do.
+	 */
+	void keepTermAtPromotion() {
+		this.termKept = true;
 	}
 
 	@Override
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
@@ -112,6 +112,24 @@
 		assertThat(this.orders).hasSize(1);
 	}
 
+	/**
+	 * Guards against a primary that no daemon accepts, because its last commit is of an
+	 * earlier term than one that was rolled back. Nothing could be committed any more.
+	 */
+	@Test
+	void primaryWhoseLogEndsInAnEarlierTermIsAccepted() {
+		this.group.member("a").position(5, 9);
+		TestClient client = new TestClient(this.loop, this.service, "primary");
+		assertThat(client.send(Verb.WRITE, "1", "x").isDone()).isTrue();
+		this.group.member("b").position(1, 4);
+		this.group.member("c").position(1, 3);
+		this.group.keepTermAtPromotion();
+		this.group.member("a").crash();
+		this.loop.run(1_500);
+		assertThat(this.orders).hasSize(1);
+		assertThat(client.send(Verb.WRITE, "2", "y").isDone()).isTrue();
+	}
+
 	@Test
 	void nothingIsOrderedWithoutALease() {
 		PromotionController unleased = new PromotionController(DAEMON, INCARNATION, this.service,
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/PrimaryProgress.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/PrimaryProgress.java
@@ -43,6 +43,21 @@
 		}
 	}
 
+	/**
+	 * Notes the first position of a new primary. It may be behind what was known: a
+	 * promotion rolls back what the promoted member lacked, and the term of the position
+	 * is that of its last commit.
+	 * @param askedAt time in nanoseconds before the request left for the primary
+	 * @param position position in its answer
+	 */
+	public void restart(long askedAt, LogPosition position) {
+		if (!position.includes(this.latest)) {
+			this.samples.clear();
+			this.latest = position;
+		}
+		note(askedAt, position);
+	}
+
 	/**
 	 * Returns the position that a read needs to miss no commit acknowledged before a
 	 * time. Of all samples that suffice, the earliest asks least of a replica.
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReadPlanTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReadPlanTests.java
@@ -70,6 +70,15 @@
 		assertThat(plan).isEqualTo(ReadPlan.PRIMARY);
 	}
 
+	@Test
+	void newPrimaryReplacesWhatWasRolledBack() {
+		this.progress.note(0, new LogPosition(2, 9));
+		this.progress.restart(10 * MILLISECOND, new LogPosition(1, 7));
+		ReadPlan plan = ReadPlan.of(route(FreshnessRule.MAXIMUM_AGE, 1_000), LogPosition.NONE, this.progress,
+				100 * MILLISECOND);
+		assertThat(plan).isEqualTo(new ReadPlan(true, new LogPosition(1, 7)));
+	}
+
 	@Test
 	void forgottenSamplesAreNotUsed() {
 		this.progress.note(0, new LogPosition(1, 5));
