--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -194,6 +194,7 @@
 		}
 		this.log.close();
 		this.peerClient.close();
+		this.timer.shutdownNow();
 		this.executor.shutdownNow();
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/EntryDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/EntryDaemon.java
@@ -3,9 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
-import java.security.SecureRandom;
 import java.util.Arrays;
-import java.util.HexFormat;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
@@ -48,8 +46,6 @@
 
 	private static final System.Logger LOGGER = System.getLogger(EntryDaemon.class.getName());
 
-	private static final int INCARNATION_BYTES = 8;
-
 	/**
 	 * Time for which requests are still accepted after readiness was withdrawn, so that
 	 * the balancer notices.
@@ -98,7 +94,7 @@
 
 	private EntryDaemon(DaemonSettings settings) {
 		this.settings = settings;
-		String incarnation = randomIncarnation();
+		String incarnation = Processes.randomIncarnation();
 		this.executor = Executors.newFixedThreadPool(settings.threads(), DaemonThreads.named("worker"));
 		this.timer = Executors.newScheduledThreadPool(2, DaemonThreads.named("timer"));
 		// Heartbeats have a thread of their own, so that load does not delay the lease.
@@ -165,13 +161,13 @@
 		this.entry.drain();
 		this.ownership.drain();
 		long deadline = this.clock.nanoseconds() + TimeUnit.MILLISECONDS.toNanos(DRAIN_TIME_MILLISECONDS);
-		pause(BALANCER_GRACE_MILLISECONDS);
+		Processes.pause(BALANCER_GRACE_MILLISECONDS);
 		while (this.ownership.ownedCount() > 0 && deadline - this.clock.nanoseconds() > 0) {
-			pause(POLL_MILLISECONDS);
+			Processes.pause(POLL_MILLISECONDS);
 		}
 		this.httpServer.stopAccepting();
 		while (requestsInProgress() > 0 && deadline - this.clock.nanoseconds() > 0) {
-			pause(POLL_MILLISECONDS);
+			Processes.pause(POLL_MILLISECONDS);
 		}
 		this.httpServer.drained().completeOnTimeout(null, 1, TimeUnit.SECONDS).join();
 		LogEvent.SHUTDOWN_FINISHED.log(LOGGER, requestsInProgress());
@@ -219,19 +215,4 @@
 		}
 	}
 
-	private static String randomIncarnation() {
-		byte[] bytes = new byte[INCARNATION_BYTES];
-		new SecureRandom().nextBytes(bytes);
-		return HexFormat.of().formatHex(bytes);
-	}
-
-	private static void pause(long milliseconds) {
-		try {
-			Thread.sleep(milliseconds);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
@@ -1,8 +1,6 @@
 package org.magnolialead.daemon;
 
 import java.nio.charset.StandardCharsets;
-import java.security.SecureRandom;
-import java.util.HexFormat;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -29,8 +27,6 @@
 
 	private static final System.Logger LOGGER = System.getLogger(SessionDaemon.class.getName());
 
-	private static final int INCARNATION_BYTES = 8;
-
 	private static final int OK = 200;
 
 	private static final int NOT_FOUND = 404;
@@ -75,7 +71,7 @@
 		this.controlTimer = Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("control-link"));
 		this.peerClient = new PeerClient(clock);
 		this.entry = new EntryServices(clock, this.peerClient, this.controlTimer);
-		String incarnation = randomIncarnation();
+		String incarnation = Processes.randomIncarnation();
 		ControlLink link = this.entry.connect(settings, incarnation);
 		this.adapter = extension.sessionAdapter(settings);
 		this.sessions = new SessionService(this.adapter.loop(), clock, System::currentTimeMillis,
@@ -140,10 +136,10 @@
 		long start = System.nanoTime();
 		long sessionsEnd = start + TimeUnit.MILLISECONDS
 			.toNanos((long) (this.settings.sessions().orElseThrow().graceMilliseconds() * SESSIONS_SHARE));
-		pause(BALANCER_MILLISECONDS);
+		Processes.pause(BALANCER_MILLISECONDS);
 		int remaining = closeIdle();
 		while (remaining > 0 && sessionsEnd - System.nanoTime() > 0) {
-			pause(POLL_MILLISECONDS);
+			Processes.pause(POLL_MILLISECONDS);
 			remaining = closeIdle();
 		}
 		CompletableFuture.runAsync(this.sessions::closeAll, this.adapter.loop()).join();
@@ -165,19 +161,4 @@
 		this.executor.shutdownNow();
 	}
 
-	private static String randomIncarnation() {
-		byte[] bytes = new byte[INCARNATION_BYTES];
-		new SecureRandom().nextBytes(bytes);
-		return HexFormat.of().formatHex(bytes);
-	}
-
-	private static void pause(long milliseconds) {
-		try {
-			Thread.sleep(milliseconds);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -120,8 +120,7 @@
 		int share = ConnectionShare.permanent(connectionLimit, daemons);
 		for (MemberDescription member : view.allMembers()) {
 			MemberPool pool = this.pools.get(member.member());
-			if (pool != null && !pool.member().address().equals(member.address())
-					|| pool != null && pool.member().startedAtMilliseconds() != member.startedAtMilliseconds()) {
+			if (pool != null && isOtherProcess(pool.member(), member)) {
 				remove(pool);
 				pool = null;
 			}
@@ -140,6 +139,11 @@
 		tick();
 	}
 
+	private static boolean isOtherProcess(MemberDescription known, MemberDescription present) {
+		return !known.address().equals(present.address())
+				|| known.startedAtMilliseconds() != present.startedAtMilliseconds();
+	}
+
 	private void noteHint(GroupView view) {
 		Optional<MemberDescription> reporting = view.allMembers()
 			.stream()
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SingleStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SingleStatement.java
@@ -7,6 +7,7 @@
 
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.ReadPlan;
+import org.magnolialead.engine.session.WaitRule;
 
 /**
  * One statement outside a transaction. Reads are tried at other members when an answer
@@ -75,7 +76,7 @@
 		ReadPlan plan = (this.writes || this.primaryOnly) ? ReadPlan.PRIMARY
 				: this.session.readPlan(this.statement.receivedAt());
 		long now = this.session.services().now();
-		long giveUpAt = now + (this.deadline - now) * 6 / 10;
+		long giveUpAt = WaitRule.giveUpAt(now, this.deadline);
 		this.work = new Work(this.session.route(), plan, this.session.values(), this.deadline, giveUpAt, avoided,
 				(connection) -> run(connection, plan), this::notRun);
 		this.session.router().submit(this.work);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Transaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Transaction.java
@@ -6,6 +6,7 @@
 
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.ReadPlan;
+import org.magnolialead.engine.session.WaitRule;
 
 /**
  * Open transaction of a session. The member learns of it with its first statement, and
@@ -75,7 +76,7 @@
 		this.attempts++;
 		ReadPlan plan = (this.readOnly && !this.primaryOnly) ? this.session.readPlan(this.begunAt) : ReadPlan.PRIMARY;
 		long now = this.session.services().now();
-		long giveUpAt = now + (this.pending.deadline() - now) * 6 / 10;
+		long giveUpAt = WaitRule.giveUpAt(now, this.pending.deadline());
 		this.work = new Work(this.session.route(), plan, this.session.values(), this.pending.deadline(), giveUpAt, null,
 				(granted) -> begin(granted, plan), this::notRun);
 		this.session.router().submit(this.work);
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/WaitRule.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/WaitRule.java
@@ -10,9 +10,25 @@
 	/** Share of the time to the deadline that may be spent waiting: one half. */
 	private static final int SHARE_DIVISOR = 2;
 
+	/** Share of the time to the deadline after which a waiting statement is refused. */
+	private static final int GIVE_UP_PERCENT = 60;
+
+	private static final int PERCENT = 100;
+
 	private WaitRule() {
 	}
 
+	/**
+	 * Returns when a statement that still waits is refused, so that its client can turn
+	 * to another daemon in time.
+	 * @param now present time in nanoseconds
+	 * @param deadline time in nanoseconds by which it must be answered
+	 * @return the time in nanoseconds
+	 */
+	public static long giveUpAt(long now, long deadline) {
+		return now + (deadline - now) * GIVE_UP_PERCENT / PERCENT;
+	}
+
 	/**
 	 * Tells whether a statement should be refused.
 	 * @param ahead number of waiting statements that are served before it
