--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
@@ -1,6 +1,7 @@
 package org.magnolialead.daemon.session;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -188,7 +189,7 @@
 		this.attemptEndsAt = this.router.now() + ATTEMPT_NANOSECONDS;
 		this.candidate = "";
 		LogEvent.SESSION_PROMOTION_STARTED.log(LOGGER, group(), cause, this.ownerEpoch);
-		List<MemberStatus> answers = new ArrayList<>();
+		Map<MemberPool, MemberStatus> answers = new LinkedHashMap<>();
 		int asked = 0;
 		for (MemberPool pool : this.router.pools()) {
 			if (pool != leaving && askStatus(pool, answers)) {
@@ -203,7 +204,8 @@
 		awaitAnswers(number, answers, asked, this.router.now() + STATUS_NANOSECONDS, leaving);
 	}
 
-	private void awaitAnswers(long number, List<MemberStatus> answers, int asked, long until, MemberPool leaving) {
+	private void awaitAnswers(long number, Map<MemberPool, MemberStatus> answers, int asked, long until,
+			MemberPool leaving) {
 		boolean complete = answers.size() == asked;
 		if (complete || this.router.now() - until >= 0) {
 			choose(number, answers, leaving);
@@ -213,7 +215,7 @@
 			.after(ANSWER_POLL_NANOSECONDS, () -> awaitAnswers(number, answers, asked, until, leaving));
 	}
 
-	private boolean askStatus(MemberPool pool, List<MemberStatus> answers) {
+	private boolean askStatus(MemberPool pool, Map<MemberPool, MemberStatus> answers) {
 		Optional<PooledConnection> free = pool.free(Map.of());
 		if (free.isEmpty()) {
 			pool.dialForWaiting();
@@ -222,7 +224,7 @@
 		PooledConnection connection = free.get();
 		connection.take(this.router.now());
 		this.controller.services().after(STATUS_NANOSECONDS, () -> {
-			if (connection.isTaken() && answers.stream().noneMatch((status) -> status.pool() == pool)) {
+			if (connection.isTaken() && !answers.containsKey(pool)) {
 				connection.discard();
 			}
 		});
@@ -231,30 +233,41 @@
 				connection.discard();
 				return;
 			}
-			MemberStatus.parse(pool, reply).ifPresent(answers::add);
+			status(reply).ifPresent((status) -> answers.put(pool, status));
 			connection.release();
 		});
 		return true;
 	}
 
+	private Optional<MemberStatus> status(StatementReply reply) {
+		return this.controller.services().dialer().status(reply);
+	}
+
+	private boolean leading(MemberStatus status) {
+		return status.primary() && status.term() >= this.router.progress().term();
+	}
+
 	private boolean isCurrent(long number) {
 		return !this.stopped && this.inProgress && this.attempt == number && this.controller.holdsLease();
 	}
 
-	private void choose(long number, List<MemberStatus> answers, MemberPool leaving) {
+	private void choose(long number, Map<MemberPool, MemberStatus> answers, MemberPool leaving) {
 		if (!isCurrent(number)) {
 			return;
 		}
-		Optional<MemberStatus> leads = answers.stream()
-			.filter((status) -> status.primary() && status.term() >= this.router.progress().term())
-			.filter((status) -> leaving == null)
+		Optional<MemberPool> leads = answers.keySet()
+			.stream()
+			.filter((pool) -> leading(answers.get(pool)) && leaving == null)
 			.findFirst();
 		if (leads.isPresent()) {
-			end("member %s leads".formatted(leads.get().pool().member().member()));
-			this.router.expectPrimary(leads.get().pool().member().member());
+			String leader = leads.get().member().member();
+			end("member %s leads".formatted(leader));
+			this.router.expectPrimary(leader);
 			return;
 		}
-		List<Candidate> candidates = answers.stream().map(MemberStatus::candidate).toList();
+		List<Candidate> candidates = new ArrayList<>();
+		answers.forEach((pool, status) -> candidates
+			.add(new Candidate(pool.member().member(), status.received(), pool.member().leaving())));
 		Optional<Candidate> chosen = PromotionChoice.choose(candidates);
 		if (chosen.isEmpty()) {
 			end("no member answers");
@@ -309,9 +322,7 @@
 				connection.release();
 			}
 			if (isCurrent(number)) {
-				LogPosition target = MemberStatus.parse(leaving, reply)
-					.map(MemberStatus::received)
-					.orElse(LogPosition.NONE);
+				LogPosition target = status(reply).map(MemberStatus::received).orElse(LogPosition.NONE);
 				this.router.primaryLost(leaving, "is leaving");
 				awaitCaughtUp(number, term, target, this.router.now() + CATCH_UP_NANOSECONDS);
 			}
@@ -327,10 +338,10 @@
 			order(number, term);
 			return;
 		}
-		List<MemberStatus> answers = new ArrayList<>();
+		Map<MemberPool, MemberStatus> answers = new LinkedHashMap<>();
 		askStatus(pool, answers);
 		this.controller.services().after(POLL_NANOSECONDS, () -> {
-			boolean caughtUp = answers.stream().anyMatch((status) -> status.received().includes(target));
+			boolean caughtUp = answers.values().stream().anyMatch((status) -> status.received().includes(target));
 			if (caughtUp) {
 				if (isCurrent(number)) {
 					order(number, term);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberDialer.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberDialer.java
@@ -1,5 +1,6 @@
 package org.magnolialead.daemon.session;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 
 import org.magnolialead.api.MemberDescription;
@@ -17,6 +18,13 @@
 	 */
 	void dial(MemberDescription member, Consumer<DialResult> handler, Runnable closed);
 
+	/**
+	 * Reads the answer to a command that asks for the status of a member.
+	 * @param reply the answer
+	 * @return the status, or empty if the answer does not state one
+	 */
+	Optional<MemberStatus> status(StatementReply reply);
+
 	/**
 	 * Result of an attempt to connect.
 	 *
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -96,6 +97,16 @@
 		});
 	}
 
+	@Override
+	public Optional<MemberStatus> status(StatementReply reply) {
+		if (!reply.isDone() || reply.rows().isEmpty()) {
+			return Optional.empty();
+		}
+		String[] fields = reply.rows().get(0).split(" ");
+		return Optional
+			.of(new MemberStatus(fields[0].equals("primary"), Long.parseLong(fields[1]), LogPosition.parse(fields[2])));
+	}
+
 	private void after(Runnable task) {
 		this.loop.schedule(task, LATENCY_MICROSECONDS, TimeUnit.MICROSECONDS);
 	}
