--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -69,7 +69,7 @@
 
 	private HttpServer httpServer;
 
-	private ControlDaemon(DaemonSettings settings, DaemonExtension extension) {
+	private ControlDaemon(DaemonSettings settings, DaemonExtension extension, long launchedAt) {
 		this.settings = settings;
 		this.executor = Executors.newFixedThreadPool(settings.threads(), DaemonThreads.named("worker"));
 		this.peerClient = new PeerClient(this.clock);
@@ -79,7 +79,8 @@
 					settings.controlMembers())
 			.with(Duration.ofMillis(settings.electionTimeoutMilliseconds()), settings.snapshotEntries(),
 					settings.seeds().isPresent() ? settings.controlAddresses() : List.of());
-		this.log = new DefaultCommandLog(logSettings, machine, this.peerClient::send, this.clock, new SecureRandom());
+		this.log = new DefaultCommandLog(logSettings, machine, this.peerClient::send, this.clock, new SecureRandom(),
+				launchedAt);
 		this.ledgerKeys = new LedgerKeys(this.log, machine);
 		this.controller = new ControlController(ControlSettings.defaults(settings.name()), this.log, machine,
 				this.clock, WallClock.SYSTEM);
@@ -90,8 +91,8 @@
 				new ControlHttpHandler(this.controller, this.log, this.metrics));
 	}
 
-	static ControlDaemon start(DaemonSettings settings, DaemonExtension extension) {
-		ControlDaemon daemon = new ControlDaemon(settings, extension);
+	static ControlDaemon start(DaemonSettings settings, DaemonExtension extension, long launchedAt) {
+		ControlDaemon daemon = new ControlDaemon(settings, extension, launchedAt);
 		try {
 			daemon.open();
 			return daemon;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Daemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Daemon.java
@@ -16,14 +16,16 @@
 	 * Starts a daemon in the role of its settings.
 	 * @param settings checked settings
 	 * @param extension adapts the daemon to a platform
+	 * @param launchedAt monotonic time in nanoseconds at which this process was launched;
+	 * an earlier process of the same daemon has ended before
 	 * @return the running daemon
 	 * @throws org.magnolialead.api.MagnolialeadException if it cannot start
 	 */
-	static Daemon start(DaemonSettings settings, DaemonExtension extension) {
+	static Daemon start(DaemonSettings settings, DaemonExtension extension, long launchedAt) {
 		return switch (settings.role()) {
 			case ENTRY -> settings.sessions().isPresent() ? SessionDaemon.start(settings, extension)
 					: EntryDaemon.start(settings);
-			case CONTROL -> ControlDaemon.start(settings, extension);
+			case CONTROL -> ControlDaemon.start(settings, extension, launchedAt);
 		};
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
@@ -7,6 +7,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.MonotonicClock;
 import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.daemon.settings.DaemonSettings;
 import org.magnolialead.daemon.settings.SettingsReader;
@@ -49,6 +50,8 @@
 	@Option(name = "--help", help = true, usage = "print this help")
 	private boolean help;
 
+	private final long launchedAt = MonotonicClock.SYSTEM.nanoseconds();
+
 	private final DaemonExtension extension;
 
 	private MagnolialeadMain(DaemonExtension extension) {
@@ -69,11 +72,32 @@
 	 * @param extension the extension
 	 */
 	public static void launch(String[] arguments, DaemonExtension extension) {
+		setUpLogging();
+		exitUnlessOk(new MagnolialeadMain(extension).run(arguments));
+	}
+
+	/**
+	 * Starts a daemon with an extension for a platform that names the settings file
+	 * without a command line. Reading a command line is left out because it takes a tenth
+	 * of the start.
+	 * @param settings the settings file
+	 * @param extension the extension
+	 */
+	public static void launch(Path settings, DaemonExtension extension) {
+		setUpLogging();
+		MagnolialeadMain main = new MagnolialeadMain(extension);
+		main.settings = settings;
+		exitUnlessOk(main.start());
+	}
+
+	private static void setUpLogging() {
 		if (System.getProperty(LOG_FORMAT_PROPERTY) == null) {
 			System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
 		}
 		System.setProperty(LOG_MANAGER_PROPERTY, LOG_MANAGER);
-		int exitCode = new MagnolialeadMain(extension).run(arguments);
+	}
+
+	private static void exitUnlessOk(int exitCode) {
 		if (exitCode != EXIT_OK) {
 			System.exit(exitCode);
 		}
@@ -137,7 +161,7 @@
 	private int start() {
 		try {
 			DaemonSettings checked = SettingsReader.read(this.settings);
-			Daemon daemon = Daemon.start(checked, this.extension);
+			Daemon daemon = Daemon.start(checked, this.extension, this.launchedAt);
 			ReloadSignal.handle(this::reload);
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
 			new CountDownLatch(1).await();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -77,6 +77,8 @@
 
 	private final RandomGenerator random;
 
+	private final long silentSince;
+
 	private final DataFolder folder;
 
 	private final ConsensusSettings consensusSettings;
@@ -120,16 +122,19 @@
 	 * @param transport sends messages to other control daemons
 	 * @param clock clock of this process
 	 * @param random source of election timeouts
+	 * @param silentSince time in nanoseconds since when no process has used the data
+	 * folder
 	 * @throws MagnolialeadException of code {@code STORAGE_FAILURE} if the data folder is
 	 * in use, corrupted or cannot be accessed
 	 */
 	public DefaultCommandLog(CommandLogSettings settings, ReplicatedStateMachine stateMachine,
-			ConsensusTransport transport, MonotonicClock clock, RandomGenerator random) {
+			ConsensusTransport transport, MonotonicClock clock, RandomGenerator random, long silentSince) {
 		this.settings = Objects.requireNonNull(settings, "settings must not be null");
 		this.stateMachine = Objects.requireNonNull(stateMachine, "stateMachine must not be null");
 		this.transport = Objects.requireNonNull(transport, "transport must not be null");
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.random = Objects.requireNonNull(random, "random must not be null");
+		this.silentSince = silentSince;
 		this.folder = new DataFolder(settings.dataFolder());
 		ControlIdentity self = new ControlIdentity(settings.name(), this.folder.incarnation(), settings.peerAddress());
 		this.consensusSettings = ConsensusSettings.of(self, settings.peers(), settings.heartbeatInterval().toNanos(),
@@ -313,7 +318,7 @@
 		}
 		this.appliedIndex = (stored.snapshot() != null) ? stored.snapshot().lastIndex() : 0;
 		long now = this.clock.nanoseconds();
-		this.node = new ConsensusNode(this.consensusSettings, stored, now, this.random);
+		this.node = new ConsensusNode(this.consensusSettings, stored, this.silentSince, now, this.random);
 		publish();
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -228,7 +228,9 @@
 	}
 
 	private void retryBeat() {
-		long delay = RetryDelay.milliseconds(this.failedBeats, ThreadLocalRandom.current());
+		long limit = (this.view.get().version() > 0) ? RetryDelay.LONGEST_MILLISECONDS
+				: RetryDelay.LONGEST_BEFORE_VIEW_MILLISECONDS;
+		long delay = RetryDelay.milliseconds(this.failedBeats, limit, ThreadLocalRandom.current());
 		this.failedBeats++;
 		if (this.retry != null) {
 			this.retry.cancel(false);
@@ -267,7 +269,7 @@
 			stillUnknown |= !Failures.surelyNotRun(failure);
 		}
 		boolean unknown = stillUnknown;
-		long delay = RetryDelay.milliseconds(failures, ThreadLocalRandom.current());
+		long delay = RetryDelay.milliseconds(failures, RetryDelay.LONGEST_MILLISECONDS, ThreadLocalRandom.current());
 		this.scheduler.schedule(() -> trySubmit(command, deadline, failures + 1, unknown, result), delay,
 				TimeUnit.MILLISECONDS);
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/RetryDelay.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/RetryDelay.java
@@ -18,6 +18,12 @@
 	 */
 	static final long LONGEST_MILLISECONDS = 200;
 
+	/**
+	 * Longest delay in milliseconds of a daemon that has no view yet and therefore serves
+	 * nobody.
+	 */
+	static final long LONGEST_BEFORE_VIEW_MILLISECONDS = 40;
+
 	private static final int MAXIMUM_DOUBLINGS = 4;
 
 	private RetryDelay() {
@@ -26,12 +32,12 @@
 	/**
 	 * Returns the delay after a failure.
 	 * @param earlierFailures number of failures in a row before this one
+	 * @param limit longest delay in milliseconds
 	 * @param random source of the jitter
 	 * @return the delay in milliseconds, between half of the doubled delay and all of it
 	 */
-	static long milliseconds(int earlierFailures, RandomGenerator random) {
-		long longest = Math.min(LONGEST_MILLISECONDS,
-				FIRST_MILLISECONDS << Math.min(earlierFailures, MAXIMUM_DOUBLINGS));
+	static long milliseconds(int earlierFailures, long limit, RandomGenerator random) {
+		long longest = Math.min(limit, FIRST_MILLISECONDS << Math.min(earlierFailures, MAXIMUM_DOUBLINGS));
 		return random.nextLong(longest / 2, longest + 1);
 	}
 
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/capacity/ControlCluster.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/capacity/ControlCluster.java
@@ -120,7 +120,7 @@
 			this.log = new DefaultCommandLog(
 					CommandLogSettings.withDefaults(name, address, ControlCluster.this.folder.resolve(name),
 							ControlCluster.this.addresses),
-					this.machine, this.client::send, MonotonicClock.SYSTEM, new Random());
+					this.machine, this.client::send, MonotonicClock.SYSTEM, new Random(), System.nanoTime());
 			this.controller = new ControlController(ControlSettings.defaults(name), this.log, this.machine,
 					MonotonicClock.SYSTEM, WallClock.SYSTEM);
 			int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/CommandLogCluster.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/CommandLogCluster.java
@@ -69,7 +69,7 @@
 				this.snapshotThreshold);
 		Numbers state = new Numbers(this::awaitEncoding);
 		DefaultCommandLog log = new DefaultCommandLog(settings, state, this::send, MonotonicClock.SYSTEM,
-				new Random(++this.starts));
+				new Random(++this.starts), System.nanoTime());
 		this.states.put(name, state);
 		this.logs.put(name, log);
 		log.start();
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/entry/RetryDelayTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/entry/RetryDelayTests.java
@@ -34,7 +34,7 @@
 			long time = 0;
 			int requests = 0;
 			while (time < 10_000) {
-				time += RetryDelay.milliseconds(requests++, random);
+				time += RetryDelay.milliseconds(requests++, RetryDelay.LONGEST_MILLISECONDS, random);
 				if (requests == 5) {
 					thirds.add(time);
 				}
@@ -56,7 +56,7 @@
 			int failures = 0;
 			boolean found = false;
 			while (!found) {
-				time += RetryDelay.milliseconds(failures, random);
+				time += RetryDelay.milliseconds(failures, RetryDelay.LONGEST_MILLISECONDS, random);
 				boolean silent = failures % 3 == 2;
 				found = !silent && time >= ELECTION;
 				time += silent ? ANSWER_TIMEOUT : 0;
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
@@ -79,10 +79,13 @@
 	 * Creates a member from its synced state.
 	 * @param settings the settings
 	 * @param stored the synced state
+	 * @param silentSince time in nanoseconds since when this member has answered no
+	 * leader, for example the start of its process; not later than {@code now}
 	 * @param now present time in nanoseconds
 	 * @param random source of election timeouts
 	 */
-	public ConsensusNode(ConsensusSettings settings, StoredState stored, long now, RandomGenerator random) {
+	public ConsensusNode(ConsensusSettings settings, StoredState stored, long silentSince, long now,
+			RandomGenerator random) {
 		this.settings = Objects.requireNonNull(settings, "settings must not be null");
 		this.random = Objects.requireNonNull(random, "random must not be null");
 		this.cluster = stored.cluster();
@@ -92,8 +95,21 @@
 		this.commitIndex = this.log.snapshotIndex();
 		this.knownCommitIndex = this.commitIndex;
 		this.nextJoinRequest = now;
-		// The member may have answered a leader just before it was restarted.
-		heardFromLeader(now);
+		// The member may have answered a leader just before its process was restarted.
+		this.lastHeard = silentSince;
+		this.electionDeadline = firstElectionDeadline(now);
+	}
+
+	// When all voters restart at once none hears a leader, so they try one after the
+	// other
+	// in the order of their list instead of waiting for random timeouts. A pre-vote is
+	// refused as long as a leader lives.
+	private long firstElectionDeadline(long now) {
+		long unbound = this.lastHeard + this.settings.minimumElectionTimeout();
+		long earliest = (now - unbound < 0) ? unbound : now;
+		int rank = MemberKey.indexOf(voters(), this.settings.self());
+		long jitter = this.random.nextLong(this.settings.heartbeatInterval() / 2 + 1);
+		return earliest + Math.max(0, rank) * this.settings.heartbeatInterval() + jitter;
 	}
 
 	/**
@@ -389,8 +405,11 @@
 
 	// Elections
 
+	// Repeated soon, because a voter that has just started may not have listened yet. It
+	// changes nothing at the voters.
 	private void startPreVote(long now) {
-		resetElectionDeadline(now);
+		long interval = this.settings.heartbeatInterval();
+		this.electionDeadline = now + interval + this.random.nextLong(interval + 1);
 		this.leader = null;
 		this.role = Role.PRE_CANDIDATE;
 		requestVotes(term() + 1, true, now);
@@ -398,6 +417,7 @@
 
 	private void startElection(long now) {
 		adopt(new Vote(term() + 1, this.settings.self()), now);
+		resetElectionDeadline(now);
 		this.role = Role.CANDIDATE;
 		requestVotes(term(), false, now);
 	}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/MemberKey.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/MemberKey.java
@@ -17,7 +17,16 @@
 	}
 
 	static boolean contains(List<ControlIdentity> members, ControlIdentity member) {
-		return members.stream().anyMatch((other) -> other.isSameMember(member));
+		return indexOf(members, member) >= 0;
+	}
+
+	static int indexOf(List<ControlIdentity> members, ControlIdentity member) {
+		for (int index = 0; index < members.size(); index++) {
+			if (members.get(index).isSameMember(member)) {
+				return index;
+			}
+		}
+		return -1;
 	}
 
 }
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
@@ -141,7 +141,7 @@
 		ConsensusSettings settings = ConsensusSettings.of(identity("a"), Map.of("a", "a", "b", "b", "c", "c"), 100, 500,
 				1_000, List.of());
 		StoredState stored = StoredState.bootstrap("cluster", identity("a"), new byte[0]);
-		return new ConsensusNode(settings, stored, 0, new Random(1));
+		return new ConsensusNode(settings, stored, 0, 0, new Random(1));
 	}
 
 	private static ControlIdentity identity(String name) {
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusRulesTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusRulesTests.java
@@ -11,6 +11,7 @@
 import org.magnolialead.api.message.ConsensusMessage.AppendRequest;
 import org.magnolialead.api.message.ConsensusMessage.SnapshotRequest;
 import org.magnolialead.api.message.ConsensusMessage.VoteAnswer;
+import org.magnolialead.api.message.ConsensusMessage.VoteRequest;
 import org.magnolialead.api.message.ControlIdentity;
 import org.magnolialead.api.message.LogEntry;
 
@@ -102,6 +103,67 @@
 		return now;
 	}
 
+	/**
+	 * Guards against an outage of a whole election timeout after all control daemons were
+	 * restarted, although the time to start has already outlasted any leader.
+	 */
+	@Test
+	void restartedVoterAsksForVotesAtOnceIfItWasSilentForLong() {
+		ConsensusNode node = restarted("a", 0, ELECTION_TIMEOUT);
+		assertThat(votesAskedFor(node, ELECTION_TIMEOUT + 100)).isEqualTo(2);
+	}
+
+	/**
+	 * Guards against split votes when all voters start at the same moment.
+	 */
+	@Test
+	void restartedVotersAskOneAfterTheOther() {
+		assertThat(votesAskedFor(restarted("b", 0, ELECTION_TIMEOUT), ELECTION_TIMEOUT + 99)).isZero();
+		assertThat(votesAskedFor(restarted("b", 0, ELECTION_TIMEOUT), ELECTION_TIMEOUT + 200)).isEqualTo(2);
+	}
+
+	/**
+	 * Guards against a wait of a whole election timeout because the other voters did not
+	 * listen yet when they were asked first.
+	 */
+	@Test
+	void preVoteIsRepeatedSoon() {
+		ConsensusNode node = restarted("a", 0, ELECTION_TIMEOUT);
+		votesAskedFor(node, ELECTION_TIMEOUT + 100);
+		assertThat(votesAskedFor(node, ELECTION_TIMEOUT + 300)).isEqualTo(2);
+	}
+
+	/**
+	 * Guards against two leaders: a member that has just restarted may have answered a
+	 * leader that still relies on it.
+	 */
+	@Test
+	void restartedVoterRefusesVotesUntilNoLeaderCanRelyOnIt() {
+		long silentSince = 1_000;
+		ConsensusNode node = restarted("a", silentSince, silentSince + 100);
+		VoteRequest request = new VoteRequest(identity("b"), "cluster", 3, false, 2, 5);
+		node.receive(request, silentSince + 499);
+		assertThat(node.term()).isEqualTo(2);
+		node.receive(request, silentSince + 500);
+		assertThat(node.term()).isEqualTo(3);
+	}
+
+	private static ConsensusNode restarted(String name, long silentSince, long now) {
+		List<ControlIdentity> voters = List.of(identity("a"), identity("b"), identity("c"));
+		ConsensusSettings settings = ConsensusSettings.of(identity(name), Map.of("a", "a", "b", "b", "c", "c"), 100,
+				500, ELECTION_TIMEOUT, List.of());
+		StoredState stored = new StoredState("cluster", new Vote(2, null),
+				new ConsensusSnapshot(1, 1, voters, new byte[0]), 1, 1, List.of());
+		return new ConsensusNode(settings, stored, silentSince, now, new Random(1));
+	}
+
+	private static long votesAskedFor(ConsensusNode node, long now) {
+		return node.tick(now)
+			.stream()
+			.filter((action) -> action instanceof ConsensusAction.Send send && send.message() instanceof VoteRequest)
+			.count();
+	}
+
 	private static long changesOfVoters(ConsensusNode node) {
 		return node.storedState().entries().stream().filter((entry) -> entry.kind() == LogEntry.Kind.VOTERS).count();
 	}
@@ -129,7 +191,7 @@
 				ELECTION_TIMEOUT, List.of());
 		StoredState stored = new StoredState("cluster", new Vote((lastIndex > 1) ? 2 : 1, null),
 				new ConsensusSnapshot(1, 1, voters, new byte[0]), 1, 1, entries);
-		return new ConsensusNode(settings, stored, 0, new Random(1));
+		return new ConsensusNode(settings, stored, 0, 0, new Random(1));
 	}
 
 	private static ControlIdentity identity(String name) {
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
@@ -46,6 +46,8 @@
 
 	private long frozenUntil;
 
+	private long crashedAt;
+
 	SimulatedMember(ConsensusSimulation simulation, String name, long clockOffset, double clockRate) {
 		this.simulation = simulation;
 		this.name = name;
@@ -101,11 +103,11 @@
 				1_000 * MILLISECOND, 5, 64, 4, this.simulation.snapshotPartBytes(), this.simulation.seeds());
 		StoredState stored = this.disk.synced();
 		this.state = (stored.snapshot() != null) ? decodeState(stored.snapshot().data()) : 0;
-		long now = clock();
+		long silentSince = this.crashedAt;
 		if (this.simulation.fault() == ConsensusSimulation.Fault.VOTES_AFTER_RESTART) {
-			now -= settings.minimumElectionTimeout();
+			silentSince -= settings.minimumElectionTimeout();
 		}
-		this.node = new ConsensusNode(settings, stored, now, this.simulation.random());
+		this.node = new ConsensusNode(settings, stored, silentSince, clock(), this.simulation.random());
 		tick(this.run);
 	}
 
@@ -114,6 +116,7 @@
 	 */
 	void crash() {
 		this.node = null;
+		this.crashedAt = clock();
 		this.disk.sync(this.simulation.random().nextInt(this.disk.unsyncedBatches() + 1));
 		this.disk.loseUnsynced();
 		this.frozenUntil = 0;
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerCodec.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerCodec.java
@@ -1,8 +1,8 @@
 package org.magnolialead.transport.peer;
 
 import java.io.IOException;
-import java.util.EnumMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -27,7 +27,7 @@
 /**
  * Converts messages to and from frames. A frame consists of a 4-byte length of what
  * follows, a 1-byte kind, an 8-byte correlation identifier and the message as
- * MessagePack.
+ * MessagePack. A codec may be used by any number of threads.
  */
 public final class PeerCodec {
 
@@ -49,19 +49,20 @@
 
 	private static final int HEADER_BYTES = LENGTH_BYTES + Byte.BYTES + Long.BYTES;
 
-	private final Map<MessageKind, ObjectReader> readers = new EnumMap<>(MessageKind.class);
+	private final ObjectMapper mapper = createMapper();
 
-	private final Map<MessageKind, ObjectWriter> writers = new EnumMap<>(MessageKind.class);
+	// Made when the first message of a kind passes, because making all of them takes a
+	// third of the start of a daemon.
+	private final Map<MessageKind, ObjectReader> readers = new ConcurrentHashMap<>();
 
-	/**
-	 * Creates a codec. A codec may be used by any number of threads.
-	 */
-	public PeerCodec() {
-		ObjectMapper mapper = createMapper();
-		for (MessageKind kind : MessageKind.values()) {
-			this.readers.put(kind, mapper.readerFor(kind.type()));
-			this.writers.put(kind, mapper.writerFor(kind.type()));
-		}
+	private final Map<MessageKind, ObjectWriter> writers = new ConcurrentHashMap<>();
+
+	private ObjectReader reader(MessageKind kind) {
+		return this.readers.computeIfAbsent(kind, (missing) -> this.mapper.readerFor(missing.type()));
+	}
+
+	private ObjectWriter writer(MessageKind kind) {
+		return this.writers.computeIfAbsent(kind, (missing) -> this.mapper.writerFor(missing.type()));
 	}
 
 	/**
@@ -151,7 +152,7 @@
 
 	private byte[] encodeBody(MessageKind kind, Object message) {
 		try {
-			return this.writers.get(kind).writeValueAsBytes(message);
+			return writer(kind).writeValueAsBytes(message);
 		}
 		catch (IOException ex) {
 			throw new IllegalArgumentException("message of kind %s cannot be encoded".formatted(kind), ex);
@@ -162,7 +163,7 @@
 		Object message;
 		try {
 			checkStructure(body);
-			message = this.readers.get(kind).readValue(body);
+			message = reader(kind).readValue(body);
 		}
 		catch (IOException | MessagePackException ex) {
 			throw new IllegalArgumentException("body of kind %s cannot be decoded".formatted(kind), ex);
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
@@ -44,9 +44,13 @@
 
 	private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 
-	private static final long MINIMUM_BACK_OFF = TimeUnit.MILLISECONDS.toNanos(50);
+	private static final long MINIMUM_BACK_OFF = TimeUnit.MILLISECONDS.toNanos(25);
 
-	private static final long MAXIMUM_BACK_OFF = TimeUnit.SECONDS.toNanos(1);
+	/**
+	 * Longest wait after a refused connection. When a whole fleet restarts, no process
+	 * may wait much longer for a peer than the peer takes to start.
+	 */
+	private static final long MAXIMUM_BACK_OFF = TimeUnit.MILLISECONDS.toNanos(150);
 
 	/**
 	 * Time without any received byte after a write until a probe is sent, and again until
