--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
@@ -11,6 +11,7 @@
 import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.daemon.entry.ControlLink;
 import org.magnolialead.daemon.entry.EntryServices;
+import org.magnolialead.daemon.filter.MetricsReport;
 import org.magnolialead.daemon.session.PromotionController;
 import org.magnolialead.daemon.session.SessionAdapter;
 import org.magnolialead.daemon.session.SessionService;
@@ -121,6 +122,7 @@
 	private HttpReply status(String path) {
 		return switch (path) {
 			case "/health" -> reply(OK, "healthy");
+			case "/metrics" -> HttpReply.json(OK, MetricsReport.write(this.sessions.metrics().registry()));
 			case "/readiness" -> isReady() ? reply(OK, "ready") : reply(UNAVAILABLE, "not ready");
 			default -> reply(NOT_FOUND, "no such path");
 		};
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
@@ -94,7 +94,8 @@
 		this.persistedIndex = this.log.lastIndex();
 		this.commitIndex = this.log.snapshotIndex();
 		this.knownCommitIndex = this.commitIndex;
-		this.nextJoinRequest = now;
+		// A voter that restarts is a member already, so it first waits for an election.
+		this.nextJoinRequest = isVoter() ? now + settings.maximumElectionTimeout() : now;
 		// The member may have answered a leader just before its process was restarted.
 		this.lastHeard = silentSince;
 		this.electionDeadline = firstElectionDeadline(now);
@@ -463,7 +464,7 @@
 	private void receive(VoteRequest request, long now) {
 		boolean refused = isBoundToLeader(now) || request.term() < term() || !isUpToDate(request);
 		if (request.preVote()) {
-			answerVote(request, !refused && request.term() > term());
+			answerVote(request, !refused && request.term() > term() && yieldsTo(request, now));
 			return;
 		}
 		if (!isBoundToLeader(now) && request.term() > term()) {
@@ -480,6 +481,24 @@
 		answerVote(request, granted);
 	}
 
+	// Of members that ask for pre-votes at the same time the first in the list of voters
+	// goes on, because votes that are split cost a whole election timeout.
+	private boolean yieldsTo(VoteRequest request, long now) {
+		if (this.role != Role.PRE_CANDIDATE) {
+			return true;
+		}
+		boolean notBehind = lastTerm() > request.lastTerm()
+				|| (lastTerm() == request.lastTerm() && lastIndex() >= request.lastIndex());
+		boolean first = MemberKey.indexOf(voters(), this.settings.self()) < MemberKey.indexOf(voters(), request.from());
+		if (first && notBehind) {
+			return false;
+		}
+		this.role = Role.FOLLOWER;
+		long interval = this.settings.heartbeatInterval();
+		this.electionDeadline = now + 3 * interval + this.random.nextLong(interval + 1);
+		return true;
+	}
+
 	// Tells whether votes must be refused because a leader may count on this member.
 	private boolean isBoundToLeader(long now) {
 		return isLeader() || now - this.lastHeard < this.settings.minimumElectionTimeout();
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
@@ -1,8 +1,10 @@
 package org.magnolialead.engine.consensus;
 
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 
 import org.magnolialead.api.message.ControlIdentity;
 
@@ -38,7 +40,8 @@
 
 	public ConsensusSettings {
 		Objects.requireNonNull(self, "self must not be null");
-		peers = Map.copyOf(peers);
+		// Sorted, so that equal seeds give equal runs in every process.
+		peers = Collections.unmodifiableMap(new TreeMap<>(peers));
 		seeds = List.copyOf(seeds);
 		requirePositive(heartbeatInterval, "heartbeatInterval");
 		requirePositive(maximumEntries, "maximumEntries");
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusRulesTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusRulesTests.java
@@ -122,6 +122,42 @@
 		assertThat(votesAskedFor(restarted("b", 0, ELECTION_TIMEOUT), ELECTION_TIMEOUT + 200)).isEqualTo(2);
 	}
 
+	/**
+	 * Guards against split votes of members that ask at the same time: the election of a
+	 * restarted fleet took 0.45 s instead of 0.2 s.
+	 */
+	@Test
+	void firstVoterOfThoseThatAskIsPreferred() {
+		long now = ELECTION_TIMEOUT + 300;
+		ConsensusNode first = restarted("a", 0, ELECTION_TIMEOUT);
+		ConsensusNode second = restarted("b", 0, ELECTION_TIMEOUT);
+		votesAskedFor(first, now);
+		votesAskedFor(second, now);
+		assertThat(grants(first, new VoteRequest(identity("b"), "cluster", 3, true, 1, 1), now)).isFalse();
+		assertThat(grants(second, new VoteRequest(identity("a"), "cluster", 3, true, 1, 1), now)).isTrue();
+		assertThat(votesAskedFor(second, now + 299)).isZero();
+		assertThat(votesAskedFor(second, now + 401)).isEqualTo(2);
+	}
+
+	/**
+	 * Guards against a fleet without a leader because the first voter lacks entries and
+	 * stands in the way of those that have them.
+	 */
+	@Test
+	void firstVoterYieldsToOneWithMoreEntries() {
+		long now = ELECTION_TIMEOUT + 300;
+		ConsensusNode first = restarted("a", 0, ELECTION_TIMEOUT);
+		votesAskedFor(first, now);
+		assertThat(grants(first, new VoteRequest(identity("b"), "cluster", 3, true, 1, 2), now)).isTrue();
+	}
+
+	private static boolean grants(ConsensusNode node, VoteRequest request, long now) {
+		return node.receive(request, now)
+			.stream()
+			.anyMatch((action) -> action instanceof ConsensusAction.Send send
+					&& send.message() instanceof VoteAnswer answer && answer.granted());
+	}
+
 	/**
 	 * Guards against a wait of a whole election timeout because the other voters did not
 	 * listen yet when they were asked first.
