--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -19,6 +19,8 @@
 	SETTINGS_RELOADED(1005, Level.INFO, "settings read again: file=%s"),
 	/** The settings file was read again and is not valid. */
 	SETTINGS_REFUSED(1006, Level.WARNING, "settings refused, the present ones stay: %s"),
+	/** Log lines were dropped because standard output was not read fast enough. */
+	LOG_LINES_DROPPED(1007, Level.WARNING, "log lines dropped: count=%s"),
 	/** A request failed for an unexpected reason. */
 	REQUEST_FAILED_UNEXPECTEDLY(1101, Level.ERROR, "request failed unexpectedly: step=%s peer=%s cause=%s"),
 	/** The daemon obtained a lease. */
@@ -60,6 +62,16 @@
 			"statement failed: request=%s database=%s verb=%s error=%s after_milliseconds=%s detail=%s"),
 	/** Failed statements were not logged, because there were too many. */
 	SESSION_LINES_DROPPED(3306, Level.WARNING, "lines of failed statements dropped: count=%s"),
+	/** A statement of a session is tried again. */
+	SESSION_STATEMENT_RETRIED(3307, Level.INFO,
+			"statement retried: request=%s database=%s member=%s error=%s attempt=%s after_milliseconds=%s"),
+	/** A statement of a session was answered by a member. */
+	SESSION_STATEMENT_SERVED(3308, Level.INFO,
+			"statement served: request=%s database=%s member=%s relayed=%s attempt=%s after_milliseconds=%s"),
+	/** Connections to a member are relayed by other daemons. */
+	MEMBER_PATH_LOST(3309, Level.WARNING, "direct path to database member lost: group=%s member=%s cause=%s relays=%s"),
+	/** Connections to a member are direct again. */
+	MEMBER_PATH_REGAINED(3310, Level.INFO, "direct path to database member regained: group=%s member=%s"),
 	/** This control daemon became leader. */
 	CONTROL_LEADER(4001, Level.INFO, "control leadership started: daemon=%s term=%s"),
 	/** This control daemon stopped being leader. */
@@ -127,6 +139,15 @@
 		return this.format;
 	}
 
+	/**
+	 * Returns the line of this event.
+	 * @param arguments values of the format in order
+	 * @return the text
+	 */
+	public String text(Object... arguments) {
+		return "ML-" + this.number + " " + this.format.formatted(arguments);
+	}
+
 	/**
 	 * Logs this event with the stack trace of its cause.
 	 * @param logger logger of the reporting class
@@ -135,7 +156,7 @@
 	 */
 	public void log(System.Logger logger, Throwable cause, Object... arguments) {
 		if (logger.isLoggable(this.level)) {
-			logger.log(this.level, "ML-" + this.number + " " + this.format.formatted(arguments), cause);
+			logger.log(this.level, text(arguments), cause);
 		}
 	}
 
@@ -146,7 +167,7 @@
 	 */
 	public void log(System.Logger logger, Object... arguments) {
 		if (logger.isLoggable(this.level)) {
-			logger.log(this.level, "ML-" + this.number + " " + this.format.formatted(arguments));
+			logger.log(this.level, text(arguments));
 		}
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
@@ -95,10 +95,12 @@
 			System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
 		}
 		System.setProperty(LOG_MANAGER_PROPERTY, LOG_MANAGER);
+		ShutdownLogManager.useStandardOutput();
 	}
 
 	private static void exitUnlessOk(int exitCode) {
 		if (exitCode != EXIT_OK) {
+			ShutdownLogManager.close();
 			System.exit(exitCode);
 		}
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ShutdownLogManager.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ShutdownLogManager.java
@@ -1,6 +1,8 @@
 package org.magnolialead.daemon;
 
+import java.util.logging.Handler;
 import java.util.logging.LogManager;
+import java.util.logging.Logger;
 
 /**
  * Log manager that keeps its handlers until the daemon has stopped. The log manager of
@@ -11,6 +13,17 @@
 
 	private volatile boolean stopped;
 
+	/**
+	 * Sends all log lines to standard output.
+	 */
+	static void useStandardOutput() {
+		Logger root = LogManager.getLogManager().getLogger("");
+		for (Handler handler : root.getHandlers()) {
+			root.removeHandler(handler);
+		}
+		root.addHandler(new StandardOutputHandler());
+	}
+
 	/**
 	 * Closes the handlers of the installed log manager.
 	 */
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/StandardOutputHandler.java
@@ -0,0 +1,109 @@
+package org.magnolialead.daemon;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.SimpleFormatter;
+
+import org.magnolialead.api.log.LogEvent;
+
+/**
+ * Writes log lines to standard output without ever holding up a thread that logs. A
+ * bounded queue feeds one writer; lines that find it full are dropped, and a later line
+ * tells how many.
+ */
+final class StandardOutputHandler extends Handler {
+
+	private static final int QUEUE_LINES = 2_000;
+
+	private static final long CLOSE_MILLISECONDS = 1_000;
+
+	private final BlockingQueue<LogRecord> queue = new ArrayBlockingQueue<>(QUEUE_LINES);
+
+	private final AtomicLong dropped = new AtomicLong();
+
+	private final OutputStream output;
+
+	private final Thread writer = new Thread(this::write, "log-writer");
+
+	private volatile boolean closed;
+
+	StandardOutputHandler() {
+		this(new FileOutputStream(FileDescriptor.out));
+	}
+
+	/**
+	 * Creates a handler.
+	 * @param output stream to write to, which may block
+	 */
+	StandardOutputHandler(OutputStream output) {
+		this.output = output;
+		setFormatter(new SimpleFormatter());
+		setLevel(Level.INFO);
+		this.writer.setDaemon(true);
+		this.writer.start();
+	}
+
+	@Override
+	public void publish(LogRecord record) {
+		if (!this.closed && isLoggable(record) && !this.queue.offer(record)) {
+			this.dropped.incrementAndGet();
+		}
+	}
+
+	private void write() {
+		try {
+			while (!this.closed || !this.queue.isEmpty()) {
+				LogRecord record = this.queue.poll(CLOSE_MILLISECONDS / 20, TimeUnit.MILLISECONDS);
+				if (record != null) {
+					writeDropped();
+					write(record);
+				}
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		catch (IOException ex) {
+			// Nobody reads the lines any more, and there is nowhere else to report it.
+			this.closed = true;
+		}
+	}
+
+	private void writeDropped() throws IOException {
+		long lines = this.dropped.getAndSet(0);
+		if (lines > 0) {
+			write(new LogRecord(Level.WARNING, LogEvent.LOG_LINES_DROPPED.text(lines)));
+		}
+	}
+
+	private void write(LogRecord record) throws IOException {
+		this.output.write(getFormatter().format(record).getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Override
+	public void flush() {
+		// The writer passes on each line at once.
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		try {
+			this.writer.join(CLOSE_MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/MetricsReport.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/filter/MetricsReport.java
@@ -18,7 +18,7 @@
 /**
  * JSON form of a metric registry and of service levels. Times are in milliseconds.
  */
-final class MetricsReport {
+public final class MetricsReport {
 
 	private static final double NANOSECONDS_PER_MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
 
@@ -27,7 +27,12 @@
 	private MetricsReport() {
 	}
 
-	static byte[] write(MetricRegistry registry) {
+	/**
+	 * Writes all metrics of a registry.
+	 * @param registry the registry
+	 * @return the JSON text in UTF-8
+	 */
+	public static byte[] write(MetricRegistry registry) {
 		ObjectNode report = MAPPER.createObjectNode();
 		ObjectNode gauges = report.putObject("gauges");
 		registry.getGauges().forEach((name, gauge) -> gauges.set(name, gauge(gauge)));
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
@@ -9,7 +9,6 @@
 
 import org.magnolialead.api.LogPosition;
 import org.magnolialead.api.Route;
-import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.ReadPlan;
 
@@ -19,8 +18,6 @@
  */
 public final class ClientSession {
 
-	private static final System.Logger LOGGER = System.getLogger(ClientSession.class.getName());
-
 	/** Statements that may wait in one session; a client that sends more is cut off. */
 	private static final int MAXIMUM_WAITING = 256;
 
@@ -74,6 +71,14 @@
 		return this.router;
 	}
 
+	StatementLog log() {
+		return this.service.log();
+	}
+
+	String database() {
+		return this.database;
+	}
+
 	Map<String, String> values() {
 		return this.values;
 	}
@@ -277,10 +282,12 @@
 		if (this.closed) {
 			return;
 		}
-		if (reply.error() != null && this.service.mayLogFailure()) {
-			long milliseconds = TimeUnit.NANOSECONDS.toMillis(services().now() - statement.receivedAt());
-			LogEvent.SESSION_STATEMENT_FAILED.log(LOGGER, statement.identifier(), this.database, statement.verb(),
-					reply.error(), milliseconds, reply.detail());
+		if (this.route != null) {
+			this.service.metrics()
+				.answered(this.route.priority(), reply.error(), services().now() - statement.receivedAt());
+		}
+		if (reply.error() != null) {
+			log().failed(statement, this.database, reply);
 		}
 		this.channel.reply(reply);
 		next();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -105,6 +105,10 @@
 				&& (!this.formerPrimary.hasConnection() || this.formerPrimary.isUnreachable());
 	}
 
+	int waitingCount() {
+		return this.waiting.size();
+	}
+
 	Collection<MemberPool> pools() {
 		return this.pools.values();
 	}
@@ -264,6 +268,7 @@
 		}
 		this.waiting.remove(work);
 		connection.get().take(now());
+		connection.get().pool().sent(work);
 		work.grant(connection.get());
 		return true;
 	}
@@ -275,7 +280,8 @@
 		long now = now();
 		Optional<PooledConnection> free = this.pools.values()
 			.stream()
-			.filter((pool) -> pool.isUsable() && pool != this.primary && pool != work.avoided() && !pool.isBehind(now))
+			.filter((pool) -> pool.isUsable() && pool != this.primary && pool != work.avoided() && !pool.isBehind(now)
+					&& pool.permits(work))
 			.sorted(Comparator.comparingLong(MemberPool::serviceNanoseconds))
 			.map((pool) -> pool.free(work.values()))
 			.flatMap(Optional::stream)
@@ -284,7 +290,8 @@
 			return free;
 		}
 		this.pools.values().stream().filter(MemberPool::isUsable).forEach(MemberPool::dialForWaiting);
-		return (this.primary != null && this.primary.isUsable()) ? this.primary.free(work.values()) : Optional.empty();
+		boolean primaryServes = this.primary != null && this.primary.isUsable() && this.primary.permits(work);
+		return primaryServes ? this.primary.free(work.values()) : Optional.empty();
 	}
 
 	private Optional<PooledConnection> freeOrDial(MemberPool pool, Work work) {
@@ -292,6 +299,9 @@
 			search();
 			return Optional.empty();
 		}
+		if (!pool.permits(work)) {
+			return Optional.empty();
+		}
 		Optional<PooledConnection> free = pool.free(work.values());
 		if (free.isEmpty()) {
 			pool.dialForWaiting();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -10,8 +10,10 @@
 import java.util.concurrent.TimeUnit;
 
 import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.engine.session.BeginLimit;
 import org.magnolialead.engine.session.MemberPath;
+import org.magnolialead.engine.session.OverloadPause;
 import org.magnolialead.engine.session.PrimaryHealth;
 
 /**
@@ -19,6 +21,8 @@
  */
 final class MemberPool {
 
+	private static final System.Logger LOGGER = System.getLogger(MemberPool.class.getName());
+
 	/** Weight of the latest measure in smoothed times: one eighth. */
 	private static final int SMOOTHING = 8;
 
@@ -70,6 +74,8 @@
 
 	private long nextExtraDialAt;
 
+	private final OverloadPause overload = new OverloadPause();
+
 	private long behindUntil;
 
 	private long serviceNanoseconds = INITIAL_SERVICE_NANOSECONDS;
@@ -105,6 +111,10 @@
 		return this.serviceNanoseconds;
 	}
 
+	int relayedCount() {
+		return (int) this.connections.stream().filter(PooledConnection::isRelayed).count();
+	}
+
 	int connectionCount() {
 		return this.connections.size();
 	}
@@ -129,6 +139,23 @@
 		return !this.member.leaving() && !this.closed;
 	}
 
+	/**
+	 * Tells whether work may be sent although the member refused some for its full queue.
+	 * @param work the work
+	 * @return {@code false} if it should wait
+	 */
+	boolean permits(Work work) {
+		return this.overload.permits(work.priority(), now());
+	}
+
+	void sent(Work work) {
+		this.overload.sent(work.priority(), now());
+	}
+
+	void overloaded() {
+		this.overload.refused(now());
+	}
+
 	boolean isBehind(long now) {
 		return now - this.behindUntil < 0;
 	}
@@ -263,9 +290,12 @@
 
 	private void directAnswered(boolean answered) {
 		if (!answered) {
-			this.path.directFailed(now());
+			directFailed("no connection");
 			return;
 		}
+		if (this.path.isSuspect()) {
+			LogEvent.MEMBER_PATH_REGAINED.log(LOGGER, this.member.group(), this.member.member());
+		}
 		this.path.directOpened();
 		List.copyOf(this.connections)
 			.stream()
@@ -273,6 +303,14 @@
 			.forEach(PooledConnection::discard);
 	}
 
+	private void directFailed(String cause) {
+		if (!this.path.isSuspect()) {
+			LogEvent.MEMBER_PATH_LOST.log(LOGGER, this.member.group(), this.member.member(), cause,
+					this.services.relays().addresses().size());
+		}
+		this.path.directFailed(now());
+	}
+
 	private void relayAnswered(boolean answered) {
 		if (answered) {
 			this.path.relayOpened();
@@ -383,7 +421,7 @@
 			this.path.relayFailed();
 		}
 		else {
-			this.path.directFailed(now());
+			directFailed("begin not answered");
 		}
 		this.nextDialAt = now();
 		List.copyOf(this.connections)
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
@@ -0,0 +1,81 @@
+package org.magnolialead.daemon.session;
+
+import java.util.concurrent.TimeUnit;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+
+/**
+ * Counters and latencies of statements, and gauges of what a daemon holds. The gauges are
+ * written on the serial executor and may be read on any thread.
+ */
+public final class SessionMetrics {
+
+	private static final String DONE = "DONE";
+
+	private final MetricRegistry registry = new MetricRegistry();
+
+	private volatile int sessions;
+
+	private volatile int waiting;
+
+	private volatile int connections;
+
+	private volatile int relayed;
+
+	private volatile int withoutPrimary;
+
+	SessionMetrics() {
+		gauge("sessions.open", () -> this.sessions);
+		gauge("statements.waiting", () -> this.waiting);
+		gauge("connections.open", () -> this.connections);
+		gauge("connections.relayed", () -> this.relayed);
+		gauge("groups.without-primary", () -> this.withoutPrimary);
+	}
+
+	private void gauge(String name, Gauge<Integer> gauge) {
+		this.registry.registerGauge(name, gauge);
+	}
+
+	/**
+	 * Returns the registry with all metrics.
+	 * @return the registry
+	 */
+	public MetricRegistry registry() {
+		return this.registry;
+	}
+
+	/**
+	 * Counts an answered statement as {@code statements.<priority>.<outcome>} and its
+	 * time as {@code latency.<priority>.<outcome>}.
+	 * @param priority priority of its route, 0 for the most urgent
+	 * @param error error that the client was told, or {@code null} for none
+	 * @param nanoseconds time from its arrival to the answer
+	 */
+	void answered(int priority, StatementError error, long nanoseconds) {
+		String suffix = priority + "." + ((error != null) ? error.name() : DONE);
+		this.registry.counter("statements." + suffix).inc();
+		this.registry.timer("latency." + suffix).update(nanoseconds, TimeUnit.NANOSECONDS);
+	}
+
+	void update(int openSessions, Iterable<GroupRouter> routers) {
+		int nowWaiting = 0;
+		int nowOpen = 0;
+		int nowRelayed = 0;
+		int lacking = 0;
+		for (GroupRouter router : routers) {
+			nowWaiting += router.waitingCount();
+			lacking += router.primary().isPresent() ? 0 : 1;
+			for (MemberPool pool : router.pools()) {
+				nowOpen += pool.connectionCount();
+				nowRelayed += pool.relayedCount();
+			}
+		}
+		this.sessions = openSessions;
+		this.waiting = nowWaiting;
+		this.connections = nowOpen;
+		this.relayed = nowRelayed;
+		this.withoutPrimary = lacking;
+	}
+
+}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -15,8 +15,6 @@
 import org.magnolialead.api.FleetView;
 import org.magnolialead.api.MonotonicClock;
 import org.magnolialead.api.RouteTable;
-import org.magnolialead.api.log.EventBudget;
-import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.SuspensionDetector;
 
@@ -27,13 +25,8 @@
  */
 public final class SessionService {
 
-	private static final System.Logger LOGGER = System.getLogger(SessionService.class.getName());
-
 	private static final long TICK_MILLISECONDS = 20;
 
-	/** Failed statements that are logged in one second. */
-	private static final int FAILURES_PER_SECOND = 50;
-
 	private final SessionServices services;
 
 	private final LongSupplier wallClock;
@@ -48,7 +41,9 @@
 
 	private final List<Runnable> waitingForRoutes = new ArrayList<>();
 
-	private final EventBudget failures;
+	private final StatementLog log;
+
+	private final SessionMetrics metrics = new SessionMetrics();
 
 	private volatile RouteTable routes = RouteTable.EMPTY;
 
@@ -64,7 +59,7 @@
 			MemberDialer dialer) {
 		this.services = new SessionServices(loop, clock, dialer, new RelayList(daemon));
 		this.wallClock = wallClock;
-		this.failures = new EventBudget(FAILURES_PER_SECOND, clock.nanoseconds());
+		this.log = new StatementLog(this.services);
 		this.suspension = new SuspensionDetector(clock.nanoseconds(), wallClock.getAsLong());
 	}
 
@@ -195,18 +190,15 @@
 	}
 
 	/**
-	 * Takes a line from the budget of failed statements.
-	 * @return {@code false} if the line has to be dropped
+	 * Returns what this daemon counts.
+	 * @return the metrics
 	 */
-	boolean mayLogFailure() {
-		if (!this.failures.take(this.services.now())) {
-			return false;
-		}
-		long dropped = this.failures.takeDropped();
-		if (dropped > 0) {
-			LogEvent.SESSION_LINES_DROPPED.log(LOGGER, dropped);
-		}
-		return true;
+	public SessionMetrics metrics() {
+		return this.metrics;
+	}
+
+	StatementLog log() {
+		return this.log;
 	}
 
 	void closed(ClientSession session) {
@@ -222,6 +214,7 @@
 	private void tick() {
 		checkSuspension();
 		this.routers.values().forEach(GroupRouter::tick);
+		this.metrics.update(this.sessions.size(), this.routers.values());
 	}
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SingleStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SingleStatement.java
@@ -18,6 +18,9 @@
 	/** Silence after which a read is tried at another member as well. */
 	private static final long HEDGE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(150);
 
+	/** Multiple of the usual time of a statement that counts as silence. */
+	private static final int HEDGE_FACTOR = 4;
+
 	/** Time for which a connection that owes an answer no one waits for stays open. */
 	private static final long LATE_ANSWER_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -39,6 +42,8 @@
 
 	private final long deadline;
 
+	private final long giveUpAt;
+
 	private final List<PooledConnection> waitingFor = new ArrayList<>();
 
 	private final Future<?> deadlineTimer;
@@ -64,6 +69,7 @@
 		this.prepared = prepared;
 		this.writes = writes;
 		this.deadline = deadline;
+		this.giveUpAt = WaitRule.giveUpAt(session.services().now(), deadline);
 		this.deadlineTimer = session.services().after(deadline - session.services().now(), this::deadlinePassed);
 	}
 
@@ -75,9 +81,7 @@
 		this.attempts++;
 		ReadPlan plan = (this.writes || this.primaryOnly) ? ReadPlan.PRIMARY
 				: this.session.readPlan(this.statement.receivedAt());
-		long now = this.session.services().now();
-		long giveUpAt = WaitRule.giveUpAt(now, this.deadline);
-		this.work = new Work(this.session.route(), plan, this.session.values(), this.deadline, giveUpAt, avoided,
+		this.work = new Work(this.session.route(), plan, this.session.values(), this.deadline, this.giveUpAt, avoided,
 				(connection) -> run(connection, plan), this::notRun);
 		this.session.router().submit(this.work);
 	}
@@ -95,7 +99,9 @@
 		}
 		this.waitingFor.add(connection);
 		if (!this.writes) {
-			this.hedgeTimer = this.session.services().after(HEDGE_NANOSECONDS, this::hedge);
+			// A member that is merely busy must not get the same work twice.
+			long usual = HEDGE_FACTOR * connection.pool().serviceNanoseconds();
+			this.hedgeTimer = this.session.services().after(Math.max(HEDGE_NANOSECONDS, usual), this::hedge);
 		}
 		connection.align(this.session.values(), this.prepared);
 		boolean needsProof = !this.writes && !plan.onReplica();
@@ -148,6 +154,7 @@
 			if (this.writes) {
 				this.session.committed(reply.position());
 			}
+			this.session.log().served(this.statement, this.session.database(), connection, this.attempts);
 			finish(reply.withState(SessionState.IDLE));
 			return;
 		}
@@ -156,6 +163,7 @@
 
 	private void failed(MemberPool pool, StatementReply reply) {
 		this.lastError = reply.error();
+		noteRetry(pool, reply);
 		switch (reply.error()) {
 			case BEHIND -> {
 				this.session.router().noteBehind(pool);
@@ -166,7 +174,11 @@
 				this.session.router().primaryReplaced(pool, "refused a statement");
 				retry(null, reply);
 			}
-			case OVERLOADED, TOO_MANY_CONNECTIONS, WRONG_MEMBER, NOT_PREPARED -> retry(pool, reply);
+			case OVERLOADED -> {
+				pool.overloaded();
+				retryWhenPermitted(pool, reply);
+			}
+			case TOO_MANY_CONNECTIONS, WRONG_MEMBER, NOT_PREPARED -> retry(pool, reply);
 			case CONNECTION_LOST -> {
 				if (this.writes) {
 					finish(StatementReply.failed(StatementError.UNKNOWN_OUTCOME, "connection to the member lost",
@@ -188,6 +200,11 @@
 		}
 	}
 
+	private void noteRetry(MemberPool pool, StatementReply reply) {
+		this.session.log()
+			.retried(this.statement, this.session.database(), pool.member().member(), reply.error(), this.attempts);
+	}
+
 	private void retry(MemberPool avoided, StatementReply reply) {
 		if (!this.waitingFor.isEmpty()) {
 			return;
@@ -208,6 +225,19 @@
 		});
 	}
 
+	// The pause of the member decides when, so that attempts need no limit but the time.
+	private void retryWhenPermitted(MemberPool avoided, StatementReply reply) {
+		if (!this.waitingFor.isEmpty()) {
+			return;
+		}
+		if (this.session.services().now() - this.giveUpAt >= 0) {
+			finish(giveUp(reply));
+			return;
+		}
+		this.attempts--;
+		attempt(avoided);
+	}
+
 	// What the members said last may be about the connection rather than the statement.
 	private StatementReply giveUp(StatementReply reply) {
 		return switch (reply.error()) {
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementLog.java
@@ -0,0 +1,68 @@
+package org.magnolialead.daemon.session;
+
+import java.util.concurrent.TimeUnit;
+
+import org.magnolialead.api.log.EventBudget;
+import org.magnolialead.api.log.LogEvent;
+
+/**
+ * Log lines about statements of sessions. Failures and retries have a larger budget than
+ * statements that were served, so that a flood leaves the lines that explain it.
+ */
+final class StatementLog {
+
+	private static final System.Logger LOGGER = System.getLogger(StatementLog.class.getName());
+
+	private static final int FAILURES_PER_SECOND = 50;
+
+	private static final int SERVED_PER_SECOND = 10;
+
+	private final SessionServices services;
+
+	private final EventBudget failures;
+
+	private final EventBudget served;
+
+	StatementLog(SessionServices services) {
+		this.services = services;
+		this.failures = new EventBudget(FAILURES_PER_SECOND, services.now());
+		this.served = new EventBudget(SERVED_PER_SECOND, services.now());
+	}
+
+	void failed(ClientStatement statement, String database, StatementReply reply) {
+		if (mayLogFailure()) {
+			LogEvent.SESSION_STATEMENT_FAILED.log(LOGGER, statement.identifier(), database, statement.verb(),
+					reply.error(), age(statement), reply.detail());
+		}
+	}
+
+	void retried(ClientStatement statement, String database, String member, StatementError error, int attempt) {
+		if (mayLogFailure()) {
+			LogEvent.SESSION_STATEMENT_RETRIED.log(LOGGER, statement.identifier(), database, member, error, attempt,
+					age(statement));
+		}
+	}
+
+	void served(ClientStatement statement, String database, PooledConnection connection, int attempt) {
+		if (this.served.take(this.services.now())) {
+			LogEvent.SESSION_STATEMENT_SERVED.log(LOGGER, statement.identifier(), database,
+					connection.pool().member().member(), connection.isRelayed(), attempt, age(statement));
+		}
+	}
+
+	private boolean mayLogFailure() {
+		if (!this.failures.take(this.services.now())) {
+			return false;
+		}
+		long dropped = this.failures.takeDropped();
+		if (dropped > 0) {
+			LogEvent.SESSION_LINES_DROPPED.log(LOGGER, dropped);
+		}
+		return true;
+	}
+
+	private long age(ClientStatement statement) {
+		return TimeUnit.NANOSECONDS.toMillis(this.services.now() - statement.receivedAt());
+	}
+
+}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Work.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Work.java
@@ -62,6 +62,10 @@
 		return this.values;
 	}
 
+	int priority() {
+		return this.route.priority();
+	}
+
 	long deadline() {
 		return this.deadline;
 	}
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -148,6 +148,8 @@
 
 		private int answersToLose;
 
+		private int refusals;
+
 		private Member(String name) {
 			this.name = name;
 		}
@@ -181,6 +183,14 @@
 			return this.open.stream().filter((connection) -> connection.relayed == relayed).count();
 		}
 
+		/**
+		 * Lets the member refuse statements because its queue is full.
+		 * @param count number of statements
+		 */
+		void refuse(int count) {
+			this.refusals = count;
+		}
+
 		void loseAnswers(int count) {
 			this.answersToLose = count;
 		}
@@ -292,6 +302,10 @@
 			String text = (command.kind() == MemberCommand.Kind.EXECUTE)
 					? this.prepared.get(command.arguments().get(0)) + " " + command.arguments().get(1)
 					: command.arguments().get(0);
+			if (this.member.refusals > 0) {
+				this.member.refusals--;
+				return error(StatementError.OVERLOADED);
+			}
 			boolean writes = text.startsWith("WRITE");
 			if (!reaches(command.after())) {
 				return error(StatementError.BEHIND);
--- /dev/null
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/OverloadPauseTests.java
@@ -0,0 +1,166 @@
+package org.magnolialead.engine.session;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Work sent to a member whose queue is full.
+ */
+class OverloadPauseTests {
+
+	private static final long MILLISECOND = 1_000_000L;
+
+	private static final int DAEMONS = 10;
+
+	private static final int SLOTS = 2;
+
+	private static final int QUEUE = 16;
+
+	private static final long RUN_MILLISECONDS = 20_000;
+
+	/** Time for which work waits before its client is told to come back. */
+	private static final long PATIENCE_MILLISECONDS = 480;
+
+	/**
+	 * Guards against pauses for work of a member that refuses none.
+	 */
+	@Test
+	void nothingPausesWithoutARefusal() {
+		OverloadPause pause = new OverloadPause();
+		assertThat(pause.permits(2, 0)).isTrue();
+	}
+
+	/**
+	 * Guards against browsing that takes the places which urgent work waits for.
+	 */
+	@Test
+	void urgentWorkIsTriedFirst() {
+		OverloadPause pause = new OverloadPause();
+		pause.refused(0);
+		assertThat(pause.permits(0, 4 * MILLISECOND)).isTrue();
+		assertThat(pause.permits(1, 4 * MILLISECOND)).isFalse();
+		assertThat(pause.permits(1, 16 * MILLISECOND)).isTrue();
+		assertThat(pause.permits(2, 16 * MILLISECOND)).isFalse();
+		assertThat(pause.permits(2, 64 * MILLISECOND)).isTrue();
+	}
+
+	/**
+	 * Guards against a rank that gets nothing while a more urgent one floods in.
+	 */
+	@Test
+	void lowRankKeepsAFloor() {
+		OverloadPause pause = new OverloadPause();
+		for (long now = 0; now <= OverloadPause.FLOOR_NANOSECONDS; now += MILLISECOND) {
+			pause.refused(now);
+		}
+		assertThat(pause.permits(2, OverloadPause.FLOOR_NANOSECONDS)).isTrue();
+		pause.sent(2, OverloadPause.FLOOR_NANOSECONDS);
+		assertThat(pause.permits(2, OverloadPause.FLOOR_NANOSECONDS + MILLISECOND)).isFalse();
+	}
+
+	/**
+	 * Plays the load of a primary that alone serves its group in a flood of browsing:
+	 * twice as much work as two slots can do, from ten daemons that know nothing of each
+	 * other. Guards against urgent work that is refused as often as browsing, which is
+	 * what a plain retry after 15 ms gives.
+	 */
+	@Test
+	void floodOfBrowsingLeavesUrgentWorkServed() {
+		double[] served = play(true);
+		double[] baseline = play(false);
+		System.out.printf("served by rank, with pauses %.3f %.3f %.3f, with a plain retry %.3f %.3f %.3f%n", served[0],
+				served[1], served[2], baseline[0], baseline[1], baseline[2]);
+		assertThat(served[0]).as("urgent").isGreaterThan(0.97).isGreaterThan(baseline[0]);
+		assertThat(served[1]).as("standard").isGreaterThan(baseline[1]);
+		assertThat(served[2]).as("browsing keeps a floor").isGreaterThan(0.02);
+	}
+
+	// Returns the share of the work of each rank that ran within its patience.
+	private static double[] play(boolean pauses) {
+		Random random = new Random(20261204);
+		Member member = new Member();
+		List<List<Job>> waiting = new ArrayList<>();
+		OverloadPause[] rules = new OverloadPause[DAEMONS];
+		for (int daemon = 0; daemon < DAEMONS; daemon++) {
+			waiting.add(new ArrayList<>());
+			rules[daemon] = new OverloadPause();
+		}
+		int[] offered = new int[3];
+		for (long now = 0; now < RUN_MILLISECONDS; now++) {
+			member.run(now);
+			for (int rank = 0; rank < 3; rank++) {
+				// 20, 90 and 110 a second of 4, 10 and 22 ms: 3.4 slots of work for two.
+				double perMillisecond = new double[] { 0.02, 0.09, 0.11 }[rank];
+				if (random.nextDouble() < perMillisecond) {
+					offered[rank]++;
+					waiting.get(random.nextInt(DAEMONS)).add(new Job(rank, new int[] { 4, 10, 22 }[rank], now, now));
+				}
+			}
+			for (int step = 0; step < DAEMONS; step++) {
+				int daemon = (int) ((now + step) % DAEMONS);
+				offer(waiting.get(daemon), rules[daemon], member, now, pauses);
+			}
+		}
+		double[] shares = new double[3];
+		for (int rank = 0; rank < 3; rank++) {
+			shares[rank] = member.served[rank] / (double) offered[rank];
+		}
+		return shares;
+	}
+
+	private static void offer(List<Job> jobs, OverloadPause rule, Member member, long now, boolean pauses) {
+		jobs.removeIf((job) -> now - job.arrivedAt >= PATIENCE_MILLISECONDS);
+		jobs.sort((one, other) -> Integer.compare(one.rank, other.rank));
+		for (Job job : List.copyOf(jobs)) {
+			boolean permitted = pauses ? rule.permits(job.rank, now * MILLISECOND) : now >= job.notBefore;
+			if (!permitted) {
+				continue;
+			}
+			jobs.remove(job);
+			rule.sent(job.rank, now * MILLISECOND);
+			if (!member.accept(job)) {
+				rule.refused(now * MILLISECOND);
+				jobs.add(new Job(job.rank, job.work, job.arrivedAt, now + 15));
+			}
+		}
+	}
+
+	private record Job(int rank, int work, long arrivedAt, long notBefore) {
+	}
+
+	private static final class Member {
+
+		private final Deque<Job> queue = new ArrayDeque<>();
+
+		private final long[] freeAt = new long[SLOTS];
+
+		private final int[] served = new int[3];
+
+		boolean accept(Job job) {
+			if (this.queue.size() >= QUEUE) {
+				return false;
+			}
+			this.queue.add(job);
+			return true;
+		}
+
+		void run(long now) {
+			for (int slot = 0; slot < SLOTS; slot++) {
+				if (this.freeAt[slot] <= now && !this.queue.isEmpty()) {
+					Job job = this.queue.poll();
+					this.freeAt[slot] = now + job.work;
+					this.served[job.rank]++;
+				}
+			}
+		}
+
+	}
+
+}
