Let work without a member wait for 40% of its time

Change: such work is refused after 40% of its time instead of 60%, so that a client reaches three daemons within its own. Whether the member returns cannot be known.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -138,10 +138,6 @@
 		if (this.waiting.isEmpty() && grantIfPossible(work)) {
 			return;
 		}
-		if (!mayWait(work)) {
-			work.refuse(StatementError.OVERLOADED);
-			return;
-		}
 		if (WaitRule.refuses(ahead(work), connections(work), service(work), work.deadline() - now())) {
 			work.refuse(StatementError.OVERLOADED);
 			return;
@@ -150,12 +146,11 @@
 		pump();
 	}
 
-	private boolean mayWait(Work work) {
+	private boolean lacksMember(Work work) {
 		if (work.plan().onReplica()) {
-			return this.pools.values().stream().anyMatch((pool) -> pool.isUsable() && !pool.isOutOfConnections());
+			return this.pools.values().stream().noneMatch(MemberPool::hasConnection);
 		}
-		boolean connects = this.primaries.expected().map((pool) -> !pool.isOutOfConnections()).orElse(true);
-		return connects && this.primaries.mayReturnSoon();
+		return primary().map((pool) -> !pool.hasConnection()).orElse(true);
 	}
 
 	private int ahead(Work work) {
@@ -257,7 +252,7 @@
 	void tick() {
 		long now = now();
 		for (Work work : List.copyOf(this.waiting)) {
-			if (work.isCancelled() || work.isOverdue(now) || !mayWait(work)) {
+			if (work.isCancelled() || work.isOverdue(now) || work.shouldGoElsewhere(now) && lacksMember(work)) {
 				refuse(work, StatementError.OVERLOADED);
 			}
 		}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -76,8 +76,6 @@
 
 	private final OverloadPause overload = new OverloadPause();
 
-	private long limitedUntil;
-
 	private long behindUntil;
 
 	private long serviceNanoseconds = INITIAL_SERVICE_NANOSECONDS;
@@ -95,7 +93,6 @@
 		this.nextDialAt = now;
 		this.nextExtraDialAt = now + START_NANOSECONDS;
 		this.behindUntil = now;
-		this.limitedUntil = now;
 	}
 
 	MemberDescription member() {
@@ -163,16 +160,6 @@
 		return now - this.behindUntil < 0;
 	}
 
-	/**
-	 * Tells whether the member has just refused this daemon's only connection for its
-	 * limit. After a loss of power members keep the former connections for seconds, so
-	 * that some daemons find none left while others serve.
-	 * @return {@code true} if work of the member cannot be served here for now
-	 */
-	boolean isOutOfConnections() {
-		return this.connections.isEmpty() && now() - this.limitedUntil < 0;
-	}
-
 	void behindUntil(long time) {
 		this.behindUntil = time;
 	}
@@ -290,7 +277,6 @@
 		}
 		if (answered) {
 			this.health.answered();
-			this.limitedUntil = now() + 2 * LIMIT_DELAY_NANOSECONDS;
 			this.nextExtraDialAt = now() + EXTRA_LIMIT_DELAY_NANOSECONDS;
 			this.nextDialAt = now() + LIMIT_DELAY_NANOSECONDS;
 			return;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PrimaryTracker.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PrimaryTracker.java
@@ -12,7 +12,6 @@
 import org.magnolialead.api.LogPosition;
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.log.LogEvent;
-import org.magnolialead.engine.session.OutageRule;
 import org.magnolialead.engine.session.PrimaryProgress;
 
 /**
@@ -45,10 +44,6 @@
 
 	private String viewPrimary = "";
 
-	private boolean promotionReserved;
-
-	private boolean replaced;
-
 	PrimaryTracker(GroupRouter router, long now) {
 		this.router = router;
 		this.lostAt = now;
@@ -67,32 +62,15 @@
 		return Optional.ofNullable(this.primary);
 	}
 
-	/**
-	 * Returns the primary, or the member that is expected to be it.
-	 * @return the member, or empty if none is known
-	 */
-	Optional<MemberPool> expected() {
-		return primary().or(() -> Optional.ofNullable(this.router.pool(this.hint)));
-	}
-
 	long lostAt() {
 		return this.lostAt;
 	}
 
-	/**
-	 * Tells whether work for the primary should wait for it.
-	 * @return {@code false} if there is none and none is expected soon
-	 */
-	boolean mayReturnSoon() {
-		return this.primary != null || OutageRule.waits(this.lostAt, this.replaced, this.promotionReserved, now());
-	}
-
 	/**
 	 * Applies the present view of the group.
 	 * @param view the view
 	 */
 	void viewChanged(GroupView view) {
-		this.promotionReserved = view.reservedTerm() > view.term();
 		Optional<MemberDescription> reporting = view.allMembers()
 			.stream()
 			.filter(MemberDescription::reportsPrimary)
@@ -118,20 +96,8 @@
 	}
 
 	/**
-	 * Notes that a member refused work because it is not the primary, so that another one
-	 * leads.
-	 * @param pool the member
-	 * @param cause why, for the log
-	 */
-	void replaced(MemberPool pool, String cause) {
-		if (this.primary == pool) {
-			lost(pool, cause);
-			this.replaced = true;
-		}
-	}
-
-	/**
-	 * Notes that the primary is leaving or can no longer be reached.
+	 * Notes that the primary is leaving, can no longer be reached, or refused work
+	 * because another member leads.
 	 * @param pool the member
 	 * @param cause why, for the log
 	 */
@@ -139,7 +105,6 @@
 		if (this.primary != pool) {
 			return;
 		}
-		this.replaced = false;
 		this.primary = null;
 		this.former = pool;
 		this.lostAt = now();
@@ -218,7 +183,7 @@
 			proved(pool, askedAt, reply.position());
 		}
 		else if (reply.error() == StatementError.NOT_PRIMARY) {
-			replaced(pool, "asked");
+			lost(pool, "asked");
 		}
 		this.router.endTransaction(connection, reply.state());
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SingleStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SingleStatement.java
@@ -42,6 +42,8 @@
 
 	private final long deadline;
 
+	private final long elsewhereAt;
+
 	private final long giveUpAt;
 
 	private final List<PooledConnection> waitingFor = new ArrayList<>();
@@ -69,8 +71,10 @@
 		this.prepared = prepared;
 		this.writes = writes;
 		this.deadline = deadline;
-		this.giveUpAt = WaitRule.giveUpAt(session.services().now(), deadline);
-		this.deadlineTimer = session.services().after(deadline - session.services().now(), this::deadlinePassed);
+		long now = session.services().now();
+		this.elsewhereAt = WaitRule.elsewhereAt(now, deadline);
+		this.giveUpAt = WaitRule.giveUpAt(now, deadline);
+		this.deadlineTimer = session.services().after(deadline - now, this::deadlinePassed);
 	}
 
 	void start() {
@@ -81,8 +85,8 @@
 		this.attempts++;
 		ReadPlan plan = (this.writes || this.primaryOnly) ? ReadPlan.PRIMARY
 				: this.session.readPlan(this.statement.receivedAt());
-		this.work = new Work(this.session.route(), plan, this.session.values(), this.deadline, this.giveUpAt, avoided,
-				(connection) -> run(connection, plan), this::notRun);
+		this.work = new Work(this.session.route(), plan, this.session.values(), this.deadline, this.elsewhereAt,
+				this.giveUpAt, avoided, (connection) -> run(connection, plan), this::notRun);
 		this.session.router().submit(this.work);
 	}
 
@@ -171,7 +175,7 @@
 				retry(null, reply);
 			}
 			case NOT_PRIMARY -> {
-				this.session.router().primaries().replaced(pool, "refused a statement");
+				this.session.router().primaries().lost(pool, "refused a statement");
 				retry(null, reply);
 			}
 			case OVERLOADED -> {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Transaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Transaction.java
@@ -67,8 +67,9 @@
 	 */
 	void run(ClientStatement statement, PreparedStatement prepared, boolean writes, long deadline) {
 		boolean commit = statement.verb() == ClientStatement.Verb.COMMIT;
-		long giveUpAt = WaitRule.giveUpAt(this.session.services().now(), deadline);
-		this.pending = new Pending(statement, prepared, writes, commit, deadline, giveUpAt);
+		long now = this.session.services().now();
+		this.pending = new Pending(statement, prepared, writes, commit, deadline, WaitRule.elsewhereAt(now, deadline),
+				WaitRule.giveUpAt(now, deadline));
 		if (this.connection == null) {
 			attempt();
 		}
@@ -81,7 +82,8 @@
 		this.attempts++;
 		ReadPlan plan = (this.readOnly && !this.primaryOnly) ? this.session.readPlan(this.begunAt) : ReadPlan.PRIMARY;
 		this.work = new Work(this.session.route(), plan, this.session.values(), this.pending.deadline(),
-				this.pending.giveUpAt(), null, (granted) -> begin(granted, plan), this::notRun);
+				this.pending.elsewhereAt(), this.pending.giveUpAt(), null, (granted) -> begin(granted, plan),
+				this::notRun);
 		this.session.router().submit(this.work);
 	}
 
@@ -118,7 +120,7 @@
 			this.primaryOnly = true;
 		}
 		if (reply.error() == StatementError.NOT_PRIMARY) {
-			this.session.router().primaries().replaced(pool, "refused a transaction");
+			this.session.router().primaries().lost(pool, "refused a transaction");
 		}
 		if (this.attempts >= MAXIMUM_ATTEMPTS) {
 			fail(StatementError.OVERLOADED, "no member began the transaction: " + reply.error());
@@ -149,7 +151,7 @@
 		}
 		MemberPool pool = this.connection.pool();
 		if (reply.error() == StatementError.NOT_PRIMARY) {
-			this.session.router().primaries().replaced(pool, "refused a statement of a transaction");
+			this.session.router().primaries().lost(pool, "refused a statement of a transaction");
 		}
 		if (reply.error() == StatementError.OVERLOADED) {
 			pool.overloaded();
@@ -288,7 +290,7 @@
 	}
 
 	private record Pending(ClientStatement statement, PreparedStatement prepared, boolean writes, boolean commit,
-			long deadline, long giveUpAt) {
+			long deadline, long elsewhereAt, long giveUpAt) {
 
 		Pending {
 			Objects.requireNonNull(statement, "statement must not be null");
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Work.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Work.java
@@ -19,6 +19,8 @@
 
 	private final long deadline;
 
+	private final long elsewhereAt;
+
 	private final long giveUpAt;
 
 	private final MemberPool avoided;
@@ -37,17 +39,20 @@
 	 * @param plan where it may run
 	 * @param values values of the session
 	 * @param deadline time in nanoseconds by which the statement must be answered
+	 * @param elsewhereAt time in nanoseconds at which it is refused if this daemon has no
+	 * member for it
 	 * @param giveUpAt time in nanoseconds at which it is refused if it still waits
 	 * @param avoided member that should not serve it, or {@code null}
 	 * @param granted receives the connection, which is taken
 	 * @param refused receives the reason if it does not run
 	 */
-	Work(Route route, ReadPlan plan, Map<String, String> values, long deadline, long giveUpAt, MemberPool avoided,
-			Consumer<PooledConnection> granted, Consumer<StatementError> refused) {
+	Work(Route route, ReadPlan plan, Map<String, String> values, long deadline, long elsewhereAt, long giveUpAt,
+			MemberPool avoided, Consumer<PooledConnection> granted, Consumer<StatementError> refused) {
 		this.route = route;
 		this.plan = plan;
 		this.values = values;
 		this.deadline = deadline;
+		this.elsewhereAt = elsewhereAt;
 		this.giveUpAt = giveUpAt;
 		this.avoided = avoided;
 		this.granted = granted;
@@ -86,6 +91,10 @@
 		return this.cancelled;
 	}
 
+	boolean shouldGoElsewhere(long now) {
+		return now - this.elsewhereAt >= 0;
+	}
+
 	boolean isOverdue(long now) {
 		return now - this.giveUpAt >= 0;
 	}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/WaitRule.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/WaitRule.java
@@ -13,6 +13,12 @@
 	/** Share of the time to the deadline after which a waiting statement is refused. */
 	private static final int GIVE_UP_PERCENT = 60;
 
+	/**
+	 * The same if this daemon has no primary or no connection to it. A client that tries
+	 * twice more then reaches three daemons within its time.
+	 */
+	private static final int ELSEWHERE_PERCENT = 40;
+
 	private static final int PERCENT = 100;
 
 	private WaitRule() {
@@ -29,6 +35,18 @@
 		return now + (deadline - now) * GIVE_UP_PERCENT / PERCENT;
 	}
 
+	/**
+	 * Returns when a statement that waits for a missing member is refused. Refusing it at
+	 * once would spend the retries of its client before a successor leads or a connection
+	 * becomes free.
+	 * @param now present time in nanoseconds
+	 * @param deadline time in nanoseconds by which it must be answered
+	 * @return the time in nanoseconds
+	 */
+	public static long elsewhereAt(long now, long deadline) {
+		return now + (deadline - now) * ELSEWHERE_PERCENT / PERCENT;
+	}
+
 	/**
 	 * Tells whether a statement should be refused.
 	 * @param ahead number of waiting statements that are served before it
