--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -225,7 +225,10 @@
 		if (free.isPresent()) {
 			return free;
 		}
-		this.pools.values().stream().filter(MemberPool::isUsable).forEach(MemberPool::dialForWaiting);
+		this.pools.values()
+			.stream()
+			.filter((pool) -> pool.isUsable() && pool.free(work.values()).isEmpty())
+			.forEach(MemberPool::dialForWaiting);
 		boolean primaryServes = primary != null && primary.isUsable() && primary.permits(work);
 		return primaryServes ? primary.free(work.values()) : Optional.empty();
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -82,6 +82,8 @@
 
 	private long beginNanoseconds;
 
+	private boolean lossNoted;
+
 	private boolean closed;
 
 	MemberPool(GroupRouter router, SessionServices services, MemberDescription member) {
@@ -239,7 +241,7 @@
 			return;
 		}
 		List<String> relays = this.services.relays().addresses();
-		OptionalInt relay = this.path.next(relays.size(), now());
+		OptionalInt relay = this.path.next(relays.size(), this.dialingDirect > 0, now());
 		if (relay.isPresent()) {
 			this.dialingRelayed++;
 			dial(relays.get(relay.getAsInt()));
@@ -262,6 +264,7 @@
 	}
 
 	private void dialed(PooledConnection connection, MemberDialer.DialResult result) {
+		this.lossNoted = false;
 		boolean answered = result.channel() != null || result.error() == DialError.TOO_MANY_CONNECTIONS;
 		if (connection.isRelayed()) {
 			this.dialingRelayed--;
@@ -394,8 +397,15 @@
 		this.health.answered();
 	}
 
+	/**
+	 * Notes that a connection ended by itself. Several that end together, for example
+	 * after a suspension of this VM, are one piece of evidence until a new one is tried.
+	 */
 	void lost() {
-		this.health.failed();
+		if (!this.lossNoted) {
+			this.lossNoted = true;
+			this.health.failed();
+		}
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Transaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Transaction.java
@@ -176,9 +176,8 @@
 		fail(StatementError.ROLLED_BACK, "statement failed: " + reply.error() + ", state " + reply.state());
 	}
 
-	// A member whose queue is full keeps the transaction open, so that only this
-	// statement
-	// has to be sent again.
+	// A member whose queue is full keeps the transaction open, so only this statement has
+	// to be sent again.
 	private boolean sendsAgain(StatementReply reply) {
 		long pause = OverloadPause.nanoseconds(this.session.route().priority());
 		long now = this.session.services().now();
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -168,6 +168,10 @@
 			return this.position;
 		}
 
+		void closeConnections() {
+			List.copyOf(this.open).forEach(Connection::close);
+		}
+
 		void crash() {
 			this.down = true;
 			List.copyOf(this.open).forEach(Connection::close);
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
@@ -137,6 +137,23 @@
 		assertThat(this.group.member("a").openConnections(false)).isPositive();
 	}
 
+	/**
+	 * Guards against a promotion after a suspension of this VM: the primary has closed
+	 * all connections of a caller that it did not reach, and is well.
+	 */
+	@Test
+	void connectionsThatEndTogetherPromoteNobody() {
+		for (int client = 0; client < 3; client++) {
+			TestClient holding = client();
+			holding.send(Verb.BEGIN);
+			holding.send(Verb.WRITE, "item", "x", 100);
+			holding.send(Verb.WRITE, "item", "y", 0);
+		}
+		this.group.member("a").closeConnections();
+		this.loop.run(2_000);
+		assertThat(this.orders).isEmpty();
+	}
+
 	/**
 	 * Guards against a long gap in writes when a primary goes dark: silence of the begin
 	 * of a transaction and the word of two relays are enough.
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/MemberPath.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/MemberPath.java
@@ -98,11 +98,13 @@
 	/**
 	 * Returns which relay opens the next connection.
 	 * @param relays number of relays that are known
+	 * @param directPending whether a direct attempt is in progress
 	 * @param now present time in nanoseconds
 	 * @return the index of the relay, or empty for a direct connection
 	 */
-	public OptionalInt next(int relays, long now) {
-		if (relays == 0 || isDirectDue(now)) {
+	public OptionalInt next(int relays, boolean directPending, long now) {
+		boolean direct = !this.suspect || (isDirectDue(now) && !directPending);
+		if (relays == 0 || direct) {
 			return OptionalInt.empty();
 		}
 		return OptionalInt.of(Math.floorMod(this.relay, relays));
