--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
@@ -138,18 +138,21 @@
 	}
 
 	/**
-	 * Guards against a promotion after a suspension of this VM: the primary has closed
-	 * all connections of a caller that it did not reach, and is well.
+	 * Guards against a primary that counts as failed after a suspension of this VM: it
+	 * has closed all connections of a caller that it did not reach, and is well.
 	 */
 	@Test
-	void connectionsThatEndTogetherPromoteNobody() {
-		for (int client = 0; client < 3; client++) {
-			TestClient holding = client();
+	void connectionsThatEndTogetherAreOnePieceOfEvidence() {
+		List<TestClient> clients = List.of(client(), client(), client());
+		clients.forEach((holding) -> {
 			holding.send(Verb.BEGIN);
 			holding.send(Verb.WRITE, "item", "x", 100);
-			holding.send(Verb.WRITE, "item", "y", 0);
-		}
+		});
+		clients.forEach((holding) -> holding.send(Verb.WRITE, "item", "y", 0));
+		assertThat(this.group.member("a").openConnections(false)).isEqualTo(3);
 		this.group.member("a").closeConnections();
+		this.loop.run(1);
+		assertThat(this.service.router(FakeGroup.NAME).pool("a").isUnreachable()).isFalse();
 		this.loop.run(2_000);
 		assertThat(this.orders).isEmpty();
 	}
