Gather the lines of one request from saved logs

magnolialead-ctl timeline prints the lines that name a request and the events around it that can be its cause, in order of time.

--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/MagnolialeadCtl.java
@@ -80,7 +80,7 @@
 	 */
 	private static final class Root {
 
-		@Argument(required = true, metaVar = "status|config|initialize|forget-member|load|report|experiment",
+		@Argument(required = true, metaVar = "status|config|initialize|forget-member|load|report|timeline|experiment",
 				handler = CommandHandler.class)
 		@SubCommands({ @SubCommand(name = "status", impl = StatusCommand.class),
 				@SubCommand(name = "config", impl = ConfigCommand.class),
@@ -88,6 +88,7 @@
 				@SubCommand(name = "forget-member", impl = ForgetMemberCommand.class),
 				@SubCommand(name = "load", impl = LoadCommand.class),
 				@SubCommand(name = "report", impl = ReportCommand.class),
+				@SubCommand(name = "timeline", impl = TimelineCommand.class),
 				@SubCommand(name = "experiment", impl = ExperimentCommand.class) })
 		private CtlCommand command;
 
--- /dev/null
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/timeline/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Lines of saved logs that explain what became of one request.
+ */
+package org.magnolialead.ctl.timeline;
--- a/magnolialead-ctl/src/test/java/org/magnolialead/ctl/MagnolialeadCtlTests.java
+++ b/magnolialead-ctl/src/test/java/org/magnolialead/ctl/MagnolialeadCtlTests.java
@@ -50,8 +50,8 @@
 			"config set-floors --standard 0.4 --browsing 0.4 --control a:1 --expected-version 0",
 			"forget-member --control a:1 --group g", "load --mix profile=p", "load --direct a:1",
 			"load --direct a:1 --mix profile=p,rate=x", "load --direct a:1 --mix rate=1",
-			"load --direct a:1 --mix profile=p,colour=red", "load --direct a:1 --entry b:1 --mix profile=p",
-			"experiment --deployment nowhere", "experiment --groups 0" })
+			"load --direct a:1 --mix profile=p,colour=red", "load --direct a:1 --entry b:1 --mix profile=p", "timeline",
+			"timeline --request 1", "experiment --deployment nowhere", "experiment --groups 0" })
 	void wrongArgumentsEndWithCodeTwoAndOneLine(String line) {
 		int exitCode = run(this::unreachable, line.isEmpty() ? new String[0] : line.split(" "));
 		assertThat(exitCode).withFailMessage(() -> this.errors.toString()).isEqualTo(2);
