Open the first connection for work, and keep a primary that refuses connections

With 20 entry daemons before 18 connections no daemon has a permanent connection, and one that looked for the primary opened a connection only below that share; 7 of 20 daemons never found a primary after the restart. Found beside it in the read-through: a member that answers an attempt to connect with an error, for example for a full queue, counted as down, so three such answers replaced a primary that is well. Its path counted as failed too.

Change: the first connection to a member is opened for work and for the search; DialError says of each error whether the path works and whether the member is down.

MemberRelayTests.daemonWithoutAPermanentConnectionFindsThePrimary and primaryThatRefusesConnectionsIsNotReplaced failed before and pass.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/DialError.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/DialError.java
@@ -6,32 +6,43 @@
 public enum DialError {
 
 	/** No connection, or no greeting in time. */
-	UNREACHABLE(true),
+	UNREACHABLE(false, true),
 	/**
 	 * The relay could not be reached or did not answer; nothing is known of the member.
 	 */
-	RELAY_FAILED(false),
+	RELAY_FAILED(false, false),
 	/** The relay does not reach the member either. */
-	UNREACHABLE_FROM_RELAY(true),
+	UNREACHABLE_FROM_RELAY(false, true),
 	/** Another process is behind the address. */
-	WRONG_MEMBER(true),
+	WRONG_MEMBER(true, true),
 	/** The member has no connection left. */
-	TOO_MANY_CONNECTIONS(false),
-	/** The member refused for another reason. */
-	REFUSED(true);
+	TOO_MANY_CONNECTIONS(true, false),
+	/** The member refused for another reason, for example a full queue. */
+	REFUSED(true, false);
 
-	private final boolean evidence;
+	private final boolean pathWorks;
 
-	DialError(boolean evidence) {
-		this.evidence = evidence;
+	private final boolean memberDown;
+
+	DialError(boolean pathWorks, boolean memberDown) {
+		this.pathWorks = pathWorks;
+		this.memberDown = memberDown;
+	}
+
+	/**
+	 * Tells whether a process answered at the address of the member.
+	 * @return {@code false} if the path to it may have failed
+	 */
+	public boolean isPathWorking() {
+		return this.pathWorks;
 	}
 
 	/**
 	 * Tells whether the error says that the member is down.
 	 * @return {@code false} if the member may be well
 	 */
-	public boolean isEvidence() {
-		return this.evidence;
+	public boolean isMemberDown() {
+		return this.memberDown;
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -33,10 +33,13 @@
 
 	private static final int MAXIMUM_DIAL_DOUBLINGS = 2;
 
-	/** Wait for a permanent connection after the member refused one for its limit. */
+	/**
+	 * Wait for a permanent connection after the member refused one, usually for its
+	 * limit.
+	 */
 	private static final long LIMIT_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
-	/** Wait for a further connection after the member refused one for its limit. */
+	/** Wait for a further connection after the member refused one. */
 	private static final long EXTRA_LIMIT_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
 
 	/** Time after which a connection beyond the fair share is closed if unused. */
@@ -207,6 +210,19 @@
 		}
 	}
 
+	/**
+	 * Opens a connection to ask the member something, unless one is there that is merely
+	 * in use.
+	 */
+	void dialToAsk() {
+		if (this.connections.isEmpty()) {
+			dialForWaiting();
+		}
+		else {
+			dialShare();
+		}
+	}
+
 	/**
 	 * Tries the direct path again if connections have been relayed for a while.
 	 */
@@ -224,11 +240,12 @@
 	}
 
 	/**
-	 * Opens a further connection because work is waiting.
+	 * Opens a connection because work is waiting. The first one is no further one: with
+	 * more daemons than permanent connections each opens it when it has work.
 	 */
 	void dialForWaiting() {
 		int total = total();
-		if (total < this.fairShare) {
+		if (total < Math.max(1, this.fairShare)) {
 			dial(this.nextDialAt);
 		}
 		else if (total < this.maximum && total == this.connections.size()) {
@@ -265,30 +282,35 @@
 
 	private void dialed(PooledConnection connection, MemberDialer.DialResult result) {
 		this.lossNoted = false;
-		boolean answered = result.channel() != null || result.error() == DialError.TOO_MANY_CONNECTIONS;
+		boolean pathWorks = result.channel() != null || result.error().isPathWorking();
 		if (connection.isRelayed()) {
 			this.dialingRelayed--;
-			relayAnswered(answered);
+			relayAnswered(pathWorks);
 		}
 		else {
 			this.dialingDirect--;
-			directAnswered(answered);
+			directAnswered(pathWorks);
 		}
 		if (result.channel() != null) {
 			connected(connection, result.channel());
-			return;
 		}
-		if (answered) {
+		else {
+			refused(connection, result.error());
+		}
+	}
+
+	private void refused(PooledConnection connection, DialError error) {
+		if (error.isPathWorking() && !error.isMemberDown()) {
 			this.health.answered();
 			this.nextExtraDialAt = now() + EXTRA_LIMIT_DELAY_NANOSECONDS;
 			this.nextDialAt = now() + LIMIT_DELAY_NANOSECONDS;
 			return;
 		}
-		if (result.error().isEvidence()) {
+		if (error.isMemberDown()) {
 			this.health.failed();
 		}
 		delayNextDial(connection.isRelayed());
-		this.router.dialFailed(this, result.error());
+		this.router.dialFailed(this, error);
 	}
 
 	private void directAnswered(boolean answered) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PrimaryTracker.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PrimaryTracker.java
@@ -163,7 +163,7 @@
 		}
 		Optional<PooledConnection> free = pool.free(Map.of());
 		if (free.isEmpty()) {
-			pool.dialShare();
+			pool.dialToAsk();
 			return;
 		}
 		this.searchedAt.put(pool.member().member(), now);
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -94,6 +94,10 @@
 						TimeUnit.MILLISECONDS);
 				return;
 			}
+			if (member.refusing) {
+				handler.accept(new DialResult(null, DialError.REFUSED));
+				return;
+			}
 			if (member.full) {
 				handler.accept(new DialResult(null, DialError.TOO_MANY_CONNECTIONS));
 				return;
@@ -156,6 +160,8 @@
 
 		private boolean full;
 
+		private boolean refusing;
+
 		private Member(String name) {
 			this.name = name;
 		}
@@ -212,6 +218,15 @@
 			}
 		}
 
+		/**
+		 * Closes all connections and answers attempts to connect with an error, as a
+		 * member does whose queue is full.
+		 */
+		void refuseConnections() {
+			this.refusing = true;
+			closeConnections();
+		}
+
 		void loseAnswers(int count) {
 			this.answersToLose = count;
 		}
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
@@ -51,8 +51,16 @@
 	void start() {
 		this.service.start();
 		this.controller.start();
+		FleetView view = view(4);
+		this.service.viewChanged(view);
+		this.controller.viewChanged(view);
+		this.leaseGate.renew(this.loop.nanoseconds() + 1_000_000_000_000L);
+		this.loop.run(1_100);
+	}
+
+	private FleetView view(int daemonCount) {
 		Map<String, DaemonView> daemons = new HashMap<>();
-		for (int number = 1; number <= 4; number++) {
+		for (int number = 1; number <= daemonCount; number++) {
 			String name = "daemon-" + number;
 			daemons.put(name, new DaemonView(name, 1, name, "10.0.1." + number + ":1", "zone", false));
 		}
@@ -62,12 +70,7 @@
 		FleetConfiguration initial = FleetConfiguration.initial();
 		FleetConfiguration configuration = new FleetConfiguration(1, initial.profiles(), initial.rankFloors(),
 				initial.queueLimit(), table);
-		FleetView view = new FleetView(1, configuration, Map.of(FakeGroup.NAME, this.group.view(DAEMON, 1, "a")),
-				daemons);
-		this.service.viewChanged(view);
-		this.controller.viewChanged(view);
-		this.leaseGate.renew(this.loop.nanoseconds() + 1_000_000_000_000L);
-		this.loop.run(1_100);
+		return new FleetView(1, configuration, Map.of(FakeGroup.NAME, this.group.view(DAEMON, 1, "a")), daemons);
 	}
 
 	private CompletableFuture<PromotionService.Result> promote(String name, String member, String holder,
@@ -157,6 +160,35 @@
 		assertThat(this.orders).isEmpty();
 	}
 
+	/**
+	 * Guards against the replacement of a primary that answers, but has no place for a
+	 * further connection in its queue.
+	 */
+	@Test
+	void primaryThatRefusesConnectionsIsNotReplaced() {
+		this.group.member("a").refuseConnections();
+		TestClient client = client();
+		for (int second = 0; second < 3; second++) {
+			client.send(Verb.READ, "", "item", 1_000);
+		}
+		assertThat(this.orders).isEmpty();
+	}
+
+	/**
+	 * Guards against a daemon that never finds the primary because there are more daemons
+	 * than permanent connections: 7 of 20 served no write after a restart of the fleet.
+	 */
+	@Test
+	void daemonWithoutAPermanentConnectionFindsThePrimary() {
+		SessionService restarted = new SessionService("daemon-9", this.loop, this.loop, this.loop::milliseconds,
+				this.group);
+		restarted.start();
+		restarted.viewChanged(view(20));
+		this.loop.run(1_100);
+		TestClient client = new TestClient(this.loop, restarted, "primary");
+		assertThat(client.send(Verb.WRITE, "item", "x", 300).isDone()).isTrue();
+	}
+
 	/**
 	 * Guards against a long gap in writes when a primary goes dark: silence of the begin
 	 * of a transaction and the word of two relays are enough.
