--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -69,7 +69,7 @@
 
 	private HttpServer httpServer;
 
-	private ControlDaemon(DaemonSettings settings, DaemonExtension extension, long launchedAt) {
+	ControlDaemon(DaemonSettings settings, DaemonExtension extension, long launchedAt) {
 		this.settings = settings;
 		this.executor = Executors.newFixedThreadPool(settings.threads(), DaemonThreads.named("worker"));
 		this.peerClient = new PeerClient(this.clock);
@@ -91,19 +91,8 @@
 				new ControlHttpHandler(this.controller, this.log, this.metrics));
 	}
 
-	static ControlDaemon start(DaemonSettings settings, DaemonExtension extension, long launchedAt) {
-		ControlDaemon daemon = new ControlDaemon(settings, extension, launchedAt);
-		try {
-			daemon.open();
-			return daemon;
-		}
-		catch (RuntimeException ex) {
-			daemon.close();
-			throw ex;
-		}
-	}
-
-	private void open() {
+	@Override
+	public void open() {
 		this.peerServer = Listeners.peer(this.settings, this::handle, this.executor);
 		this.httpServer = Listeners.http(this.settings, this.httpHandler, this.executor);
 		startGroupIfFirst();
@@ -185,7 +174,8 @@
 		LogEvent.SHUTDOWN_FINISHED.log(LOGGER, 0);
 	}
 
-	private void close() {
+	@Override
+	public void close() {
 		this.controller.close();
 		if (this.httpServer != null) {
 			this.httpServer.close();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlHttpHandler.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlHttpHandler.java
@@ -43,10 +43,10 @@
 	public CompletableFuture<HttpReply> handle(HttpCall call) {
 		HttpReply reply = switch (call.path()) {
 			case "/health" -> health();
-			case "/readiness" -> reply(this.log.leaderAddress().isPresent() ? OK : UNAVAILABLE,
-					MAPPER.createObjectNode().put("leader", this.log.leaderAddress().orElse("")));
-			case "/metrics" -> reply(OK, metrics());
-			default -> reply(NOT_FOUND, MAPPER.createObjectNode().put("message", "no such path: " + call.path()));
+			case "/readiness" -> HttpReply.json(this.log.leaderAddress().isPresent() ? OK : UNAVAILABLE,
+					Map.of("leader", this.log.leaderAddress().orElse("")));
+			case "/metrics" -> HttpReply.json(OK, metrics().toString().getBytes(StandardCharsets.UTF_8));
+			default -> HttpReply.json(NOT_FOUND, Map.of("message", "no such path: " + call.path()));
 		};
 		return CompletableFuture.completedFuture(reply);
 	}
@@ -54,7 +54,7 @@
 	private HttpReply health() {
 		boolean healthy = this.log.failure().isEmpty();
 		String status = this.log.failure().map(String::valueOf).orElse("healthy");
-		return reply(healthy ? OK : UNAVAILABLE, MAPPER.createObjectNode().put("status", status));
+		return HttpReply.json(healthy ? OK : UNAVAILABLE, Map.of("status", status));
 	}
 
 	private ObjectNode metrics() {
@@ -71,8 +71,4 @@
 		return node;
 	}
 
-	private static HttpReply reply(int status, ObjectNode body) {
-		return HttpReply.json(status, body.toString().getBytes(StandardCharsets.UTF_8));
-	}
-
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Daemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Daemon.java
@@ -1,5 +1,7 @@
 package org.magnolialead.daemon;
 
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.daemon.settings.DaemonRole;
 import org.magnolialead.daemon.settings.DaemonSettings;
 
 /**
@@ -7,6 +9,17 @@
  */
 interface Daemon {
 
+	/**
+	 * Starts to listen and to work.
+	 * @throws org.magnolialead.api.MagnolialeadException if it cannot start
+	 */
+	void open();
+
+	/**
+	 * Ends all work at once, also after a start that failed halfway.
+	 */
+	void close();
+
 	/**
 	 * Finishes the requests in progress and stops.
 	 */
@@ -22,11 +35,25 @@
 	 * @throws org.magnolialead.api.MagnolialeadException if it cannot start
 	 */
 	static Daemon start(DaemonSettings settings, DaemonExtension extension, long launchedAt) {
-		return switch (settings.role()) {
-			case ENTRY -> settings.sessions().isPresent() ? SessionDaemon.start(settings, extension)
-					: EntryDaemon.start(settings);
-			case CONTROL -> ControlDaemon.start(settings, extension, launchedAt);
-		};
+		settings.sessions()
+			.flatMap(DaemonSettings.SessionSettings::startAfter)
+			.ifPresent((address) -> StartOrder.await(address, MonotonicClock.SYSTEM));
+		Daemon daemon = create(settings, extension, launchedAt);
+		try {
+			daemon.open();
+			return daemon;
+		}
+		catch (RuntimeException ex) {
+			daemon.close();
+			throw ex;
+		}
+	}
+
+	private static Daemon create(DaemonSettings settings, DaemonExtension extension, long launchedAt) {
+		if (settings.role() == DaemonRole.CONTROL) {
+			return new ControlDaemon(settings, extension, launchedAt);
+		}
+		return settings.sessions().isPresent() ? new SessionDaemon(settings, extension) : new EntryDaemon(settings);
 	}
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/EntryDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/EntryDaemon.java
@@ -92,7 +92,7 @@
 
 	private HttpServer httpServer;
 
-	private EntryDaemon(DaemonSettings settings) {
+	EntryDaemon(DaemonSettings settings) {
 		this.settings = settings;
 		String incarnation = Processes.randomIncarnation();
 		this.executor = Executors.newFixedThreadPool(settings.threads(), DaemonThreads.named("worker"));
@@ -118,19 +118,8 @@
 		registerGauges();
 	}
 
-	static EntryDaemon start(DaemonSettings settings) {
-		EntryDaemon daemon = new EntryDaemon(settings);
-		try {
-			daemon.open();
-			return daemon;
-		}
-		catch (RuntimeException ex) {
-			daemon.close();
-			throw ex;
-		}
-	}
-
-	private void open() {
+	@Override
+	public void open() {
 		this.peerServer = Listeners.peer(this.settings, this::handle, this.executor);
 		this.httpServer = Listeners.http(this.settings, this.router, this.executor);
 		this.entry.start();
@@ -174,7 +163,8 @@
 		close();
 	}
 
-	private void close() {
+	@Override
+	public void close() {
 		this.ownership.stop();
 		if (this.httpServer != null) {
 			this.httpServer.close();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
@@ -1,6 +1,6 @@
 package org.magnolialead.daemon;
 
-import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -65,7 +65,7 @@
 
 	private HttpServer httpServer;
 
-	private SessionDaemon(DaemonSettings settings, DaemonExtension extension) {
+	SessionDaemon(DaemonSettings settings, DaemonExtension extension) {
 		MonotonicClock clock = MonotonicClock.SYSTEM;
 		this.settings = settings;
 		this.executor = Executors.newSingleThreadExecutor(DaemonThreads.named("worker"));
@@ -83,22 +83,8 @@
 		this.entry.ownership(this.promotions);
 	}
 
-	static SessionDaemon start(DaemonSettings settings, DaemonExtension extension) {
-		settings.sessions()
-			.flatMap(DaemonSettings.SessionSettings::startAfter)
-			.ifPresent((address) -> StartOrder.await(address, MonotonicClock.SYSTEM));
-		SessionDaemon daemon = new SessionDaemon(settings, extension);
-		try {
-			daemon.open();
-			return daemon;
-		}
-		catch (RuntimeException ex) {
-			daemon.close();
-			throw ex;
-		}
-	}
-
-	private void open() {
+	@Override
+	public void open() {
 		this.httpServer = Listeners.http(this.settings, this.adapter.statusHandler(this::isReady, statusHandler()),
 				this.executor);
 		this.adapter.listen(this.sessions);
@@ -129,7 +115,7 @@
 	}
 
 	private static HttpReply reply(int status, String text) {
-		return HttpReply.json(status, ("{\"status\":\"" + text + "\"}").getBytes(StandardCharsets.UTF_8));
+		return HttpReply.json(status, Map.of("status", text));
 	}
 
 	@Override
@@ -156,7 +142,8 @@
 		return CompletableFuture.supplyAsync(this.sessions::closeIdle, this.adapter.loop()).join();
 	}
 
-	private void close() {
+	@Override
+	public void close() {
 		if (this.httpServer != null) {
 			this.httpServer.close();
 		}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -164,9 +164,8 @@
 
 	private HeartbeatAnswer grant(Leadership current, HeartbeatRequest request) {
 		// Checked before the grant: a lease noted for a daemon that receives none would
-		// keep
-		// its groups from moving. A daemon with a later view has heard from a later
-		// leader.
+		// keep its groups from moving. A daemon with a later view has heard from a
+		// later leader.
 		if (request.viewVersion() > this.machine.state().viewVersion()) {
 			return withoutLease(null);
 		}
@@ -175,8 +174,7 @@
 			return withoutLease(null);
 		}
 		// Read after the grant: a daemon that is forgotten later was suspended before,
-		// and
-		// one that was forgotten earlier is no longer registered in this state.
+		// and one that was forgotten earlier is no longer registered in this state.
 		ControlState state = this.machine.state();
 		DaemonView registered = state.daemons().get(request.daemon());
 		if (registered == null || !registered.incarnation().equals(request.incarnation())) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -457,8 +457,7 @@
 	}
 
 	// The log is kept until the snapshot is synced. A snapshot that the leader has sent
-	// in
-	// the meantime is later and stays in force.
+	// in the meantime is later and stays in force.
 	private void finishSnapshot(ConsensusSnapshot snapshot, Throwable cause) {
 		this.snapshotInProgress = false;
 		if (cause != null) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -12,6 +12,7 @@
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.engine.session.BeginLimit;
+import org.magnolialead.engine.session.DialSchedule;
 import org.magnolialead.engine.session.MemberPath;
 import org.magnolialead.engine.session.OverloadPause;
 import org.magnolialead.engine.session.PrimaryHealth;
@@ -28,29 +29,9 @@
 
 	private static final long INITIAL_SERVICE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(10);
 
-	/** Wait after a first failed attempt to connect; doubles with each further one. */
-	private static final long FIRST_DIAL_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(50);
-
-	private static final int MAXIMUM_DIAL_DOUBLINGS = 2;
-
-	/**
-	 * Wait for a permanent connection after the member refused one, usually for its
-	 * limit.
-	 */
-	private static final long LIMIT_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
-
-	/** Wait for a further connection after the member refused one. */
-	private static final long EXTRA_LIMIT_DELAY_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
-
 	/** Time after which a connection beyond the fair share is closed if unused. */
 	private static final long EXTRA_IDLE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(300);
 
-	/**
-	 * Time after the first view in which only permanent connections are opened. When a
-	 * whole fleet starts, all daemons find a connection before any takes a second one.
-	 */
-	private static final long START_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
-
 	private final GroupRouter router;
 
 	private final SessionServices services;
@@ -59,6 +40,8 @@
 
 	private final MemberPath path;
 
+	private final DialSchedule schedule;
+
 	private final List<PooledConnection> connections = new ArrayList<>();
 
 	private MemberDescription member;
@@ -71,12 +54,6 @@
 
 	private int dialingRelayed;
 
-	private int dialFailures;
-
-	private long nextDialAt;
-
-	private long nextExtraDialAt;
-
 	private final OverloadPause overload = new OverloadPause();
 
 	private long behindUntil;
@@ -95,8 +72,7 @@
 		this.services = services;
 		this.path = new MemberPath(services.relays().first());
 		this.member = member;
-		this.nextDialAt = now;
-		this.nextExtraDialAt = now + START_NANOSECONDS;
+		this.schedule = new DialSchedule(now);
 		this.behindUntil = now;
 	}
 
@@ -206,7 +182,7 @@
 	 */
 	void dialShare() {
 		if (total() < this.fairShare) {
-			dial(this.nextDialAt);
+			dial(false);
 		}
 	}
 
@@ -246,22 +222,22 @@
 	void dialForWaiting() {
 		int total = total();
 		if (total < Math.max(1, this.fairShare)) {
-			dial(this.nextDialAt);
+			dial(false);
 		}
 		else if (total < this.maximum && total == this.connections.size()) {
-			dial(this.nextExtraDialAt);
+			dial(true);
 		}
 	}
 
-	private void dial(long notBefore) {
-		if (this.closed || now() - notBefore < 0) {
+	private void dial(boolean extra) {
+		if (this.closed || !this.schedule.permits(extra, now())) {
 			return;
 		}
 		List<String> relays = this.services.relays().addresses();
 		OptionalInt relay = this.path.next(relays.size(), this.dialingDirect > 0, now());
 		if (relay.isPresent()) {
 			this.dialingRelayed++;
-			dial(relays.get(relay.getAsInt()));
+			open(relays.get(relay.getAsInt()));
 		}
 		else if (this.dialingDirect == 0 || !this.path.isSuspect()) {
 			dialDirect();
@@ -270,10 +246,10 @@
 
 	private void dialDirect() {
 		this.dialingDirect++;
-		dial((String) null);
+		open(null);
 	}
 
-	private void dial(String relay) {
+	private void open(String relay) {
 		asked();
 		PooledConnection connection = new PooledConnection(this, relay != null);
 		this.services.dialer()
@@ -302,14 +278,13 @@
 	private void refused(PooledConnection connection, DialError error) {
 		if (error.isPathWorking() && !error.isMemberDown()) {
 			this.health.answered();
-			this.nextExtraDialAt = now() + EXTRA_LIMIT_DELAY_NANOSECONDS;
-			this.nextDialAt = now() + LIMIT_DELAY_NANOSECONDS;
+			this.schedule.refused(now());
 			return;
 		}
 		if (error.isMemberDown()) {
 			this.health.failed();
 		}
-		delayNextDial(connection.isRelayed());
+		this.schedule.failed(hasOtherPath(connection), now());
 		this.router.dialFailed(this, error);
 	}
 
@@ -346,18 +321,10 @@
 	}
 
 	// Relays are asked one after the other without a wait.
-	private void delayNextDial(boolean relayed) {
-		boolean firstRelay = !relayed && this.dialFailures == 0 && !this.services.relays().addresses().isEmpty();
-		if (firstRelay || this.path.hasUntriedRelay()) {
-			this.dialFailures = Math.max(1, this.dialFailures);
-			this.nextDialAt = now();
-		}
-		else {
-			int doublings = Math.min(this.dialFailures, MAXIMUM_DIAL_DOUBLINGS);
-			this.dialFailures++;
-			this.nextDialAt = now() + (FIRST_DIAL_DELAY_NANOSECONDS << doublings);
-		}
-		this.nextExtraDialAt = this.nextDialAt;
+	private boolean hasOtherPath(PooledConnection failed) {
+		boolean firstRelay = !failed.isRelayed() && this.schedule.hasNoFailure()
+				&& !this.services.relays().addresses().isEmpty();
+		return firstRelay || this.path.hasUntriedRelay();
 	}
 
 	private void connected(PooledConnection connection, MemberChannel channel) {
@@ -366,7 +333,7 @@
 			return;
 		}
 		this.health.answered();
-		this.dialFailures = 0;
+		this.schedule.opened();
 		connection.opened(channel, now());
 		this.connections.add(connection);
 		this.router.pump();
@@ -455,7 +422,7 @@
 		else {
 			directFailed("begin not answered");
 		}
-		this.nextDialAt = now();
+		this.schedule.permitNow(now());
 		List.copyOf(this.connections)
 			.stream()
 			.filter((other) -> other.isFree() && other.isRelayed() == connection.isRelayed())
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -1,7 +1,6 @@
 package org.magnolialead.daemon.session;
 
 import java.util.Map;
-import java.util.concurrent.Future;
 import java.util.function.Consumer;
 
 import org.magnolialead.engine.session.ConnectionValues;
@@ -153,56 +152,9 @@
 	 * @param handler receives the answer
 	 */
 	void begin(MemberCommand command, Consumer<StatementReply> handler) {
-		BeginWatch watch = new BeginWatch(handler);
-		watch.start(this.pool.beginLimit());
+		BeginWatch watch = new BeginWatch(this, handler);
+		watch.start();
 		send(command, watch::answered);
 	}
 
-	private final class BeginWatch {
-
-		/** Lets answers that have arrived already be read first. */
-		private static final long READ_NANOSECONDS = 5_000_000;
-
-		private final Consumer<StatementReply> handler;
-
-		private final long sentAt = PooledConnection.this.pool.now();
-
-		private Future<?> timer;
-
-		private boolean over;
-
-		BeginWatch(Consumer<StatementReply> handler) {
-			this.handler = handler;
-		}
-
-		void start(long limit) {
-			this.timer = PooledConnection.this.pool.after(limit,
-					() -> this.timer = PooledConnection.this.pool.after(READ_NANOSECONDS, this::silent));
-		}
-
-		void answered(StatementReply reply) {
-			if (this.over) {
-				return;
-			}
-			this.over = true;
-			this.timer.cancel(false);
-			if (reply.error() != StatementError.CONNECTION_LOST) {
-				PooledConnection.this.pool.begun(PooledConnection.this.pool.now() - this.sentAt);
-			}
-			this.handler.accept(reply);
-		}
-
-		private void silent() {
-			if (this.over) {
-				return;
-			}
-			this.over = true;
-			PooledConnection connection = PooledConnection.this;
-			connection.pool.silent(connection);
-			connection.discard();
-			this.handler.accept(StatementReply.LOST);
-		}
-
-	}
-
 }
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
@@ -102,9 +102,8 @@
 	}
 
 	// When all voters restart at once none hears a leader, so they try one after the
-	// other
-	// in the order of their list instead of waiting for random timeouts. A pre-vote is
-	// refused as long as a leader lives.
+	// other in the order of their list instead of waiting for random timeouts. A
+	// pre-vote is refused as long as a leader lives.
 	private long firstElectionDeadline(long now) {
 		long unbound = this.lastHeard + this.settings.minimumElectionTimeout();
 		long earliest = (now - unbound < 0) ? unbound : now;
@@ -739,8 +738,7 @@
 	}
 
 	// A log that holds the last entry of the snapshot must not be replaced, because it
-	// may
-	// hold later entries that were answered and are committed.
+	// may hold later entries that were answered and are committed.
 	private boolean holdsLastEntry(SnapshotRequest request) {
 		return request.lastIndex() <= this.commitIndex || this.log.termAt(request.lastIndex()) == request.lastTerm();
 	}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/LedgerRules.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/LedgerRules.java
@@ -66,8 +66,7 @@
 	}
 
 	// Only the epoch that began a request knows whether it was sent, so no other epoch
-	// may
-	// finish it or free its key.
+	// may finish it or free its key.
 	static Applied finish(ControlState state, FinishRequest command) {
 		if (state.groups().get(command.group()) == null) {
 			return GroupRules.unknownGroup(state, command.group());
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/FailoverState.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/FailoverState.java
@@ -122,8 +122,8 @@
 			return state;
 		}
 		// An earlier owner may have ordered the reserved promotion, so a member may
-		// already
-		// act as primary of that term. Only a later term is certain to have one primary.
+		// already act as primary of that term. Only a later term is certain to have one
+		// primary.
 		state.phase = FailoverPhase.COLLECTING;
 		state.former = confirmed;
 		state.sealedTerm = view.reservedTerm();
@@ -373,10 +373,8 @@
 	}
 
 	// A member whose log has a later term than any reserved one belongs to another
-	// history.
-	// A member that failed to be promoted is left out if the others form a majority,
-	// whose
-	// most advanced member is as safe a choice.
+	// history. A member that failed to be promoted is left out if the others form a
+	// majority, whose most advanced member is as safe a choice.
 	private Optional<String> candidate(List<FailoverEvent.StatusAnswered> answered) {
 		List<FailoverEvent.StatusAnswered> others = answered.stream()
 			.filter((status) -> !status.status().member().equals(this.failedCandidate))
@@ -398,8 +396,7 @@
 	}
 
 	// Each attempt uses a new term, so that the answer to an earlier attempt cannot be
-	// taken
-	// for the answer to this one.
+	// taken for the answer to this one.
 	private void reserve(String member, long now) {
 		long highest = Math.max(this.view.reservedTerm(), this.attemptedTerm);
 		for (FailoverEvent.StatusAnswered status : this.statuses.values()) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/GroupScheduler.java
@@ -433,8 +433,7 @@
 	}
 
 	// A lane whose only free member is its last choice waits for the others as long as
-	// its
-	// first item does.
+	// its first item does.
 	private boolean mayStart(Lane<W> lane, long now) {
 		for (String name : lane.members()) {
 			boolean free = running(name) < slots(name);
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/Lane.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/Lane.java
@@ -55,8 +55,7 @@
 	void add(Entry<W> entry, List<String> eligible) {
 		if (this.queue.isEmpty()) {
 			// Time during which nothing waited is not owed; saved-up time would let a
-			// burst
-			// of a lower rank overtake urgent work.
+			// burst of a lower rank overtake urgent work.
 			this.owedNanoseconds = Math.min(0, this.owedNanoseconds);
 		}
 		this.lastChoice = (eligible.size() > 1) ? eligible.get(eligible.size() - 1) : "";
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/MemberPositions.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/MemberPositions.java
@@ -178,9 +178,8 @@
 					&& mayReceiveWork(member, known, view, now);
 		}
 
-		// A member that reports the role of a primary without being the confirmed one is
-		// not a
-		// replica: it may hold writes that were never acknowledged.
+		// A member that reports the role of a primary without being the confirmed one
+		// is not a replica: it may hold writes that were never acknowledged.
 		boolean isFreshReplica(String member, Profile profile, LogPosition required, GroupView view, long now) {
 			KnownMember known = this.members.get(member);
 			if (known == null || known.status().role() != MemberRole.REPLICA || member.equals(view.primary())) {
@@ -195,10 +194,8 @@
 		}
 
 		// A replica that still takes part in an earlier term may follow the replaced
-		// primary
-		// and hold writes that were never acknowledged and will be removed. A replica of
-		// a
-		// reserved term holds every acknowledged write.
+		// primary and hold writes that were never acknowledged and will be removed. A
+		// replica of a reserved term holds every acknowledged write.
 		private static boolean followsPresentTerm(MemberStatus status, GroupView view) {
 			return status.term() >= view.term() && status.term() <= view.reservedTerm();
 		}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/PrimaryTimeline.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/owner/PrimaryTimeline.java
@@ -74,8 +74,7 @@
 	}
 
 	// Drops every second sample of the older half, so that old samples become sparse
-	// instead
-	// of being lost: a lagging replica must find one that it has reached.
+	// instead of being lost: a lagging replica must find one that it has reached.
 	private static List<Sample> thinned(List<Sample> samples) {
 		List<Sample> kept = new ArrayList<>();
 		for (int i = 0; i < samples.size(); i++) {
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/DialSchedule.java
@@ -0,0 +1,102 @@
+package org.magnolialead.engine.session;
+
+/**
+ * Decides when the next connection to a member may be opened. Answers members that are
+ * down, whose limit of connections is reached, and the start of a fleet, in which every
+ * daemon should find one connection before any takes a second. Not safe for concurrent
+ * use.
+ */
+public final class DialSchedule {
+
+	/**
+	 * Wait after a first failed attempt in nanoseconds; doubles with each further one.
+	 */
+	static final long FIRST_DELAY_NANOSECONDS = 50_000_000L;
+
+	private static final int MAXIMUM_DOUBLINGS = 2;
+
+	/** Wait for a first connection after the member refused one, in nanoseconds. */
+	static final long REFUSED_NANOSECONDS = 100_000_000L;
+
+	/** Wait for a further connection after the member refused one, in nanoseconds. */
+	static final long EXTRA_REFUSED_NANOSECONDS = 500_000_000L;
+
+	/** Time after the start without further connections, in nanoseconds. */
+	static final long START_NANOSECONDS = 1_000_000_000L;
+
+	private int failures;
+
+	private long nextAt;
+
+	private long nextExtraAt;
+
+	/**
+	 * Starts a schedule.
+	 * @param now present time in nanoseconds
+	 */
+	public DialSchedule(long now) {
+		this.nextAt = now;
+		this.nextExtraAt = now + START_NANOSECONDS;
+	}
+
+	/**
+	 * Tells whether a connection may be opened.
+	 * @param extra whether others are open already
+	 * @param now present time in nanoseconds
+	 * @return {@code false} if it has to wait
+	 */
+	public boolean permits(boolean extra, long now) {
+		return now - (extra ? this.nextExtraAt : this.nextAt) >= 0;
+	}
+
+	/**
+	 * Tells whether the last attempt succeeded.
+	 * @return {@code true} before the first of a series of failures
+	 */
+	public boolean hasNoFailure() {
+		return this.failures == 0;
+	}
+
+	/**
+	 * Notes that a connection was opened.
+	 */
+	public void opened() {
+		this.failures = 0;
+	}
+
+	/**
+	 * Notes that the member answered but took no connection.
+	 * @param now present time in nanoseconds
+	 */
+	public void refused(long now) {
+		this.nextAt = now + REFUSED_NANOSECONDS;
+		this.nextExtraAt = now + EXTRA_REFUSED_NANOSECONDS;
+	}
+
+	/**
+	 * Notes that no connection was opened.
+	 * @param otherPath whether another path should be tried without a wait
+	 * @param now present time in nanoseconds
+	 */
+	public void failed(boolean otherPath, long now) {
+		if (otherPath) {
+			this.failures = Math.max(1, this.failures);
+			this.nextAt = now;
+		}
+		else {
+			int doublings = Math.min(this.failures, MAXIMUM_DOUBLINGS);
+			this.failures++;
+			this.nextAt = now + (FIRST_DELAY_NANOSECONDS << doublings);
+		}
+		this.nextExtraAt = this.nextAt;
+	}
+
+	/**
+	 * Permits a first connection at once, because an open one has turned out useless.
+	 * @param now present time in nanoseconds
+	 */
+	public void permitNow(long now) {
+		this.nextAt = now;
+	}
+
+}
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
@@ -241,8 +241,7 @@
 			}
 		}
 		// Without pauses a member that is cut off from the leader always lacks entries,
-		// which
-		// hides faults of elections.
+		// which hides faults of elections.
 		boolean pause = this.random.nextInt(50) == 0;
 		schedule(this.random.nextLong(pause ? 4 * SECOND : 40 * MILLISECOND), null, this::propose);
 	}
@@ -331,10 +330,8 @@
 	}
 
 	// Two members are cut off from each other while the others restart again and again
-	// and
-	// no commands arrive, so that only the promises of the restarted members keep a
-	// second
-	// leader from being elected.
+	// and no commands arrive, so that only the promises of the restarted members keep a
+	// second leader from being elected.
 	private void restartBetween(SimulatedMember member) {
 		SimulatedMember other = this.members.get(this.random.nextInt(this.members.size()));
 		cut(member, other);
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/GroupSchedulerTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/GroupSchedulerTests.java
@@ -107,8 +107,7 @@
 		}
 
 		// Guards against urgent reads that take the primary's slots from urgent writes,
-		// and
-		// against a wait that uses up a short timeout.
+		// and against a wait that uses up a short timeout.
 		@Test
 		void urgentReadsWaitAtMostAQuarterOfTheirTime() {
 			GroupSchedulerTests.this.scheduler.capacity(Map.of("primary", 1, "replica", 1));
@@ -237,10 +236,9 @@
 	@Nested
 	class Floods {
 
-		// Guards against browsing traffic that delays urgent work, against dead work that
-		// keeps the queues full after a flood, and against a noisy estimate of the wait
-		// that
-		// refuses work after it.
+		// Guards against browsing traffic that delays urgent work, against dead work
+		// that keeps the queues full after a flood, and against a noisy estimate of the
+		// wait that refuses work after it.
 		@ParameterizedTest
 		@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
 		void urgentWorkIsServedInBrowsingFlood(long seed) {
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/GroupSimulationTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/owner/GroupSimulationTests.java
@@ -11,8 +11,7 @@
 	private static final int RUNS = 12;
 
 	// Guards against lost acknowledged writes, two primaries in one term, sessions that
-	// do
-	// not see their own writes, and groups that never recover.
+	// do not see their own writes, and groups that never recover.
 	@ParameterizedTest
 	@ValueSource(longs = { 100, 200, 300, 400, 500, 600, 700, 800 })
 	void invariantsHoldUnderFaults(long firstSeed) {
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/DataFolder.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/DataFolder.java
@@ -200,9 +200,8 @@
 
 	private String readOrCreateIncarnation() {
 		Path path = this.folder.resolve(INCARNATION);
-		// A folder without a cluster gets a new incarnation each time, because the files
-		// of
-		// its earlier membership may have been lost.
+		// A folder without a cluster gets a new incarnation each time, because the
+		// files of its earlier membership may have been lost.
 		if (!Files.exists(this.folder.resolve(CLUSTER))) {
 			SyncedFiles.replaceWithChecksum(path, UUID.randomUUID().toString().getBytes(StandardCharsets.UTF_8));
 		}
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpReply.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpReply.java
@@ -1,8 +1,12 @@
 package org.magnolialead.transport.http;
 
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Objects;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
 /**
  * Answer to an HTTP request.
  *
@@ -35,4 +39,16 @@
 		return new HttpReply(status, Map.of("Content-Type", JSON), body);
 	}
 
+	/**
+	 * Returns a reply whose JSON body is one object with text fields.
+	 * @param status status code
+	 * @param fields texts by field name
+	 * @return the reply
+	 */
+	public static HttpReply json(int status, Map<String, String> fields) {
+		ObjectNode body = JsonNodeFactory.instance.objectNode();
+		fields.forEach(body::put);
+		return json(status, body.toString().getBytes(StandardCharsets.UTF_8));
+	}
+
 }
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/member/HttpMemberConnection.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/member/HttpMemberConnection.java
@@ -160,8 +160,7 @@
 			if (!written.isSuccess()) {
 				close();
 				// Netty fails a write only if not all of its bytes reached the socket,
-				// and a
-				// member does not execute an incomplete request.
+				// and a member does not execute an incomplete request.
 				finish(exchange, null, neverSent("the request could not be written", written.cause()));
 			}
 		});
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/netty/NettySupport.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/netty/NettySupport.java
@@ -47,8 +47,7 @@
 
 	static {
 		// Netty would otherwise log through SLF4J, which comes with Dropwizard Metrics
-		// and
-		// has no backend here, so its messages would be lost.
+		// and has no backend here, so its messages would be lost.
 		InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
 		ALLOCATOR = new PooledByteBufAllocator(true, DIRECT_ARENAS, DIRECT_ARENAS, PAGE_BYTES, CHUNK_ORDER,
 				PooledByteBufAllocator.defaultSmallCacheSize(), PooledByteBufAllocator.defaultNormalCacheSize(), false);
