--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupOwnerController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/GroupOwnerController.java
@@ -99,7 +99,7 @@
 			if (view.version() < this.context.view().version()) {
 				return;
 			}
-			this.context.viewChanged(fleetView, view).forEach(this.runner::confirmationEnded);
+			this.context.viewChanged(fleetView, view).forEach(this.runner.outcomes()::confirmationEnded);
 			this.members.update(this.context.view());
 			decide(List.of(new FailoverEvent.GroupChanged(this.context.view())));
 		});
@@ -149,7 +149,7 @@
 		this.context.positions().statusAnswered(visible, sentAt, now, this.context.view());
 		this.context.confirmations()
 			.memberAt(member.member(), status.position())
-			.forEach(this.runner::confirmationEnded);
+			.forEach(this.runner.outcomes()::confirmationEnded);
 		decide(List.of(new FailoverEvent.StatusAnswered(status, sentAt, now)));
 		setSessionFloor(status, sentAt);
 		this.reachableMembers = this.members.reachable();
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/MemberChoices.java
@@ -0,0 +1,72 @@
+package org.magnolialead.daemon.owner;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.Profile;
+import org.magnolialead.api.StatementKind;
+import org.magnolialead.engine.owner.MemberChoice;
+
+/**
+ * Members that may serve a request.
+ */
+final class MemberChoices {
+
+	private final GroupContext context;
+
+	private final MemberChoice primaryChoice = this::primaryOnly;
+
+	private final Map<ReadClass, MemberChoice> readChoices = new HashMap<>();
+
+	MemberChoices(GroupContext context) {
+		this.context = context;
+	}
+
+	/**
+	 * Returns which members may serve a request.
+	 * @param request the request
+	 * @return the choice, asked again whenever a slot is free
+	 */
+	MemberChoice of(PendingRequest request) {
+		StatementKind kind = request.request().kind();
+		if (kind == StatementKind.READ && !request.primaryOnly()) {
+			ReadClass readClass = new ReadClass(request.profile(), request.required(), request.floorKnown());
+			if (request.required().equals(LogPosition.NONE)) {
+				return this.readChoices.computeIfAbsent(readClass, this::readChoice);
+			}
+			return readChoice(readClass);
+		}
+		if (kind.isTransactional() && kind != StatementKind.BEGIN) {
+			String identifier = request.request().transaction();
+			return (now) -> this.context.transactions()
+				.find(identifier)
+				.filter(OpenTransaction::isOpen)
+				.map((transaction) -> List.of(transaction.member()))
+				.orElse(List.of());
+		}
+		return this.primaryChoice;
+	}
+
+	private MemberChoice readChoice(ReadClass readClass) {
+		return (now) -> this.context.mayAct() ? this.context.positions()
+			.eligibleForRead(readClass.profile, readClass.required, readClass.floorKnown, this.context.view(), now,
+					this.context.scheduler()::running)
+			.stream()
+			.filter((member) -> !member.equals(this.context.view().primary())
+					|| this.context.servingPrimary(now).isPresent())
+			.toList() : List.of();
+	}
+
+	private List<String> primaryOnly(long now) {
+		return this.context.servingPrimary(now).map((primary) -> List.of(primary.member())).orElse(List.of());
+	}
+
+	/**
+	 * Reads that may be served by the same members.
+	 */
+	private record ReadClass(Profile profile, LogPosition required, boolean floorKnown) {
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/RequestOutcomes.java
@@ -0,0 +1,110 @@
+package org.magnolialead.daemon.owner;
+
+import org.magnolialead.api.ErrorCode;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.message.ExecuteAnswer;
+import org.magnolialead.engine.owner.ConfirmationTracker.Pending;
+import org.magnolialead.engine.owner.ConfirmationTracker.State;
+import org.magnolialead.transport.member.MemberReply;
+
+/**
+ * Final answers to requests. Those of non-repeatable requests are recorded before they
+ * are given.
+ */
+final class RequestOutcomes {
+
+	private final GroupContext context;
+
+	private final OnceRequests once;
+
+	RequestOutcomes(GroupContext context, OnceRequests once) {
+		this.context = context;
+		this.once = once;
+	}
+
+	void done(PendingRequest request, MemberReply reply, boolean servedByReplica, String transaction) {
+		request.complete(ExecuteAnswer.done(reply.body(), reply.term(), reply.position(), reply.member(),
+				servedByReplica, transaction));
+	}
+
+	/**
+	 * Answers a write whose confirmation has ended.
+	 * @param pending the confirmation; one that is still awaited is left alone
+	 */
+	void confirmationEnded(Pending<PendingRequest> pending) {
+		PendingRequest request = pending.work();
+		if (pending.state() == State.CONFIRMED) {
+			acknowledge(request, request.confirmationAnswer());
+		}
+		else if (pending.state() == State.REPLACED) {
+			unknown(request,
+					new MagnolialeadException(ErrorCode.PRIMARY_REPLACED, Step.CONFIRM, pending.primary(),
+							"the primary of term %d was replaced before the write was confirmed"
+								.formatted(pending.position().term())));
+		}
+		else if (pending.state() == State.EXPIRED) {
+			unknown(request, new MagnolialeadException(ErrorCode.NOT_CONFIRMED, Step.CONFIRM, pending.primary(),
+					"too few members held the write before the deadline"));
+		}
+	}
+
+	/**
+	 * Passes on a confirmed write. The term and the lease are checked again at the last
+	 * moment, so that no write of a replaced primary is acknowledged.
+	 * @param request the request
+	 * @param answer the answer
+	 */
+	void acknowledge(PendingRequest request, ExecuteAnswer answer) {
+		if (!this.context.mayAcknowledge(answer.term())) {
+			unknown(request, new MagnolialeadException(ErrorCode.LEASE_LOST, Step.CONFIRM, answer.member(),
+					"the lease or the term ended before the write was acknowledged"));
+			return;
+		}
+		if (request.isOnce()) {
+			this.once.done(request, answer);
+		}
+		else {
+			request.complete(answer);
+		}
+	}
+
+	void notRun(PendingRequest request, ErrorCode code, Step step, String peer, String message) {
+		notRun(request, new MagnolialeadException(code, step, peer, message), 0);
+	}
+
+	void notRun(PendingRequest request, MagnolialeadException failure, long retryAfterMilliseconds) {
+		if (request.isOnce() && !request.wasSent()) {
+			this.once.notRun(request, failure, retryAfterMilliseconds);
+		}
+		else if (request.isOnce()) {
+			this.once.unknown(request, failure);
+		}
+		else {
+			request.fail(failure, retryAfterMilliseconds);
+		}
+	}
+
+	void unknown(PendingRequest request, MagnolialeadException failure) {
+		if (request.isOnce()) {
+			this.once.unknown(request, failure);
+		}
+		else {
+			request.fail(failure, 0);
+		}
+	}
+
+	/**
+	 * Answers a request because the ownership of the group has ended.
+	 * @param request the request
+	 */
+	void stopped(PendingRequest request) {
+		if (request.wasSent() || this.once.isJoinedToSent(request)) {
+			request.fail(ErrorCode.LEASE_LOST, Step.EXECUTE, "", "the ownership ended before the answer was final");
+		}
+		else {
+			notRun(request, ErrorCode.NOT_OWNER, Step.QUEUE, "", "the ownership of the group ended");
+		}
+	}
+
+}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/StatementRunner.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/owner/StatementRunner.java
@@ -15,7 +15,6 @@
 import org.magnolialead.api.MemberRole;
 import org.magnolialead.api.MemberStatus;
 import org.magnolialead.api.Outcome;
-import org.magnolialead.api.Profile;
 import org.magnolialead.api.StatementKind;
 import org.magnolialead.api.Step;
 import org.magnolialead.api.log.LogEvent;
@@ -23,11 +22,8 @@
 import org.magnolialead.api.message.ExecuteRequest;
 import org.magnolialead.daemon.entry.Failures;
 import org.magnolialead.engine.owner.Admission;
-import org.magnolialead.engine.owner.ConfirmationTracker.Pending;
-import org.magnolialead.engine.owner.ConfirmationTracker.State;
 import org.magnolialead.engine.owner.Dispatch;
 import org.magnolialead.engine.owner.FailoverDecision.Primary;
-import org.magnolialead.engine.owner.MemberChoice;
 import org.magnolialead.engine.owner.RetryBudget;
 import org.magnolialead.engine.owner.WorkItem;
 import org.magnolialead.transport.member.ConnectionPool;
@@ -68,16 +64,18 @@
 
 	private final RetryBudget retryBudget;
 
-	private final MemberChoice primaryChoice = this::primaryOnly;
+	private final MemberChoices choices;
 
-	private final Map<ReadClass, MemberChoice> readChoices = new HashMap<>();
+	private final RequestOutcomes outcomes;
+
+	private final TransactionOutcomes transactions;
 
 	private final PriorityQueue<PendingRequest> byDeadline = new PriorityQueue<>(
 			Comparator.comparing(PendingRequest::deadline, (first, second) -> Long.signum(first - second)));
 
-	private final Map<PendingRequest, Execution> executions = new HashMap<>();
+	private final Map<PendingRequest, RunningStatement> executions = new HashMap<>();
 
-	private final Map<PendingRequest, Execution> unrecorded = new HashMap<>();
+	private final Map<PendingRequest, RunningStatement> unrecorded = new HashMap<>();
 
 	private int inProgress;
 
@@ -85,6 +83,9 @@
 		this.context = context;
 		this.members = members;
 		this.once = new OnceRequests(context, this::recorded);
+		this.choices = new MemberChoices(context);
+		this.outcomes = new RequestOutcomes(context, this.once);
+		this.transactions = new TransactionOutcomes(context, this.outcomes);
 		this.knownKeys = new KnownKeys(context);
 		this.retryBudget = new RetryBudget(context.now());
 	}
@@ -102,7 +103,7 @@
 		request.answer().whenComplete((answer, failure) -> this.context.serial().execute(() -> {
 			this.inProgress--;
 			this.context.scheduler().remove(request);
-			Execution unrecorded = this.unrecorded.remove(request);
+			RunningStatement unrecorded = this.unrecorded.remove(request);
 			if (unrecorded != null) {
 				ended(unrecorded);
 			}
@@ -121,6 +122,14 @@
 		}
 	}
 
+	/**
+	 * Returns what gives final answers to the requests of this runner.
+	 * @return the outcomes
+	 */
+	RequestOutcomes outcomes() {
+		return this.outcomes;
+	}
+
 	/**
 	 * Returns the number of requests without an answer.
 	 * @return the number
@@ -136,12 +145,12 @@
 	void pump() {
 		long now = this.context.now();
 		for (PendingRequest expired : this.context.scheduler().removeExpired(now)) {
-			notRun(expired, ErrorCode.DEADLINE_EXCEEDED, Step.QUEUE, "",
+			this.outcomes.notRun(expired, ErrorCode.DEADLINE_EXCEEDED, Step.QUEUE, "",
 					"the deadline passed while waiting for a slot");
 		}
-		this.context.confirmations().expired(now).forEach(this::confirmationEnded);
+		this.context.confirmations().expired(now).forEach(this.outcomes::confirmationEnded);
 		answerOverdue(now);
-		this.context.transactions().expired(now).forEach(this::expire);
+		this.context.transactions().expired(now).forEach(this.transactions::expire);
 		if (!this.context.mayAct()) {
 			return;
 		}
@@ -155,17 +164,17 @@
 	 * @param term the term
 	 */
 	void sealed(long term) {
-		this.context.confirmations().sealed(term).forEach(this::confirmationEnded);
-		List<Execution> atPrimary = this.executions.values()
+		this.context.confirmations().sealed(term).forEach(this.outcomes::confirmationEnded);
+		List<RunningStatement> atPrimary = this.executions.values()
 			.stream()
 			.filter((execution) -> execution.term <= term && execution.atPrimary)
 			.toList();
-		for (Execution execution : atPrimary) {
+		for (RunningStatement execution : atPrimary) {
 			if (execution.connection != null) {
 				execution.connection.close();
 			}
 		}
-		this.context.transactions().ofTermUpTo(term).forEach(this::expire);
+		this.context.transactions().ofTermUpTo(term).forEach(this.transactions::expire);
 	}
 
 	/**
@@ -179,10 +188,10 @@
 		});
 		for (PendingRequest request : List.copyOf(this.byDeadline)) {
 			this.context.scheduler().remove(request);
-			failBecauseStopped(request);
+			this.outcomes.stopped(request);
 		}
 		this.byDeadline.clear();
-		this.context.transactions().all().forEach(this::expire);
+		this.context.transactions().all().forEach(this.transactions::expire);
 	}
 
 	/**
@@ -193,20 +202,11 @@
 		for (PendingRequest request : List.copyOf(this.byDeadline)) {
 			boolean waiting = !request.request().kind().isTransactional() && this.context.scheduler().remove(request);
 			if (waiting) {
-				notRun(request, ErrorCode.NOT_OWNER, Step.QUEUE, "", "the group moves to another owner");
+				this.outcomes.notRun(request, ErrorCode.NOT_OWNER, Step.QUEUE, "", "the group moves to another owner");
 			}
 		}
 	}
 
-	private void failBecauseStopped(PendingRequest request) {
-		if (request.wasSent() || this.once.isJoinedToSent(request)) {
-			request.fail(ErrorCode.LEASE_LOST, Step.EXECUTE, "", "the ownership ended before the answer was final");
-		}
-		else {
-			notRun(request, ErrorCode.NOT_OWNER, Step.QUEUE, "", "the ownership of the group ended");
-		}
-	}
-
 	/**
 	 * Refuses a request that cannot be served in time before its intent is recorded. In a
 	 * flood of non-repeatable requests two commits for each refusal left no served
@@ -229,7 +229,7 @@
 	}
 
 	private void recorded(PendingRequest request) {
-		Execution waiting = this.unrecorded.remove(request);
+		RunningStatement waiting = this.unrecorded.remove(request);
 		if (waiting != null) {
 			connect(waiting);
 		}
@@ -253,7 +253,7 @@
 			int slots = this.context.view().member(member).orElseThrow().slots();
 			int limit = GroupMembers.statementConnections(this.context.view().member(member).orElseThrow()) - slots;
 			if (this.context.transactions().openAt(member) >= limit) {
-				notRun(request, ErrorCode.OVERLOADED, Step.ADMISSION, member,
+				this.outcomes.notRun(request, ErrorCode.OVERLOADED, Step.ADMISSION, member,
 						"%d transactions are open, which is the limit".formatted(limit));
 				return;
 			}
@@ -267,7 +267,7 @@
 		boolean commits = request.request().kind() == StatementKind.COMMIT;
 		if (found.isEmpty()) {
 			boolean unknown = commits && !this.context.transactions().belongsHere(identifier);
-			notRun(request, unknown ? ErrorCode.EARLIER_ATTEMPT_UNKNOWN : ErrorCode.UNKNOWN_TRANSACTION,
+			this.outcomes.notRun(request, unknown ? ErrorCode.EARLIER_ATTEMPT_UNKNOWN : ErrorCode.UNKNOWN_TRANSACTION,
 					Step.TRANSACTION, "",
 					"transaction \"%s\" is not open at the owner of the group".formatted(identifier));
 			return;
@@ -278,12 +278,12 @@
 			return;
 		}
 		if (!transaction.isOpen()) {
-			notRun(request, ErrorCode.UNKNOWN_TRANSACTION, Step.TRANSACTION, transaction.member(),
+			this.outcomes.notRun(request, ErrorCode.UNKNOWN_TRANSACTION, Step.TRANSACTION, transaction.member(),
 					"transaction \"%s\" has ended".formatted(identifier));
 			return;
 		}
 		if (!transaction.begin(request)) {
-			notRun(request, ErrorCode.IN_PROGRESS, Step.TRANSACTION, transaction.member(),
+			this.outcomes.notRun(request, ErrorCode.IN_PROGRESS, Step.TRANSACTION, transaction.member(),
 					"another statement of the transaction is in progress");
 			return;
 		}
@@ -298,7 +298,8 @@
 	private void enqueue(PendingRequest request) {
 		long now = this.context.now();
 		if (request.deadline() - now <= 0) {
-			notRun(request, ErrorCode.DEADLINE_EXCEEDED, Step.QUEUE, "", "the deadline passed before a slot was free");
+			this.outcomes.notRun(request, ErrorCode.DEADLINE_EXCEEDED, Step.QUEUE, "",
+					"the deadline passed before a slot was free");
 			return;
 		}
 		Admission admission = this.context.scheduler().offer(itemOf(request), now);
@@ -319,56 +320,22 @@
 	private WorkItem<PendingRequest> itemOf(PendingRequest request) {
 		long now = this.context.now();
 		long turnDeadline = now + (long) ((request.deadline() - now) * QUEUE_SHARE_OF_TIMEOUT);
-		return new WorkItem<>(request, request.profile().rank(), now, turnDeadline, choiceOf(request));
+		return new WorkItem<>(request, request.profile().rank(), now, turnDeadline, this.choices.of(request));
 	}
 
 	private void refuse(PendingRequest request, Admission.Refused refused) {
-		notRun(request,
+		this.outcomes.notRun(request,
 				new MagnolialeadException(refused.code(), Step.ADMISSION, "",
 						"the request cannot be finished before its deadline at the present load"),
 				refused.retryAfterMilliseconds());
 	}
 
-	private MemberChoice choiceOf(PendingRequest request) {
-		StatementKind kind = request.request().kind();
-		if (kind == StatementKind.READ && !request.primaryOnly()) {
-			ReadClass readClass = new ReadClass(request.profile(), request.required(), request.floorKnown());
-			if (request.required().equals(LogPosition.NONE)) {
-				return this.readChoices.computeIfAbsent(readClass, this::readChoice);
-			}
-			return readChoice(readClass);
-		}
-		if (kind.isTransactional() && kind != StatementKind.BEGIN) {
-			String identifier = request.request().transaction();
-			return (now) -> this.context.transactions()
-				.find(identifier)
-				.filter(OpenTransaction::isOpen)
-				.map((transaction) -> List.of(transaction.member()))
-				.orElse(List.of());
-		}
-		return this.primaryChoice;
-	}
-
-	private MemberChoice readChoice(ReadClass readClass) {
-		return (now) -> this.context.mayAct() ? this.context.positions()
-			.eligibleForRead(readClass.profile, readClass.required, readClass.floorKnown, this.context.view(), now,
-					this.context.scheduler()::running)
-			.stream()
-			.filter((member) -> !member.equals(this.context.view().primary())
-					|| this.context.servingPrimary(now).isPresent())
-			.toList() : List.of();
-	}
-
-	private List<String> primaryOnly(long now) {
-		return this.context.servingPrimary(now).map((primary) -> List.of(primary.member())).orElse(List.of());
-	}
-
 	private void start(Dispatch<PendingRequest> dispatch) {
 		PendingRequest request = dispatch.work();
-		Execution execution = new Execution(dispatch, this.context.view().term(),
+		RunningStatement execution = new RunningStatement(dispatch, this.context.view().term(),
 				dispatch.member().equals(this.context.view().primary()));
 		this.executions.put(request, execution);
-		Optional<OpenTransaction> transaction = transactionOf(request);
+		Optional<OpenTransaction> transaction = this.transactions.of(request);
 		if (transaction.isPresent()) {
 			execute(execution, transaction.get().connection());
 			return;
@@ -383,7 +350,7 @@
 		}
 	}
 
-	private void connect(Execution execution) {
+	private void connect(RunningStatement execution) {
 		Dispatch<PendingRequest> dispatch = execution.dispatch;
 		PendingRequest request = dispatch.work();
 		ConnectionPool pool = this.members.pool(dispatch.member());
@@ -397,13 +364,8 @@
 					this.context.serial());
 	}
 
-	private Optional<OpenTransaction> transactionOf(PendingRequest request) {
-		StatementKind kind = request.request().kind();
-		boolean inTransaction = kind.isTransactional() && kind != StatementKind.BEGIN;
-		return inTransaction ? this.context.transactions().find(request.request().transaction()) : Optional.empty();
-	}
-
-	private void connected(Execution execution, ConnectionPool pool, MemberConnection connection, Throwable failure) {
+	private void connected(RunningStatement execution, ConnectionPool pool, MemberConnection connection,
+			Throwable failure) {
 		PendingRequest request = execution.dispatch.work();
 		String member = execution.dispatch.member();
 		if (failure != null) {
@@ -426,7 +388,7 @@
 		execute(execution, connection);
 	}
 
-	private void execute(Execution execution, MemberConnection connection) {
+	private void execute(RunningStatement execution, MemberConnection connection) {
 		PendingRequest request = execution.dispatch.work();
 		execution.connection = connection;
 		execution.sentAt = this.context.now();
@@ -440,7 +402,7 @@
 			.whenCompleteAsync((reply, failure) -> answered(execution, reply, failure), this.context.serial());
 	}
 
-	private void answered(Execution execution, MemberReply reply, Throwable failure) {
+	private void answered(RunningStatement execution, MemberReply reply, Throwable failure) {
 		ended(execution);
 		PendingRequest request = execution.dispatch.work();
 		String member = execution.dispatch.member();
@@ -461,15 +423,16 @@
 		pump();
 	}
 
-	private void ended(Execution execution) {
+	private void ended(RunningStatement execution) {
 		if (this.executions.remove(execution.dispatch.work(), execution)) {
 			this.context.scheduler().finished(execution.dispatch, this.context.now());
 		}
 	}
 
-	private void notAnswered(Execution execution, MagnolialeadException failure) {
+	private void notAnswered(RunningStatement execution, MagnolialeadException failure) {
 		PendingRequest request = execution.dispatch.work();
-		transactionOf(request).ifPresent((transaction) -> endTransaction(transaction, ExecuteAnswer.failed(failure)));
+		this.transactions.of(request)
+			.ifPresent((transaction) -> this.transactions.end(transaction, ExecuteAnswer.failed(failure)));
 		boolean neverLeft = failure.code().outcome() == Outcome.NOT_RUN;
 		if (neverLeft) {
 			request.markRefused();
@@ -479,42 +442,45 @@
 			enqueueLater(request);
 		}
 		else {
-			unknown(request, new MagnolialeadException(ErrorCode.NO_ANSWER, Step.EXECUTE, execution.dispatch.member(),
-					failure.getMessage(), failure));
+			this.outcomes.unknown(request, new MagnolialeadException(ErrorCode.NO_ANSWER, Step.EXECUTE,
+					execution.dispatch.member(), failure.getMessage(), failure));
 		}
 	}
 
-	private void refusedByMember(Execution execution, MemberReply reply) {
+	private void refusedByMember(RunningStatement execution, MemberReply reply) {
 		PendingRequest request = execution.dispatch.work();
 		String member = execution.dispatch.member();
 		String message = MemberCalls.message(reply);
 		if (MemberCalls.isNotPrimary(reply)) {
 			request.markRefused();
-			transactionOf(request).ifPresent((transaction) -> closeTransaction(transaction, request));
+			this.transactions.of(request).ifPresent((transaction) -> this.transactions.refused(transaction));
 			retryNotSent(request, member, message);
 			return;
 		}
 		if (MemberCalls.isRejectedStatement(reply)) {
 			request.markRefused();
-			notRun(request, ErrorCode.STATEMENT_REJECTED, Step.EXECUTE, member, message);
+			this.outcomes.notRun(request, ErrorCode.STATEMENT_REJECTED, Step.EXECUTE, member, message);
 			return;
 		}
-		unknown(request, new MagnolialeadException(ErrorCode.NO_ANSWER, Step.EXECUTE, member, message));
+		this.outcomes.unknown(request, new MagnolialeadException(ErrorCode.NO_ANSWER, Step.EXECUTE, member, message));
 	}
 
-	private void succeeded(Execution execution, MemberReply reply) {
+	private void succeeded(RunningStatement execution, MemberReply reply) {
 		PendingRequest request = execution.dispatch.work();
 		switch (request.request().kind()) {
 			case READ -> readAnswered(execution, reply);
 			case WRITE -> writeAnswered(execution, reply);
-			case BEGIN -> transactionOpened(execution, reply);
-			case TRANSACTION_STATEMENT -> done(request, reply, false, request.request().transaction());
-			case COMMIT -> commitAnswered(execution, reply);
-			case ROLLBACK -> rolledBack(execution, reply);
+			case BEGIN -> this.transactions.opened(execution, reply);
+			case TRANSACTION_STATEMENT -> this.outcomes.done(request, reply, false, request.request().transaction());
+			case COMMIT -> {
+				this.transactions.committed(request);
+				writeAnswered(execution, reply);
+			}
+			case ROLLBACK -> this.transactions.rolledBack(request, reply);
 		}
 	}
 
-	private void readAnswered(Execution execution, MemberReply reply) {
+	private void readAnswered(RunningStatement execution, MemberReply reply) {
 		PendingRequest request = execution.dispatch.work();
 		String member = execution.dispatch.member();
 		if (!this.context.mayAct()) {
@@ -524,7 +490,7 @@
 		boolean fresh = execution.atPrimary ? this.context.mayAcknowledge(reply.term())
 				: reply.position().includes(request.required());
 		if (fresh) {
-			done(request, reply, !execution.atPrimary, "");
+			this.outcomes.done(request, reply, !execution.atPrimary, "");
 			return;
 		}
 		LogEvent.MEMBER_ANSWER_REFUSED.log(LOGGER, this.context.group(), member,
@@ -534,30 +500,30 @@
 			enqueueLater(request);
 		}
 		else {
-			unknown(request, new MagnolialeadException(ErrorCode.PRIMARY_REPLACED, Step.EXECUTE, member,
+			this.outcomes.unknown(request, new MagnolialeadException(ErrorCode.PRIMARY_REPLACED, Step.EXECUTE, member,
 					"the member's data was not fresh enough"));
 		}
 	}
 
-	private void writeAnswered(Execution execution, MemberReply reply) {
+	private void writeAnswered(RunningStatement execution, MemberReply reply) {
 		PendingRequest request = execution.dispatch.work();
 		String member = execution.dispatch.member();
 		this.context.sessions().recordWrite(request.request().session(), reply.position());
 		if (!this.context.mayAcknowledge(reply.term())) {
 			LogEvent.MEMBER_ANSWER_REFUSED.log(LOGGER, this.context.group(), member,
 					"write of term %d is not of the serving primary".formatted(reply.term()));
-			unknown(request, new MagnolialeadException(ErrorCode.PRIMARY_REPLACED, Step.CONFIRM, member,
+			this.outcomes.unknown(request, new MagnolialeadException(ErrorCode.PRIMARY_REPLACED, Step.CONFIRM, member,
 					"the primary of term %d was replaced before the write was confirmed".formatted(reply.term())));
 			return;
 		}
 		learnPrimaryPosition(execution, reply);
 		ExecuteAnswer answer = ExecuteAnswer.done(reply.body(), reply.term(), reply.position(), member, false, "");
 		if (!request.profile().replicatedConfirmation()) {
-			acknowledge(request, answer);
+			this.outcomes.acknowledge(request, answer);
 			return;
 		}
 		request.confirmationAnswer(answer);
-		confirmationEnded(this.context.confirmations()
+		this.outcomes.confirmationEnded(this.context.confirmations()
 			.register(reply.position(), request.deadline() + LATE_RESULT_NANOSECONDS, member, request));
 	}
 
@@ -567,110 +533,12 @@
 	 * @param execution the execution
 	 * @param reply the member's answer
 	 */
-	private void learnPrimaryPosition(Execution execution, MemberReply reply) {
+	private void learnPrimaryPosition(RunningStatement execution, MemberReply reply) {
 		MemberStatus status = new MemberStatus(this.context.group(), execution.dispatch.member(), MemberRole.PRIMARY,
 				reply.term(), reply.position());
 		this.context.positions().statusAnswered(status, execution.sentAt, this.context.now(), this.context.view());
 	}
 
-	void confirmationEnded(Pending<PendingRequest> pending) {
-		PendingRequest request = pending.work();
-		if (pending.state() == State.CONFIRMED) {
-			acknowledge(request, request.confirmationAnswer());
-		}
-		else if (pending.state() == State.REPLACED) {
-			unknown(request,
-					new MagnolialeadException(ErrorCode.PRIMARY_REPLACED, Step.CONFIRM, pending.primary(),
-							"the primary of term %d was replaced before the write was confirmed"
-								.formatted(pending.position().term())));
-		}
-		else if (pending.state() == State.EXPIRED) {
-			unknown(request, new MagnolialeadException(ErrorCode.NOT_CONFIRMED, Step.CONFIRM, pending.primary(),
-					"too few members held the write before the deadline"));
-		}
-	}
-
-	/**
-	 * Passes on a confirmed write. The term and the lease are checked again at the last
-	 * moment, so that no write of a replaced primary is acknowledged.
-	 * @param request the request
-	 * @param answer the answer
-	 */
-	private void acknowledge(PendingRequest request, ExecuteAnswer answer) {
-		if (!this.context.mayAcknowledge(answer.term())) {
-			unknown(request, new MagnolialeadException(ErrorCode.LEASE_LOST, Step.CONFIRM, answer.member(),
-					"the lease or the term ended before the write was acknowledged"));
-			return;
-		}
-		if (request.isOnce()) {
-			this.once.done(request, answer);
-		}
-		else {
-			request.complete(answer);
-		}
-	}
-
-	private void transactionOpened(Execution execution, MemberReply reply) {
-		PendingRequest request = execution.dispatch.work();
-		if (!this.context.mayAcknowledge(reply.term()) || request.answer().isDone()) {
-			execution.pool.release(execution.connection, false);
-			notRun(request, ErrorCode.PRIMARY_REPLACED, Step.TRANSACTION, execution.dispatch.member(),
-					"the transaction was rolled back because the primary changed or the caller stopped waiting");
-			return;
-		}
-		OpenTransaction transaction = this.context.transactions()
-			.open(execution.dispatch.member(), reply.term(), execution.connection, this.context.now());
-		transaction.pool(execution.pool);
-		done(request, reply, false, transaction.identifier());
-	}
-
-	private void commitAnswered(Execution execution, MemberReply reply) {
-		PendingRequest request = execution.dispatch.work();
-		OpenTransaction transaction = transactionOf(request).orElseThrow();
-		request.answer().thenAccept((answer) -> this.context.serial().execute(() -> transaction.ended(answer)));
-		this.context.transactions().end(transaction, null);
-		transaction.pool().release(transaction.connection(), transaction.connection().isOpen());
-		writeAnswered(execution, reply);
-	}
-
-	private void rolledBack(Execution execution, MemberReply reply) {
-		PendingRequest request = execution.dispatch.work();
-		OpenTransaction transaction = transactionOf(request).orElseThrow();
-		ExecuteAnswer answer = ExecuteAnswer.done(reply.body(), reply.term(), reply.position(), transaction.member(),
-				false, "");
-		this.context.transactions().end(transaction, answer);
-		transaction.pool().release(transaction.connection(), transaction.connection().isOpen());
-		request.complete(answer);
-	}
-
-	private void expire(OpenTransaction transaction) {
-		MagnolialeadException failure = new MagnolialeadException(ErrorCode.UNKNOWN_TRANSACTION, Step.TRANSACTION,
-				transaction.member(),
-				"the transaction was rolled back: it lasted too long or its primary was replaced");
-		ExecuteAnswer end = transaction.isCommitSent()
-				? ExecuteAnswer.failed(new MagnolialeadException(ErrorCode.NO_ANSWER, Step.TRANSACTION,
-						transaction.member(), "the commit was not answered"))
-				: ExecuteAnswer.failed(failure);
-		endTransaction(transaction, end);
-	}
-
-	private void closeTransaction(OpenTransaction transaction, PendingRequest request) {
-		endTransaction(transaction, ExecuteAnswer.failed(new MagnolialeadException(ErrorCode.UNKNOWN_TRANSACTION,
-				Step.TRANSACTION, transaction.member(), "the member refused the transaction")));
-	}
-
-	private void endTransaction(OpenTransaction transaction, ExecuteAnswer end) {
-		if (transaction.isOpen()) {
-			this.context.transactions().end(transaction, end);
-			transaction.pool().release(transaction.connection(), false);
-		}
-	}
-
-	private void done(PendingRequest request, MemberReply reply, boolean servedByReplica, String transaction) {
-		request.complete(ExecuteAnswer.done(reply.body(), reply.term(), reply.position(), reply.member(),
-				servedByReplica, transaction));
-	}
-
 	private void retryNotSent(PendingRequest request, String member, String message) {
 		boolean inTransaction = request.request().kind().isTransactional()
 				&& request.request().kind() != StatementKind.BEGIN;
@@ -680,7 +548,7 @@
 		}
 		ErrorCode code = (request.deadline() - this.context.now() <= 0) ? ErrorCode.DEADLINE_EXCEEDED
 				: ErrorCode.UNREACHABLE;
-		notRun(request, code, Step.CONNECT, member, message);
+		this.outcomes.notRun(request, code, Step.CONNECT, member, message);
 	}
 
 	/**
@@ -708,38 +576,14 @@
 
 	private void enqueueAgain(PendingRequest request) {
 		if (this.context.isStopped()) {
-			failBecauseStopped(request);
+			this.outcomes.stopped(request);
 		}
 		else if (!request.answer().isDone()) {
 			enqueue(request);
 		}
 		else if (request.isOnce() && !request.wasSent()) {
-			notRun(request, ErrorCode.DEADLINE_EXCEEDED, Step.QUEUE, "", "the deadline passed before a slot was free");
-		}
-	}
-
-	private void notRun(PendingRequest request, ErrorCode code, Step step, String peer, String message) {
-		notRun(request, new MagnolialeadException(code, step, peer, message), 0);
-	}
-
-	private void notRun(PendingRequest request, MagnolialeadException failure, long retryAfterMilliseconds) {
-		if (request.isOnce() && !request.wasSent()) {
-			this.once.notRun(request, failure, retryAfterMilliseconds);
-		}
-		else if (request.isOnce()) {
-			this.once.unknown(request, failure);
-		}
-		else {
-			request.fail(failure, retryAfterMilliseconds);
-		}
-	}
-
-	private void unknown(PendingRequest request, MagnolialeadException failure) {
-		if (request.isOnce()) {
-			this.once.unknown(request, failure);
-		}
-		else {
-			request.fail(failure, 0);
+			this.outcomes.notRun(request, ErrorCode.DEADLINE_EXCEEDED, Step.QUEUE, "",
+					"the deadline passed before a slot was free");
 		}
 	}
 
@@ -768,7 +612,8 @@
 			request.fail(ErrorCode.NO_ANSWER, Step.EXECUTE, "", "the deadline passed before the outcome was known");
 		}
 		else if (this.context.scheduler().remove(request)) {
-			notRun(request, ErrorCode.DEADLINE_EXCEEDED, Step.QUEUE, "", "the deadline passed before a slot was free");
+			this.outcomes.notRun(request, ErrorCode.DEADLINE_EXCEEDED, Step.QUEUE, "",
+					"the deadline passed before a slot was free");
 		}
 		else {
 			// The step that holds the request sees the deadline and does not send it.
@@ -777,35 +622,4 @@
 		}
 	}
 
-	/**
-	 * Reads that may be served by the same members.
-	 */
-	private record ReadClass(Profile profile, LogPosition required, boolean floorKnown) {
-	}
-
-	/**
-	 * Statement that holds a slot.
-	 */
-	private static final class Execution {
-
-		private final Dispatch<PendingRequest> dispatch;
-
-		private final long term;
-
-		private final boolean atPrimary;
-
-		private ConnectionPool pool;
-
-		private MemberConnection connection;
-
-		private long sentAt;
-
-		Execution(Dispatch<PendingRequest> dispatch, long term, boolean atPrimary) {
-			this.dispatch = dispatch;
-			this.term = term;
-			this.atPrimary = atPrimary;
-		}
-
-	}
-
 }
