Log errors that ended work without a line

Cause: found reading the change. An exception in a scheduled task of a session daemon was kept in a future nobody reads, and a repeated task ended for good: the daemon would accept clients and serve none. A report with port 70000 was enough, since its dial throws. Network handlers closed a connection on an exception without saying which. Ruled out: that reports are checked elsewhere; MemberReport is the only decoder, and its pattern took any five digits. Not mended: nothing known of this kind in the session daemon.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
@@ -415,14 +415,15 @@
 
 	private void submit(ControlCommand command, Consumer<CommandResult> accepted, Runnable notAccepted) {
 		CommandSubmitter control = this.controller.control();
-		control.submit(command, this.router.now() + COMMAND_NANOSECONDS).whenCompleteAsync((result, failure) -> {
-			if (failure == null && result.isAccepted()) {
-				accepted.accept(result);
-			}
-			else {
-				notAccepted.run();
-			}
-		}, this.controller.services().loop());
+		control.submit(command, this.router.now() + COMMAND_NANOSECONDS)
+			.whenComplete((result, failure) -> this.controller.services().execute(() -> {
+				if (failure == null && result.isAccepted()) {
+					accepted.accept(result);
+				}
+				else {
+					notAccepted.run();
+				}
+			}));
 	}
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -181,19 +181,27 @@
 			return;
 		}
 		this.pumping = true;
-		do {
-			this.pumpAgain = false;
-			for (Work work : List.copyOf(this.waiting)) {
-				if (work.isCancelled()) {
-					this.waiting.remove(work);
-				}
-				else if (grantIfPossible(work)) {
-					this.pumpAgain = true;
-				}
+		try {
+			do {
+				this.pumpAgain = false;
+				grantWaiting();
+			}
+			while (this.pumpAgain);
+		}
+		finally {
+			this.pumping = false;
+		}
+	}
+
+	private void grantWaiting() {
+		for (Work work : List.copyOf(this.waiting)) {
+			if (work.isCancelled()) {
+				this.waiting.remove(work);
+			}
+			else if (grantIfPossible(work)) {
+				this.pumpAgain = true;
 			}
 		}
-		while (this.pumpAgain);
-		this.pumping = false;
 	}
 
 	private boolean grantIfPossible(Work work) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -252,8 +252,15 @@
 	private void open(String relay) {
 		asked();
 		PooledConnection connection = new PooledConnection(this, relay != null);
-		this.services.dialer()
-			.dial(this.member, relay, (result) -> dialed(connection, result), () -> discarded(connection));
+		try {
+			this.services.dialer()
+				.dial(this.member, relay, (result) -> dialed(connection, result), () -> discarded(connection));
+		}
+		catch (RuntimeException ex) {
+			LogEvent.MEMBER_UNREACHABLE.log(LOGGER, ex, this.member.group(), this.member.member(), ex);
+			dialed(connection, new MemberDialer.DialResult(null,
+					(relay != null) ? DialError.RELAY_FAILED : DialError.UNREACHABLE));
+		}
 	}
 
 	private void dialed(PooledConnection connection, MemberDialer.DialResult result) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PromotionController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PromotionController.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.magnolialead.api.DaemonView;
@@ -66,13 +65,12 @@
 	 * Starts the regular work.
 	 */
 	public void start() {
-		services().loop()
-			.scheduleWithFixedDelay(this::tick, TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+		services().repeat(TICK_MILLISECONDS, this::tick);
 	}
 
 	@Override
 	public void viewChanged(FleetView view) {
-		services().loop().execute(() -> apply(view));
+		services().execute(() -> apply(view));
 	}
 
 	private void apply(FleetView view) {
@@ -144,9 +142,8 @@
 
 	void order(String group, String member, long fencingToken, Consumer<PromotionService.Result> handler) {
 		this.promotions.promote(group, member, this.daemon, fencingToken)
-			.whenCompleteAsync(
-					(result, failure) -> handler.accept((failure != null) ? PromotionService.Result.UNKNOWN : result),
-					services().loop());
+			.whenComplete((result, failure) -> services()
+				.execute(() -> handler.accept((failure != null) ? PromotionService.Result.UNKNOWN : result)));
 	}
 
 	private void tick() {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import org.magnolialead.api.FleetView;
@@ -67,8 +66,7 @@
 	 * Starts the regular work.
 	 */
 	public void start() {
-		this.services.loop()
-			.scheduleWithFixedDelay(this::tick, TICK_MILLISECONDS, TICK_MILLISECONDS, TimeUnit.MILLISECONDS);
+		this.services.repeat(TICK_MILLISECONDS, this::tick);
 	}
 
 	/**
@@ -76,7 +74,7 @@
 	 * @param view the new view
 	 */
 	public void viewChanged(FleetView view) {
-		this.services.loop().execute(() -> apply(view));
+		this.services.execute(() -> apply(view));
 	}
 
 	private void apply(FleetView view) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionServices.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionServices.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.TimeUnit;
 
 import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Step;
+import org.magnolialead.api.log.LogEvent;
 
 /**
  * What sessions, connections and promotions share.
@@ -17,6 +19,8 @@
  */
 record SessionServices(ScheduledExecutorService loop, MonotonicClock clock, MemberDialer dialer, RelayList relays) {
 
+	private static final System.Logger LOGGER = System.getLogger(SessionServices.class.getName());
+
 	SessionServices {
 		Objects.requireNonNull(loop, "loop must not be null");
 		Objects.requireNonNull(clock, "clock must not be null");
@@ -29,7 +33,27 @@
 	}
 
 	Future<?> after(long nanoseconds, Runnable task) {
-		return this.loop.schedule(task, nanoseconds, TimeUnit.NANOSECONDS);
+		return this.loop.schedule(guarded(task), nanoseconds, TimeUnit.NANOSECONDS);
+	}
+
+	void execute(Runnable task) {
+		this.loop.execute(guarded(task));
+	}
+
+	void repeat(long milliseconds, Runnable task) {
+		this.loop.scheduleWithFixedDelay(guarded(task), milliseconds, milliseconds, TimeUnit.MILLISECONDS);
+	}
+
+	// An executor would drop the error without a line, and end a repeated task for good.
+	private static Runnable guarded(Runnable task) {
+		return () -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				LogEvent.REQUEST_FAILED_UNEXPECTEDLY.log(LOGGER, ex, Step.SESSION, "", ex);
+			}
+		};
 	}
 
 }
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
@@ -64,6 +64,20 @@
 		return this.group.executions().get(this.group.executions().size() - 1);
 	}
 
+	/**
+	 * Guards against an error of the program that ends the regular work for good, so that
+	 * a daemon accepts clients and serves none.
+	 */
+	@Test
+	void regularWorkGoesOnAfterAnError() {
+		this.group.throwOnDial(true);
+		this.group.member("a").closeConnections();
+		this.loop.run(500);
+		this.group.throwOnDial(false);
+		this.loop.run(500);
+		assertThat(client("primary").send(Verb.WRITE, "item", "x").isDone()).isTrue();
+	}
+
 	@Nested
 	class Isolation {
 
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -34,6 +34,8 @@
 
 	private boolean termKept;
 
+	private boolean dialsThrow;
+
 	FakeGroup(ManualLoop loop, String... names) {
 		this.loop = loop;
 		for (String name : names) {
@@ -77,8 +79,19 @@
 		this.termKept = true;
 	}
 
+	/**
+	 * Lets each attempt to connect throw, as an error of the program would.
+	 * @param fails whether it is so
+	 */
+	void throwOnDial(boolean fails) {
+		this.dialsThrow = fails;
+	}
+
 	@Override
 	public void dial(MemberDescription description, String relay, Consumer<DialResult> handler, Runnable closed) {
+		if (this.dialsThrow) {
+			throw new IllegalStateException("dial");
+		}
 		Member member = member(description.member());
 		after(() -> {
 			if (relay != null && (member.down || member.dark)) {
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/netty/NettySupport.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/netty/NettySupport.java
@@ -1,5 +1,6 @@
 package org.magnolialead.transport.netty;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 
@@ -20,6 +21,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
+import org.magnolialead.api.log.LogEvent;
 
 /**
  * Event loops, buffers and bootstraps with the options that all sockets share.
@@ -112,6 +114,20 @@
 			.connect(parseAddress(address));
 	}
 
+	/**
+	 * Logs an error of a connection. A lost connection is an {@link IOException} and is
+	 * handled by whoever waits for an answer on it, so it is left out.
+	 * @param event event to log
+	 * @param logger logger of the reporting class
+	 * @param cause the error
+	 * @param arguments values of the event's format in order
+	 */
+	public static void logUnlessLost(LogEvent event, System.Logger logger, Throwable cause, Object... arguments) {
+		if (!(cause instanceof IOException)) {
+			event.log(logger, cause, arguments);
+		}
+	}
+
 	/**
 	 * Stops event loops and closes their connections.
 	 * @param loops the event loops
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
@@ -1,6 +1,5 @@
 package org.magnolialead.transport.peer;
 
-import java.io.IOException;
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.util.Objects;
@@ -145,10 +144,8 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-			// A lost connection is an IOException and needs no attention.
-			if (!(cause instanceof IOException)) {
-				LogEvent.PEER_CONNECTION_DAMAGED.log(LOGGER, cause, context.channel().remoteAddress());
-			}
+			NettySupport.logUnlessLost(LogEvent.PEER_CONNECTION_DAMAGED, LOGGER, cause,
+					context.channel().remoteAddress());
 			context.close();
 		}
 
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/relay/RelayHandshake.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/relay/RelayHandshake.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import org.magnolialead.api.log.LogEvent;
+import org.magnolialead.transport.netty.NettySupport;
 
 /**
  * Start of a connection that another daemon relays. The handlers after it learn of an
@@ -12,6 +14,8 @@
  */
 public final class RelayHandshake extends SimpleChannelInboundHandler<ByteBuf> {
 
+	private static final System.Logger LOGGER = System.getLogger(RelayHandshake.class.getName());
+
 	private final RelayRequest request;
 
 	private final Runnable refused;
@@ -50,6 +54,8 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		NettySupport.logUnlessLost(LogEvent.PEER_CONNECTION_DAMAGED, LOGGER, cause, context.channel().remoteAddress(),
+				cause);
 		context.close();
 	}
 
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/relay/RelayServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/relay/RelayServer.java
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.transport.netty.NettySupport;
 
 /**
@@ -22,6 +23,8 @@
  */
 public final class RelayServer implements AutoCloseable {
 
+	private static final System.Logger LOGGER = System.getLogger(RelayServer.class.getName());
+
 	/** Time to connect to a member in milliseconds; the path is known to work. */
 	private static final int CONNECT_TIMEOUT_MILLISECONDS = 100;
 
@@ -118,6 +121,8 @@
 
 		@Override
 		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			NettySupport.logUnlessLost(LogEvent.PEER_CONNECTION_DAMAGED, LOGGER, cause,
+					context.channel().remoteAddress());
 			context.close();
 		}
 
