--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -1,6 +1,7 @@
 package org.magnolialead.api.log;
 
 import java.lang.System.Logger.Level;
+import java.util.Arrays;
 
 /**
  * Log events of the daemons. Their numbers are stable; docs/log-events.md describes each
@@ -73,6 +74,12 @@
 	MEMBER_PATH_LOST(3309, Level.WARNING, "direct path to database member lost: group=%s member=%s cause=%s relays=%s"),
 	/** Connections to a member are direct again. */
 	MEMBER_PATH_REGAINED(3310, Level.INFO, "direct path to database member regained: group=%s member=%s"),
+	/** An answer to a statement that another daemon executed. */
+	SESSION_STATEMENT_FORWARDED(3311, Level.INFO, "statement forwarded: request=%s database=%s daemon=%s age_ms=%s"),
+	/** A daemon that holds connections for this one does not answer. */
+	FORWARDING_LOST(3312, Level.WARNING, "daemon that serves forwarded statements lost: daemon=%s code=%s cause=%s"),
+	/** A daemon that holds connections for this one answers again. */
+	FORWARDING_REGAINED(3313, Level.INFO, "daemon that serves forwarded statements regained: daemon=%s"),
 	/** This control daemon became leader. */
 	CONTROL_LEADER(4001, Level.INFO, "control leadership started: daemon=%s term=%s"),
 	/** This control daemon stopped being leader. */
@@ -107,6 +114,12 @@
 	/** An internal invariant was violated. */
 	INVARIANT_VIOLATED(9001, Level.ERROR, "invariant violated: %s");
 
+	/**
+	 * Length in characters to which arguments are cut, because they may contain text of
+	 * other processes.
+	 */
+	private static final int MAXIMUM_ARGUMENT_LENGTH = 500;
+
 	private final int number;
 
 	private final Level level;
@@ -149,7 +162,15 @@
 	 * @return the message
 	 */
 	public String text(Object... arguments) {
-		return "ML-" + this.number + " " + this.format.formatted(arguments);
+		return "ML-" + this.number + " " + this.format.formatted(Arrays.stream(arguments).map(LogEvent::cut).toArray());
+	}
+
+	private static Object cut(Object argument) {
+		String text = String.valueOf(argument);
+		if (text.length() <= MAXIMUM_ARGUMENT_LENGTH) {
+			return text;
+		}
+		return text.substring(0, MAXIMUM_ARGUMENT_LENGTH) + "... (" + text.length() + " characters)";
 	}
 
 	/**
--- a/magnolialead-api/src/main/java/org/magnolialead/api/message/MessageKind.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/MessageKind.java
@@ -32,7 +32,13 @@
 	/** Query for the recorded idempotency keys of a group. */
 	LEDGER_KEYS_QUERY(13, LedgerKeysQuery.class),
 	/** Page of the recorded idempotency keys of a group. */
-	LEDGER_KEYS_ANSWER(14, LedgerKeysAnswer.class);
+	LEDGER_KEYS_ANSWER(14, LedgerKeysAnswer.class),
+	/** Statement for a daemon that holds connections to the members of its group. */
+	FORWARD_STATEMENT_REQUEST(15, ForwardStatementRequest.class),
+	/** Answer to a forwarded statement. */
+	FORWARD_STATEMENT_ANSWER(16, ForwardStatementAnswer.class),
+	/** Rollback of a transaction whose statements were forwarded. */
+	ROLL_BACK_FORWARDED(17, RollBackForwarded.class);
 
 	private final int code;
 
@@ -45,7 +51,7 @@
 
 	/**
 	 * Returns the code on the wire.
-	 * @return the code from 1 to 255
+	 * @return the code from 1 to 127
 	 */
 	public int code() {
 		return this.code;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionState.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/session/SessionState.java
@@ -1,4 +1,4 @@
-package org.magnolialead.daemon.session;
+package org.magnolialead.api.session;
 
 /**
  * State of a session between statements.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementError.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/session/StatementError.java
@@ -1,4 +1,4 @@
-package org.magnolialead.daemon.session;
+package org.magnolialead.api.session;
 
 /**
  * Error of a statement, as reported by members and returned to clients.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementReply.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/session/StatementReply.java
@@ -1,4 +1,4 @@
-package org.magnolialead.daemon.session;
+package org.magnolialead.api.session;
 
 import java.util.List;
 import java.util.Objects;
--- /dev/null
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/session/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Statements of client sessions and their answers.
+ */
+package org.magnolialead.api.session;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
@@ -20,6 +20,10 @@
 import org.magnolialead.transport.http.HttpServer;
 import org.magnolialead.transport.http.HttpServerResponse;
 import org.magnolialead.transport.peer.PeerClient;
+import org.magnolialead.transport.peer.PeerConnectionSettings;
+import org.magnolialead.transport.peer.PeerServer;
+import org.magnolialead.transport.relay.PeerPort;
+import org.magnolialead.transport.relay.RelayServer;
 
 /**
  * Daemon in the entry role that serves sessions of database clients.
@@ -62,10 +66,14 @@
 
 	private final PromotionController promotions;
 
+	private final PeerClient forwardingClient;
+
 	private volatile boolean draining;
 
 	private HttpServer httpServer;
 
+	private PeerPort peerPort;
+
 	SessionDaemon(DaemonSettings settings, DaemonExtension extension) {
 		MonotonicClock clock = MonotonicClock.SYSTEM;
 		this.settings = settings;
@@ -76,8 +84,9 @@
 		String incarnation = Processes.randomIncarnation();
 		ControlLink link = this.entryServices.createControlLink(settings, incarnation);
 		this.adapter = extension.sessionAdapter(settings);
-		this.sessions = new SessionService(settings.name(), this.adapter.loop(), clock, System::currentTimeMillis,
-				this.adapter.dialer());
+		this.forwardingClient = new PeerClient(clock, this.adapter.eventLoops(), PeerConnectionSettings.STATEMENTS);
+		this.sessions = new SessionService(settings.name(), settings.availabilityZone(), this.adapter.loop(), clock,
+				System::currentTimeMillis, this.adapter.dialer(), new PeerForwardingLink(this.forwardingClient));
 		this.promotions = new PromotionController(settings.name(), incarnation, this.sessions,
 				this.entryServices.lease(), link, this.adapter.promotions());
 		this.entryServices.view().addListener(this.sessions::viewChanged);
@@ -88,6 +97,9 @@
 	public void open() {
 		this.httpServer = Listeners.http(this.settings, this.adapter.statusHandler(this::isReady, statusHandler()),
 				this.executor);
+		this.peerPort = new PeerPort(this.adapter.eventLoops(), this.settings.peer().host(),
+				this.settings.peer().port(), relayServer(),
+				new PeerServer(this.sessions::forwardingHandler, this.adapter.loop()));
 		this.adapter.listen(this.sessions);
 		this.sessions.start();
 		this.promotions.start();
@@ -98,6 +110,11 @@
 				this.settings.http().host() + ":" + this.settings.http().port());
 	}
 
+	private RelayServer relayServer() {
+		return new RelayServer(this.adapter.eventLoops(),
+				(request) -> this.sessions.directMemberAddress(request.group(), request.member()));
+	}
+
 	private boolean isReady() {
 		return !this.draining && this.sessions.isServing();
 	}
@@ -148,6 +165,10 @@
 		if (this.httpServer != null) {
 			this.httpServer.close();
 		}
+		if (this.peerPort != null) {
+			this.peerPort.close();
+		}
+		this.forwardingClient.close();
 		this.adapter.close();
 		this.peerClient.close();
 		this.controlTimer.shutdownNow();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/BeginTimer.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/BeginTimer.java
@@ -4,6 +4,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
+
 /**
  * Waits for the answer to a command that begins a transaction, and closes the connection
  * if the answer times out.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientChannel.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientChannel.java
@@ -1,5 +1,7 @@
 package org.magnolialead.daemon.session;
 
+import org.magnolialead.api.session.StatementReply;
+
 /**
  * Connection to a database client.
  */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
@@ -9,6 +9,13 @@
 
 import org.magnolialead.api.LogPosition;
 import org.magnolialead.api.Route;
+import org.magnolialead.api.message.ForwardStatementRequest;
+import org.magnolialead.api.message.ForwardStatementRequest.Action;
+import org.magnolialead.api.message.ForwardStatementRequest.Prepared;
+import org.magnolialead.api.message.ForwardStatementRequest.TransactionScope;
+import org.magnolialead.api.session.SessionState;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.ReadPlan;
 
@@ -16,7 +23,7 @@
  * Session of a database client. Holds its session variables, prepared statements, open
  * transaction and the log position of its last commit. Statements are answered in order.
  */
-public final class ClientSession {
+public final class ClientSession implements StatementSession {
 
 	/**
 	 * Maximum number of statements that wait in one session. A client that sends more is
@@ -62,19 +69,23 @@
 		this.database = database;
 	}
 
-	SessionContext context() {
+	@Override
+	public SessionContext context() {
 		return this.service.context();
 	}
 
-	Route route() {
+	@Override
+	public Route route() {
 		return this.route;
 	}
 
-	GroupRouter router() {
+	@Override
+	public GroupRouter router() {
 		return this.router;
 	}
 
-	StatementLog statementLog() {
+	@Override
+	public StatementLog statementLog() {
 		return this.service.statementLog();
 	}
 
@@ -82,7 +93,8 @@
 		return this.database;
 	}
 
-	Map<String, String> sessionVariables() {
+	@Override
+	public Map<String, String> sessionVariables() {
 		return this.sessionVariables;
 	}
 
@@ -94,17 +106,38 @@
 		return this.state == SessionState.IDLE && this.currentStatement == null && this.waitingStatements.isEmpty();
 	}
 
-	ReadPlan readPlan(long receivedAt) {
+	@Override
+	public ReadPlan readPlan(long receivedAt) {
 		this.service.discardProgressAfterSuspension();
 		return ReadPlan.of(this.route, this.position, this.router.progress(), receivedAt);
 	}
 
-	MemberCommand command(ClientStatement statement, PreparedStatement prepared, LogPosition after) {
-		return (prepared != null) ? MemberCommand.execute(statement, prepared, after)
-				: MemberCommand.forward(statement, after);
+	StatementForwarder forwarder() {
+		return context().forwarder();
 	}
 
-	void recordCommit(LogPosition committed) {
+	/**
+	 * Returns a statement as it is forwarded to another daemon.
+	 * @param statement the statement
+	 * @param prepared the prepared statement that it executes, or {@code null}
+	 * @param writes whether the statement writes
+	 * @param scope the transaction of the statement, or {@code null}
+	 * @return the message, whose timeout is not set yet
+	 */
+	ForwardStatementRequest forwardRequest(ClientStatement statement, PreparedStatement prepared, boolean writes,
+			TransactionScope scope) {
+		Action action = writes ? Action.WRITE : Action.READ;
+		if (statement.verb() == ClientStatement.Verb.COMMIT) {
+			action = Action.COMMIT;
+		}
+		Prepared forwarded = (prepared != null) ? new Prepared(prepared.writes(), prepared.text(), statement.argument())
+				: null;
+		return new ForwardStatementRequest(this.route, this.sessionVariables, this.position, statement.identifier(),
+				action, statement.text(), forwarded, scope, 0);
+	}
+
+	@Override
+	public void recordCommit(LogPosition committed) {
 		if (committed != null) {
 			this.position = LogPosition.later(this.position, committed);
 		}
@@ -205,7 +238,7 @@
 			return;
 		}
 		boolean readOnly = statement.verb() == ClientStatement.Verb.BEGIN_READ;
-		this.transaction = new Transaction(this, readOnly, statement.receivedAt());
+		this.transaction = new ForwardedTransaction(this, readOnly, statement.receivedAt());
 		this.state = SessionState.TRANSACTION;
 		answerDone();
 	}
@@ -241,7 +274,7 @@
 			return;
 		}
 		if (findRoute()) {
-			this.singleStatement = new SingleStatement(this, statement, prepared, writes, deadline(statement));
+			this.singleStatement = new ForwardedStatement(this, statement, prepared, writes, deadline(statement));
 			this.singleStatement.start();
 		}
 	}
@@ -275,11 +308,8 @@
 		answer(StatementReply.failed(error, detail, this.state));
 	}
 
-	/**
-	 * Answers the current statement and starts the next one.
-	 * @param reply the answer
-	 */
-	void answer(StatementReply reply) {
+	@Override
+	public void answer(StatementReply reply) {
 		ClientStatement statement = this.currentStatement;
 		this.currentStatement = null;
 		this.singleStatement = null;
@@ -297,13 +327,15 @@
 		startNext();
 	}
 
-	void transactionEnded(StatementReply reply) {
+	@Override
+	public void transactionEnded(StatementReply reply) {
 		this.transaction = null;
 		this.state = SessionState.IDLE;
 		answer(reply);
 	}
 
-	void transactionFailed(StatementReply reply) {
+	@Override
+	public void transactionFailed(StatementReply reply) {
 		this.transaction = null;
 		this.state = SessionState.FAILED_TRANSACTION;
 		answer(reply);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ConnectionRequest.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ConnectionRequest.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 
 import org.magnolialead.api.Route;
+import org.magnolialead.api.session.StatementError;
 import org.magnolialead.engine.session.ReadPlan;
 
 /**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/DialError.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/DialError.java
@@ -1,5 +1,7 @@
 package org.magnolialead.daemon.session;
 
+import org.magnolialead.api.session.StatementError;
+
 /**
  * Cause of a failed connection attempt to a member.
  */
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedSession.java
@@ -0,0 +1,198 @@
+package org.magnolialead.daemon.session;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.Route;
+import org.magnolialead.api.message.ForwardStatementAnswer;
+import org.magnolialead.api.message.ForwardStatementRequest;
+import org.magnolialead.api.session.SessionState;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
+import org.magnolialead.engine.session.PreparedStatement;
+import org.magnolialead.engine.session.ReadPlan;
+
+/**
+ * Executes a statement, or the statements of a transaction, that another daemon forwards.
+ */
+final class ForwardedSession implements StatementSession {
+
+	/**
+	 * Time by which an idle transaction outlives the limit that its daemon applies, so
+	 * that it is rolled back here only if that daemon has not done so.
+	 */
+	private static final long IDLE_MARGIN_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+	private final SessionService service;
+
+	private final Route route;
+
+	private final GroupRouter router;
+
+	private Map<String, String> sessionVariables = Map.of();
+
+	private LogPosition position = LogPosition.NONE;
+
+	private LogPosition committed;
+
+	private Transaction transaction;
+
+	private CompletableFuture<Object> pendingAnswer;
+
+	private Future<?> idleTimer;
+
+	private boolean ended;
+
+	ForwardedSession(SessionService service, Route route) {
+		this.service = service;
+		this.route = route;
+		this.router = service.router(route.group());
+	}
+
+	@Override
+	public SessionContext context() {
+		return this.service.context();
+	}
+
+	@Override
+	public Route route() {
+		return this.route;
+	}
+
+	@Override
+	public GroupRouter router() {
+		return this.router;
+	}
+
+	@Override
+	public StatementLog statementLog() {
+		return this.service.statementLog();
+	}
+
+	@Override
+	public Map<String, String> sessionVariables() {
+		return this.sessionVariables;
+	}
+
+	@Override
+	public ReadPlan readPlan(long receivedAt) {
+		this.service.discardProgressAfterSuspension();
+		return ReadPlan.of(this.route, this.position, this.router.progress(), receivedAt);
+	}
+
+	@Override
+	public void recordCommit(LogPosition commitPosition) {
+		this.committed = commitPosition;
+	}
+
+	boolean isEnded() {
+		return this.ended;
+	}
+
+	/**
+	 * Executes a statement.
+	 * @param request the statement
+	 * @return a future of the answer
+	 */
+	CompletableFuture<Object> run(ForwardStatementRequest request) {
+		long now = context().now();
+		long deadline = now + TimeUnit.MICROSECONDS.toNanos(request.timeoutMicroseconds());
+		stopIdleTimer();
+		this.sessionVariables = request.sessionVariables();
+		this.position = request.position();
+		this.pendingAnswer = new CompletableFuture<>();
+		CompletableFuture<Object> answer = this.pendingAnswer;
+		ForwardStatementRequest.Prepared forwarded = request.prepared();
+		PreparedStatement prepared = (forwarded != null)
+				? this.service.sharedStatement(forwarded.writes(), forwarded.text()) : null;
+		boolean writes = request.action() == ForwardStatementRequest.Action.WRITE;
+		ClientStatement statement = new ClientStatement(request.identifier(), verb(request.action()), "",
+				(forwarded != null) ? forwarded.argument() : "", request.text(), now);
+		if (request.transaction() == null) {
+			new MemberStatement(this, statement, prepared, writes, deadline).start();
+			return answer;
+		}
+		if (this.transaction == null) {
+			this.transaction = new MemberTransaction(this, request.transaction().readOnly(), now);
+		}
+		this.transaction.run(statement, prepared, writes, deadline);
+		return answer;
+	}
+
+	private static ClientStatement.Verb verb(ForwardStatementRequest.Action action) {
+		return switch (action) {
+			case READ -> ClientStatement.Verb.READ;
+			case WRITE -> ClientStatement.Verb.WRITE;
+			case COMMIT -> ClientStatement.Verb.COMMIT;
+		};
+	}
+
+	@Override
+	public void answer(StatementReply reply) {
+		if (this.transaction == null) {
+			end();
+		}
+		else {
+			startIdleTimer();
+		}
+		complete(reply);
+	}
+
+	@Override
+	public void transactionEnded(StatementReply reply) {
+		end();
+		complete(reply);
+	}
+
+	@Override
+	public void transactionFailed(StatementReply reply) {
+		end();
+		complete(reply);
+	}
+
+	private void complete(StatementReply reply) {
+		CompletableFuture<Object> answer = this.pendingAnswer;
+		LogPosition commitPosition = this.committed;
+		this.pendingAnswer = null;
+		this.committed = null;
+		if (answer != null) {
+			answer.complete(new ForwardStatementAnswer(reply, commitPosition));
+		}
+	}
+
+	private void end() {
+		this.ended = true;
+		stopIdleTimer();
+		this.service.forwardedSessionEnded(this);
+	}
+
+	private void startIdleTimer() {
+		long limit = TimeUnit.MILLISECONDS.toNanos(this.service.routes().idleTransactionMilliseconds());
+		this.idleTimer = context().schedule(limit + IDLE_MARGIN_NANOSECONDS, this::rollBack);
+	}
+
+	private void stopIdleTimer() {
+		if (this.idleTimer != null) {
+			this.idleTimer.cancel(false);
+			this.idleTimer = null;
+		}
+	}
+
+	/**
+	 * Rolls back the transaction, if one is open. A statement in progress is answered
+	 * with an error.
+	 */
+	void rollBack() {
+		if (this.ended || this.transaction == null) {
+			return;
+		}
+		this.transaction.rollBack(this.pendingAnswer != null);
+		end();
+		complete(StatementReply.failed(StatementError.ROLLED_BACK, "the transaction was rolled back",
+				SessionState.FAILED_TRANSACTION));
+	}
+
+}
--- /dev/null
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedTransaction.java
@@ -0,0 +1,139 @@
+package org.magnolialead.daemon.session;
+
+import java.util.Optional;
+
+import org.magnolialead.api.DaemonView;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Outcome;
+import org.magnolialead.api.message.ForwardStatementAnswer;
+import org.magnolialead.api.message.ForwardStatementRequest.TransactionScope;
+import org.magnolialead.api.session.SessionState;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
+import org.magnolialead.engine.session.PreparedStatement;
+
+/**
+ * Transaction whose statements a daemon with connections to the group executes. The
+ * daemon is selected with the first statement; if none answers, this daemon executes the
+ * transaction itself. As long as no commit was sent, a lost answer rolls the transaction
+ * back: the other daemon can only commit it on request.
+ */
+final class ForwardedTransaction implements Transaction {
+
+	private final ClientSession session;
+
+	private final boolean readOnly;
+
+	private final long begunAt;
+
+	private long number;
+
+	private int attempts;
+
+	private DaemonView holder;
+
+	private Transaction local;
+
+	private boolean begun;
+
+	private boolean ended;
+
+	ForwardedTransaction(ClientSession session, boolean readOnly, long begunAt) {
+		this.session = session;
+		this.readOnly = readOnly;
+		this.begunAt = begunAt;
+	}
+
+	@Override
+	public boolean isReadOnly() {
+		return this.readOnly;
+	}
+
+	@Override
+	public void run(ClientStatement statement, PreparedStatement prepared, boolean writes, long deadline) {
+		if (this.holder == null && this.local == null) {
+			selectHolder();
+		}
+		if (this.local != null) {
+			this.local.run(statement, prepared, writes, deadline);
+			return;
+		}
+		boolean commit = statement.verb() == ClientStatement.Verb.COMMIT;
+		TransactionScope scope = new TransactionScope(this.number, !this.begun, this.readOnly);
+		this.session.forwarder()
+			.forward(this.holder, this.session.forwardRequest(statement, prepared, writes, scope), deadline)
+			.whenComplete((answer, failure) -> this.session.context().execute(() -> {
+				if (this.ended) {
+					return;
+				}
+				if (failure == null) {
+					answered(statement, answer);
+				}
+				else if (!this.begun && isNotRun(failure) && this.session.context().now() - deadline < 0) {
+					this.holder = null;
+					run(statement, prepared, writes, deadline);
+				}
+				else {
+					failed((MagnolialeadException) failure, commit);
+				}
+			}));
+	}
+
+	private void selectHolder() {
+		Optional<DaemonView> selected = this.session.forwarder().select(this.session.route().group());
+		this.attempts++;
+		if (selected.isPresent() && this.attempts <= StatementForwarder.MAXIMUM_ATTEMPTS) {
+			this.holder = selected.get();
+			this.number = this.session.forwarder().nextTransaction();
+		}
+		else {
+			this.local = new MemberTransaction(this.session, this.readOnly, this.begunAt);
+		}
+	}
+
+	private static boolean isNotRun(Throwable failure) {
+		return ((MagnolialeadException) failure).code().outcome() == Outcome.NOT_RUN;
+	}
+
+	private void answered(ClientStatement statement, ForwardStatementAnswer answer) {
+		StatementReply reply = answer.reply();
+		this.begun = true;
+		this.session.recordCommit(answer.committed());
+		this.session.statementLog().forwarded(statement, this.session.route(), this.holder.daemon());
+		switch (reply.state()) {
+			case TRANSACTION -> this.session.answer(reply);
+			case IDLE -> {
+				this.ended = true;
+				this.session.transactionEnded(reply);
+			}
+			case FAILED_TRANSACTION -> {
+				this.ended = true;
+				this.session.transactionFailed(reply);
+			}
+		}
+	}
+
+	private void failed(MagnolialeadException failure, boolean commit) {
+		rollBack(false);
+		String detail = "forwarding failed: " + failure.getMessage();
+		if (!commit) {
+			this.session.transactionFailed(
+					StatementReply.failed(StatementError.ROLLED_BACK, detail, SessionState.FAILED_TRANSACTION));
+			return;
+		}
+		StatementError error = isNotRun(failure) ? StatementError.ROLLED_BACK : StatementError.UNKNOWN_OUTCOME;
+		this.session.transactionEnded(StatementReply.failed(error, detail, SessionState.IDLE));
+	}
+
+	@Override
+	public void rollBack(boolean answerPending) {
+		if (this.local != null) {
+			this.local.rollBack(answerPending);
+		}
+		else if (this.holder != null && !this.ended) {
+			this.session.forwarder().rollBack(this.holder, this.number);
+		}
+		this.ended = true;
+	}
+
+}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
@@ -13,6 +13,8 @@
 import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.log.LogEvent;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.daemon.entry.CommandSubmitter;
 import org.magnolialead.engine.session.PromotionSelection;
 import org.magnolialead.engine.session.PromotionSelection.Candidate;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -11,6 +11,8 @@
 
 import org.magnolialead.api.GroupView;
 import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.session.SessionState;
+import org.magnolialead.api.session.StatementError;
 import org.magnolialead.engine.session.ConnectionShare;
 import org.magnolialead.engine.session.PrimaryProgress;
 import org.magnolialead.engine.session.QueueAdmission;
@@ -37,6 +39,8 @@
 
 	private final TreeSet<ConnectionRequest> waitingRequests = new TreeSet<>();
 
+	private ConnectionShare share;
+
 	private long lastSequenceNumber;
 
 	private boolean dispatching;
@@ -88,12 +92,10 @@
 	/**
 	 * Applies the current view of the group.
 	 * @param view the view
-	 * @param connectionLimit maximum number of connections to one member from all daemons
-	 * together
-	 * @param daemons number of daemons that share these connections
+	 * @param connectionShare share of this daemon in the connections to the members
 	 */
-	void viewChanged(GroupView view, int connectionLimit, int daemons) {
-		int permanent = ConnectionShare.permanent(connectionLimit, daemons);
+	void viewChanged(GroupView view, ConnectionShare connectionShare) {
+		this.share = connectionShare;
 		for (MemberDescription member : view.allMembers()) {
 			MemberPool pool = this.pools.get(member.member());
 			if (pool != null && isOtherProcess(pool.member(), member)) {
@@ -105,7 +107,7 @@
 				this.pools.put(member.member(), pool);
 			}
 			boolean mayBePrimary = member.member().equals(view.primary()) || member.reportsPrimary();
-			pool.update(member, permanent, ConnectionShare.maximum(permanent, mayBePrimary));
+			pool.update(member, connectionShare.permanent(), connectionShare.maximum(mayBePrimary));
 		}
 		List.copyOf(this.pools.values())
 			.stream()
@@ -280,12 +282,22 @@
 			pool.tryDirectPath();
 			pool.closeIdleAdditional();
 		}
-		if (primary().isEmpty()) {
+		if (primary().isEmpty() && needsPrimary()) {
 			this.primaryTracker.probeAll();
 		}
 		dispatch();
 	}
 
+	/**
+	 * Tells whether this daemon has to know the primary of the group. In a large fleet it
+	 * does not for most groups, and looking for the primary would open connections to all
+	 * members.
+	 * @return {@code true} if it keeps connections to the group or statements wait
+	 */
+	boolean needsPrimary() {
+		return this.share == null || this.share.followsPrimary() || !this.waitingRequests.isEmpty();
+	}
+
 	private void refuse(ConnectionRequest request, StatementError error) {
 		this.waitingRequests.remove(request);
 		if (!request.isCancelled()) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberChannel.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberChannel.java
@@ -2,6 +2,8 @@
 
 import java.util.function.Consumer;
 
+import org.magnolialead.api.session.StatementReply;
+
 /**
  * Connection to a database member. Answers arrive in the order of the commands, on the
  * serial executor of the sessions.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberCommand.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberCommand.java
@@ -69,6 +69,18 @@
 				List.of(prepared.sharedName(), statement.argument()));
 	}
 
+	/**
+	 * Creates the command for a client's statement.
+	 * @param statement the statement
+	 * @param prepared the prepared statement that it executes, or {@code null}
+	 * @param after log position that the member must have applied, or {@code null} for
+	 * none
+	 * @return the command
+	 */
+	public static MemberCommand of(ClientStatement statement, PreparedStatement prepared, LogPosition after) {
+		return (prepared != null) ? execute(statement, prepared, after) : forward(statement, after);
+	}
+
 	/**
 	 * Kind of command.
 	 */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberDialer.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberDialer.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 
 import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.session.StatementReply;
 
 /**
  * Opens connections to database members.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -70,7 +70,7 @@
 		long now = context.now();
 		this.router = router;
 		this.context = context;
-		this.path = new MemberPath(context.relays().firstIndex());
+		this.path = new MemberPath(context.forwarder().firstRelayIndex());
 		this.member = member;
 		this.connectBackoff = new ConnectBackoff(now);
 		this.behindUntil = now;
@@ -209,7 +209,7 @@
 	 * passed.
 	 */
 	void tryDirectPath() {
-		boolean relaying = this.path.isDirectPathDown() && !this.context.relays().addresses().isEmpty();
+		boolean relaying = this.path.isDirectPathDown() && !relays().isEmpty();
 		if (relaying && this.path.isDirectAttemptDue(now()) && this.dialingDirect == 0 && isUsable()) {
 			dialDirect();
 		}
@@ -237,11 +237,15 @@
 		}
 	}
 
+	private List<String> relays() {
+		return this.context.forwarder().relays(this.member.group());
+	}
+
 	private void dial(boolean additional) {
 		if (this.closed || !this.connectBackoff.permits(additional, now())) {
 			return;
 		}
-		List<String> relays = this.context.relays().addresses();
+		List<String> relays = relays();
 		OptionalInt relay = this.path.nextRelay(relays.size(), this.dialingDirect > 0, now());
 		if (relay.isPresent()) {
 			this.dialingRelayed++;
@@ -320,8 +324,7 @@
 
 	private void directFailed(String cause) {
 		if (!this.path.isDirectPathDown()) {
-			LogEvent.MEMBER_PATH_LOST.log(LOGGER, this.member.group(), this.member.member(), cause,
-					this.context.relays().addresses().size());
+			LogEvent.MEMBER_PATH_LOST.log(LOGGER, this.member.group(), this.member.member(), cause, relays().size());
 		}
 		this.path.directFailed(now());
 	}
@@ -337,8 +340,7 @@
 
 	// Relays are tried one after the other without a delay.
 	private boolean hasUntriedPath(PooledConnection failed) {
-		boolean firstRelay = !failed.isRelayed() && this.connectBackoff.hasNoFailure()
-				&& !this.context.relays().addresses().isEmpty();
+		boolean firstRelay = !failed.isRelayed() && this.connectBackoff.hasNoFailure() && !relays().isEmpty();
 		return firstRelay || this.path.hasUntriedRelay();
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import java.util.function.Consumer;
 
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.engine.session.ConnectionState;
 import org.magnolialead.engine.session.PreparedStatement;
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PrimaryTracker.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PrimaryTracker.java
@@ -12,6 +12,8 @@
 import org.magnolialead.api.LogPosition;
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.log.LogEvent;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.engine.session.PrimaryProgress;
 
 /**
@@ -111,7 +113,9 @@
 		this.formerPrimary = pool;
 		this.lostAt = now();
 		LogEvent.SESSION_PRIMARY_LOST.log(LOGGER, this.router.group(), pool.member().member(), cause);
-		probeAll();
+		if (this.router.needsPrimary()) {
+			probeAll();
+		}
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionAdapter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionAdapter.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.BooleanSupplier;
 
+import io.netty.channel.EventLoopGroup;
 import org.magnolialead.transport.http.HttpHandler;
 
 /**
@@ -10,11 +11,20 @@
  */
 public interface SessionAdapter extends AutoCloseable {
 
+	/**
+	 * Returns the event loop group with the only event loop, which is the serial executor
+	 * of all connections of the daemon.
+	 * @return the event loop group
+	 */
+	EventLoopGroup eventLoops();
+
 	/**
 	 * Returns the serial executor on which connections are handled.
 	 * @return the executor
 	 */
-	ScheduledExecutorService loop();
+	default ScheduledExecutorService loop() {
+		return eventLoops().next();
+	}
 
 	/**
 	 * Returns the dialer that opens connections to members.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionContext.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionContext.java
@@ -15,9 +15,10 @@
  * @param loop serial executor on which all code of this package runs
  * @param clock clock for all deadlines
  * @param dialer opens connections to members
- * @param relays daemons that may relay connections to members
+ * @param forwarder knows the other daemons and forwards statements to them
  */
-record SessionContext(ScheduledExecutorService loop, MonotonicClock clock, MemberDialer dialer, RelayList relays) {
+record SessionContext(ScheduledExecutorService loop, MonotonicClock clock, MemberDialer dialer,
+		StatementForwarder forwarder) {
 
 	private static final System.Logger LOGGER = System.getLogger(SessionContext.class.getName());
 
@@ -25,7 +26,7 @@
 		Objects.requireNonNull(loop, "loop must not be null");
 		Objects.requireNonNull(clock, "clock must not be null");
 		Objects.requireNonNull(dialer, "dialer must not be null");
-		Objects.requireNonNull(relays, "relays must not be null");
+		Objects.requireNonNull(forwarder, "forwarder must not be null");
 	}
 
 	long now() {
@@ -52,7 +53,7 @@
 			try {
 				task.run();
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | Error ex) {
 				LogEvent.REQUEST_FAILED_UNEXPECTEDLY.log(LOGGER, ex, Step.SESSION, "", ex);
 			}
 		};
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
@@ -4,6 +4,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import org.magnolialead.api.session.StatementError;
 
 /**
  * Counters and latencies of statements, and gauges of sessions, queued requests and
@@ -18,6 +19,8 @@
 
 	private volatile int sessions;
 
+	private volatile int forwardedSessions;
+
 	private volatile int waiting;
 
 	private volatile int connections;
@@ -28,6 +31,7 @@
 
 	SessionMetrics() {
 		gauge("sessions.open", () -> this.sessions);
+		gauge("sessions.forwarded-here", () -> this.forwardedSessions);
 		gauge("statements.waiting", () -> this.waiting);
 		gauge("connections.open", () -> this.connections);
 		gauge("connections.relayed", () -> this.relayed);
@@ -61,7 +65,7 @@
 		this.registry.timer("latency." + suffix).update(nanoseconds, TimeUnit.NANOSECONDS);
 	}
 
-	void update(int openSessions, Iterable<GroupRouter> routers) {
+	void update(int openSessions, int openForwardedSessions, Iterable<GroupRouter> routers) {
 		int waitingCount = 0;
 		int connectionCount = 0;
 		int relayedCount = 0;
@@ -75,6 +79,7 @@
 			}
 		}
 		this.sessions = openSessions;
+		this.forwardedSessions = openForwardedSessions;
 		this.waiting = waitingCount;
 		this.connections = connectionCount;
 		this.relayed = relayedCount;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -13,9 +13,11 @@
 
 import org.magnolialead.api.FleetView;
 import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Route;
 import org.magnolialead.api.RouteTable;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.SuspensionDetector;
+import org.magnolialead.transport.peer.PeerHandler;
 
 /**
  * Manages the client sessions of this daemon and the groups that serve them. All methods
@@ -36,6 +38,8 @@
 
 	private final Set<ClientSession> sessions = new HashSet<>();
 
+	private final Set<ForwardedSession> forwardedSessions = new HashSet<>();
+
 	private final Map<String, PreparedStatement> preparedStatements = new HashMap<>();
 
 	private final List<Runnable> tasksWaitingForRoutes = new ArrayList<>();
@@ -49,15 +53,17 @@
 	/**
 	 * Creates a service without groups.
 	 * @param daemon name of this daemon
+	 * @param zone availability zone of this daemon
 	 * @param loop serial executor on which sessions and connections are handled
 	 * @param clock clock for all deadlines
 	 * @param wallClock wall clock in milliseconds, read only to detect a suspension of
 	 * the VM
 	 * @param dialer opens connections to members
+	 * @param link sends messages to other daemons
 	 */
-	public SessionService(String daemon, ScheduledExecutorService loop, MonotonicClock clock, LongSupplier wallClock,
-			MemberDialer dialer) {
-		this.context = new SessionContext(loop, clock, dialer, new RelayList(daemon));
+	public SessionService(String daemon, String zone, ScheduledExecutorService loop, MonotonicClock clock,
+			LongSupplier wallClock, MemberDialer dialer, ForwardingLink link) {
+		this.context = new SessionContext(loop, clock, dialer, new StatementForwarder(daemon, zone, clock, link));
 		this.wallClock = wallClock;
 		this.statementLog = new StatementLog(this.context);
 		this.suspensionDetector = new SuspensionDetector(clock.nanoseconds(), wallClock.getAsLong());
@@ -80,17 +86,16 @@
 
 	private void applyView(FleetView view) {
 		this.routes = view.configuration().routes();
-		this.context.relays().update(view);
+		this.context.forwarder().update(view);
 		if (isServing()) {
 			List<Runnable> tasks = List.copyOf(this.tasksWaitingForRoutes);
 			this.tasksWaitingForRoutes.clear();
 			tasks.forEach(Runnable::run);
 		}
-		int daemons = (int) view.daemons().values().stream().filter((daemon) -> !daemon.draining()).count();
 		view.groups().values().forEach((group) -> {
 			Integer limit = this.routes.connectionLimits().get(group.group());
 			if (limit != null) {
-				router(group.group()).viewChanged(group, limit, daemons);
+				router(group.group()).viewChanged(group, this.context.forwarder().share(group, limit));
 			}
 		});
 	}
@@ -146,14 +151,23 @@
 		return (pool != null && pool.isDirectlyReachable()) ? Optional.of(pool.member().address()) : Optional.empty();
 	}
 
+	/**
+	 * Creates the handler of a connection over which another daemon forwards statements.
+	 * @return the handler, which must be called on the serial executor
+	 */
+	public PeerHandler forwardingHandler() {
+		return new ForwardingHandler(this);
+	}
+
 	/**
 	 * Closes the sessions that have neither an open transaction nor a statement in
 	 * progress.
-	 * @return the number of sessions that remain open
+	 * @return the number of sessions that remain open, including those that other daemons
+	 * have forwarded
 	 */
 	public int closeIdle() {
 		List.copyOf(this.sessions).stream().filter(ClientSession::isIdle).forEach(ClientSession::close);
-		return this.sessions.size();
+		return this.sessions.size() + this.forwardedSessions.size();
 	}
 
 	/**
@@ -161,6 +175,22 @@
 	 */
 	public void closeAll() {
 		List.copyOf(this.sessions).forEach(ClientSession::close);
+		List.copyOf(this.forwardedSessions).forEach(ForwardedSession::rollBack);
+	}
+
+	boolean servesGroup(String group) {
+		GroupRouter known = this.routers.get(group);
+		return known != null && !known.pools().isEmpty();
+	}
+
+	ForwardedSession openForwarded(Route route) {
+		ForwardedSession session = new ForwardedSession(this, route);
+		this.forwardedSessions.add(session);
+		return session;
+	}
+
+	void forwardedSessionEnded(ForwardedSession session) {
+		this.forwardedSessions.remove(session);
 	}
 
 	SessionContext context() {
@@ -217,7 +247,7 @@
 	private void tick() {
 		discardProgressAfterSuspension();
 		this.routers.values().forEach(GroupRouter::tick);
-		this.metrics.update(this.sessions.size(), this.routers.values());
+		this.metrics.update(this.sessions.size(), this.forwardedSessions.size(), this.routers.values());
 	}
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementLog.java
@@ -2,8 +2,11 @@
 
 import java.util.concurrent.TimeUnit;
 
+import org.magnolialead.api.Route;
 import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.api.log.LogRateLimiter;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
 
 /**
  * Rate-limited log lines about statements of sessions. Failures and retries have a higher
@@ -51,6 +54,13 @@
 		}
 	}
 
+	void forwarded(ClientStatement statement, Route route, String daemon) {
+		if (this.servedLimiter.tryAcquire(this.context.now())) {
+			LogEvent.SESSION_STATEMENT_FORWARDED.log(LOGGER, statement.identifier(), route.database(), daemon,
+					ageMilliseconds(statement));
+		}
+	}
+
 	private boolean mayLogFailure() {
 		if (!this.failureLimiter.tryAcquire(this.context.now())) {
 			return false;
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
@@ -14,6 +14,9 @@
 import org.magnolialead.api.GroupView;
 import org.magnolialead.api.Route;
 import org.magnolialead.api.RouteTable;
+import org.magnolialead.api.session.SessionState;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.daemon.session.ClientStatement.Verb;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -31,8 +34,8 @@
 
 	private long wallClockOffset;
 
-	private final SessionService service = new SessionService("daemon-1", this.loop, this.loop,
-			() -> this.loop.milliseconds() + this.wallClockOffset, this.group);
+	private final SessionService service = new SessionService("daemon-1", "zone", this.loop, this.loop,
+			() -> this.loop.milliseconds() + this.wallClockOffset, this.group, ForwardingLink.NONE);
 
 	@BeforeEach
 	void start() {
@@ -299,9 +302,9 @@
 	@Nested
 	class Startup {
 
-		private final SessionService starting = new SessionService("daemon-1", ClientSessionTests.this.loop,
-				ClientSessionTests.this.loop, ClientSessionTests.this.loop::milliseconds,
-				ClientSessionTests.this.group);
+		private final SessionService starting = new SessionService("daemon-1", "zone", ClientSessionTests.this.loop,
+				ClientSessionTests.this.loop, ClientSessionTests.this.loop::milliseconds, ClientSessionTests.this.group,
+				ForwardingLink.NONE);
 
 		@Test
 		void clientWaitsUntilRoutesAreKnown() {
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -12,6 +12,9 @@
 import org.magnolialead.api.GroupView;
 import org.magnolialead.api.LogPosition;
 import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.session.SessionState;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
 
 /**
  * Simulated database group. Its members keep the state that sessions rely on: roles and
@@ -53,6 +56,14 @@
 		return this.executions;
 	}
 
+	/**
+	 * Returns how many connections were opened so far.
+	 * @return the number, including closed ones
+	 */
+	int connectionsOpened() {
+		return this.connections;
+	}
+
 	GroupView view(String owner, long ownerEpoch, String confirmedPrimary, String... leaving) {
 		Map<String, MemberDescription> descriptions = new HashMap<>();
 		this.members.values()
@@ -211,6 +222,10 @@
 			this.partitioned = isPartitioned;
 		}
 
+		long openTransactions() {
+			return this.open.stream().filter((connection) -> connection.transaction).count();
+		}
+
 		long openConnections(boolean relayed) {
 			return this.open.stream().filter((connection) -> connection.relayed == relayed).count();
 		}
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
@@ -37,8 +37,8 @@
 
 	private final FakeGroup group = new FakeGroup(this.loop, "a", "b", "c");
 
-	private final SessionService service = new SessionService(DAEMON, this.loop, this.loop, this.loop::milliseconds,
-			this.group);
+	private final SessionService service = new SessionService(DAEMON, "zone", this.loop, this.loop,
+			this.loop::milliseconds, this.group, ForwardingLink.NONE);
 
 	private final DaemonLease lease = new DaemonLease(this.loop.nanoseconds());
 
@@ -183,8 +183,8 @@
 	 */
 	@Test
 	void daemonWithoutAPermanentConnectionFindsThePrimary() {
-		SessionService restarted = new SessionService("daemon-9", this.loop, this.loop, this.loop::milliseconds,
-				this.group);
+		SessionService restarted = new SessionService("daemon-9", "zone", this.loop, this.loop, this.loop::milliseconds,
+				this.group, ForwardingLink.NONE);
 		restarted.start();
 		restarted.viewChanged(view(20));
 		this.loop.advance(1_100);
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
@@ -37,8 +37,8 @@
 
 	private final FakeGroup group = new FakeGroup(this.loop, "a", "b", "c");
 
-	private final SessionService service = new SessionService("daemon-1", this.loop, this.loop, this.loop::milliseconds,
-			this.group);
+	private final SessionService service = new SessionService("daemon-1", "zone", this.loop, this.loop,
+			this.loop::milliseconds, this.group, ForwardingLink.NONE);
 
 	private final DaemonLease lease = new DaemonLease(this.loop.nanoseconds());
 
--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
@@ -0,0 +1,329 @@
+package org.magnolialead.daemon.session;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.magnolialead.api.DaemonView;
+import org.magnolialead.api.FleetConfiguration;
+import org.magnolialead.api.FleetView;
+import org.magnolialead.api.FreshnessRule;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.Route;
+import org.magnolialead.api.RouteTable;
+import org.magnolialead.api.message.ForwardStatementRequest;
+import org.magnolialead.api.message.ForwardStatementRequest.Action;
+import org.magnolialead.api.message.ForwardStatementRequest.TransactionScope;
+import org.magnolialead.api.session.SessionState;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.daemon.session.ClientStatement.Verb;
+import org.magnolialead.engine.session.ConnectionHolders;
+import org.magnolialead.engine.session.ConnectionRole;
+import org.magnolialead.transport.peer.PeerCodec;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of a fleet with more daemons than connections per member, in which daemons
+ * forward statements to the holders of the connections.
+ */
+class StatementForwardingTests {
+
+	private static final int DAEMONS = 40;
+
+	private static final int LIMIT = 18;
+
+	private static final String ZONE = "zone";
+
+	private final ManualLoop loop = new ManualLoop();
+
+	private final FakeGroup group = new FakeGroup(this.loop, "a", "b", "c");
+
+	private final SimulatedPeers peers = new SimulatedPeers(this.loop);
+
+	private final Map<String, SessionService> services = new HashMap<>();
+
+	private final List<DaemonView> candidates = new ArrayList<>();
+
+	/** Daemon that forwards the statements of its clients. */
+	private SessionService forwarding;
+
+	@BeforeEach
+	void start() {
+		Map<String, DaemonView> daemons = new HashMap<>();
+		for (int number = 0; number < DAEMONS; number++) {
+			String name = "daemon-" + number;
+			daemons.put(name, new DaemonView(name, 1, name, address(name), ZONE, false));
+			SessionService service = new SessionService(name, ZONE, this.loop, this.loop, this.loop::milliseconds,
+					this.group, this.peers.link(name));
+			this.services.put(name, service);
+			this.peers.add(address(name), service);
+		}
+		FleetView view = view(daemons);
+		this.services.values().forEach(SessionService::start);
+		this.services.values().forEach((service) -> service.viewChanged(view));
+		ConnectionHolders holders = new ConnectionHolders(daemons.values());
+		String forwardingDaemon = daemons.keySet()
+			.stream()
+			.filter((name) -> holders.share(FakeGroup.NAME, LIMIT, name, ZONE, false)
+				.role() == ConnectionRole.FORWARDING)
+			.min(Comparator.naturalOrder())
+			.orElseThrow();
+		this.forwarding = this.services.get(forwardingDaemon);
+		this.candidates.addAll(holders.candidates(FakeGroup.NAME, LIMIT, ZONE, forwardingDaemon));
+		this.loop.advance(1_500);
+	}
+
+	private static String address(String daemon) {
+		return daemon + ":1";
+	}
+
+	private FleetView view(Map<String, DaemonView> daemons) {
+		Map<String, Route> routes = Map.of("primary",
+				new Route("primary", FakeGroup.NAME, FreshnessRule.LATEST, 0, 0, 800), "session",
+				new Route("session", FakeGroup.NAME, FreshnessRule.SESSION, 2_500, 1, 800));
+		RouteTable table = new RouteTable(1, routes, Map.of(FakeGroup.NAME, LIMIT), 3_000, "");
+		FleetConfiguration initial = FleetConfiguration.initial();
+		FleetConfiguration configuration = new FleetConfiguration(1, initial.profiles(), initial.rankFloors(),
+				initial.queueLimit(), table);
+		return new FleetView(1, configuration, Map.of(FakeGroup.NAME, this.group.view("", 0, "a")), daemons);
+	}
+
+	private TestClient client(String database) {
+		return new TestClient(this.loop, this.forwarding, database);
+	}
+
+	private List<String> executedTexts() {
+		return this.group.executions().stream().map(FakeGroup.Execution::text).toList();
+	}
+
+	private String holder() {
+		return this.candidates.get(0).peerAddress();
+	}
+
+	private SessionService holderService() {
+		return this.services.get(this.candidates.get(0).daemon());
+	}
+
+	private void killCandidates() {
+		this.candidates.forEach((candidate) -> this.peers.kill(candidate.peerAddress()));
+	}
+
+	/**
+	 * Guards against a fleet in which nearly every statement opens a connection, because
+	 * no daemon may keep one.
+	 */
+	@Test
+	void fleetKeepsFewConnectionsAndOpensNoMore() {
+		int opened = this.group.connectionsOpened();
+		assertThat(this.group.member("a").openConnections(false)).isBetween(1L, (long) LIMIT);
+		for (int round = 0; round < 3; round++) {
+			this.services.values().forEach((service) -> {
+				TestClient client = new TestClient(this.loop, service, "session");
+				assertThat(client.send(Verb.WRITE, "1", "x", 10).isDone()).isTrue();
+				assertThat(client.send(Verb.READ, "1", "", 10).isDone()).isTrue();
+			});
+			this.loop.advance(500);
+		}
+		assertThat(this.group.connectionsOpened()).isEqualTo(opened);
+	}
+
+	@Nested
+	class Statements {
+
+		@Test
+		void variablesAndPreparedStatementsFollowTheSession() {
+			TestClient client = client("primary");
+			client.send(Verb.SET, "language", "vi");
+			client.send(Verb.PREPARE_WRITE, "s1", "shape");
+			assertThat(client.send(Verb.EXECUTE, "s1", "item").isDone()).isTrue();
+			FakeGroup.Execution execution = StatementForwardingTests.this.group.executions().get(0);
+			assertThat(execution.text()).isEqualTo("WRITE shape item");
+			assertThat(execution.sessionVariables()).isEqualTo(Map.of("language", "vi"));
+		}
+
+		@Test
+		void transactionRunsOnOneConnectionAndIsCommitted() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			assertThat(client.send(Verb.WRITE, "1", "x").state()).isEqualTo(SessionState.TRANSACTION);
+			assertThat(client.send(Verb.READ, "1", "").isDone()).isTrue();
+			assertThat(client.send(Verb.COMMIT).state()).isEqualTo(SessionState.IDLE);
+			assertThat(executedTexts()).containsExactly("WRITE 1 x", "READ 1", "COMMIT");
+			assertThat(StatementForwardingTests.this.group.executions()).extracting(FakeGroup.Execution::connection)
+				.containsOnly(StatementForwardingTests.this.group.executions().get(0).connection());
+			assertThat(StatementForwardingTests.this.group.member("a").openTransactions()).isZero();
+		}
+
+		/**
+		 * Guards against a read that misses a write of its own session because another
+		 * daemon executed it.
+		 */
+		@Test
+		void sessionReadsItsOwnForwardedWrite() {
+			TestClient client = client("session");
+			client.send(Verb.WRITE, "1", "x");
+			client.send(Verb.READ, "1", "");
+			assertThat(StatementForwardingTests.this.group.executions().get(1).member()).isEqualTo("a");
+		}
+
+		/**
+		 * Guards against a statement without an answer because it is too large for a
+		 * message between daemons.
+		 */
+		@Test
+		void oversizedStatementIsExecutedByTheDaemonItself() {
+			String data = "x".repeat(PeerCodec.MAXIMUM_FRAME_BYTES);
+			assertThat(client("primary").send(Verb.WRITE, "1", data).isDone()).isTrue();
+			TestClient transaction = client("primary");
+			transaction.send(Verb.BEGIN);
+			assertThat(transaction.send(Verb.WRITE, "1", data).isDone()).isTrue();
+			assertThat(transaction.send(Verb.COMMIT).isDone()).isTrue();
+		}
+
+		@Test
+		void rollbackReachesTheMember() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			client.send(Verb.WRITE, "1", "x");
+			assertThat(client.send(Verb.ROLLBACK).isDone()).isTrue();
+			assertThat(StatementForwardingTests.this.group.member("a").openTransactions()).isZero();
+		}
+
+	}
+
+	@Nested
+	class Failures {
+
+		/**
+		 * Guards against statements that fail although other daemons could serve them,
+		 * while the fleet view still shows a dead daemon.
+		 */
+		@Test
+		void standbyServesWhenTheHolderHasDied() {
+			StatementForwardingTests.this.peers.kill(holder());
+			assertThat(client("primary").send(Verb.WRITE, "1", "x", 200).isDone()).isTrue();
+			TestClient transaction = client("primary");
+			transaction.send(Verb.BEGIN);
+			assertThat(transaction.send(Verb.WRITE, "2", "y").isDone()).isTrue();
+			assertThat(transaction.send(Verb.COMMIT).isDone()).isTrue();
+		}
+
+		@Test
+		void daemonServesItselfWhenNoCandidateAnswers() {
+			killCandidates();
+			assertThat(client("primary").send(Verb.WRITE, "1", "x", 500).isDone()).isTrue();
+		}
+
+		/**
+		 * Guards against a write that runs twice, or is reported as not run, after the
+		 * answer of the other daemon was lost.
+		 */
+		@Test
+		void writeWhoseAnswerIsLostHasAnUnknownOutcome() {
+			StatementForwardingTests.this.peers.loseAnswers(1);
+			assertThat(client("primary").send(Verb.WRITE, "1", "x", 800).error())
+				.isEqualTo(StatementError.UNKNOWN_OUTCOME);
+			assertThat(executedTexts()).containsExactly("WRITE 1 x");
+		}
+
+		@Test
+		void readWhoseAnswerIsLostIsRunAgain() {
+			StatementForwardingTests.this.peers.loseAnswers(1);
+			assertThat(client("primary").send(Verb.READ, "1", "", 800).isDone()).isTrue();
+		}
+
+		/**
+		 * Guards against a promise that nothing is kept although a commit was sent.
+		 */
+		@Test
+		void commitWhoseAnswerIsLostHasAnUnknownOutcome() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			client.send(Verb.WRITE, "1", "x");
+			StatementForwardingTests.this.peers.loseAnswers(1);
+			assertThat(client.send(Verb.COMMIT, "", "", 800).error()).isEqualTo(StatementError.UNKNOWN_OUTCOME);
+		}
+
+		/**
+		 * Guards against a transaction that another daemon keeps open, or commits, after
+		 * its client was told that it is rolled back.
+		 */
+		@Test
+		void transactionIsRolledBackWhenItsConnectionIsLost() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			client.send(Verb.WRITE, "1", "x");
+			StatementForwardingTests.this.peers.closeConnections(holder());
+			StatementForwardingTests.this.loop.advance(10);
+			assertThat(StatementForwardingTests.this.group.member("a").openTransactions()).isZero();
+			assertThat(client.send(Verb.COMMIT).error()).isEqualTo(StatementError.ROLLED_BACK);
+			assertThat(executedTexts()).containsExactly("WRITE 1 x");
+		}
+
+		@Test
+		void frozenHolderFailsTheTransactionWithoutRunningItElsewhere() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			StatementForwardingTests.this.peers.freeze(holder());
+			assertThat(client.send(Verb.WRITE, "1", "x", 500).error()).isEqualTo(StatementError.ROLLED_BACK);
+			assertThat(client.send(Verb.ROLLBACK).isDone()).isTrue();
+			client.send(Verb.BEGIN);
+			assertThat(client.send(Verb.WRITE, "2", "y").isDone()).isTrue();
+			assertThat(executedTexts()).containsExactly("WRITE 2 y");
+		}
+
+		/**
+		 * Guards against a transaction that occupies a connection after its client has
+		 * disconnected.
+		 */
+		@Test
+		void disconnectOfTheClientRollsTheTransactionBack() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			client.send(Verb.WRITE, "1", "x");
+			SessionService holder = holderService();
+			assertThat(holder.closeIdle()).isOne();
+			client.session().clientDisconnected();
+			StatementForwardingTests.this.loop.advance(10);
+			assertThat(holder.closeIdle()).isZero();
+		}
+
+		/**
+		 * Guards against a transaction that occupies a connection for ever because its
+		 * daemon was suspended.
+		 */
+		@Test
+		void transactionOfASilentDaemonIsRolledBack() {
+			ForwardedSession session = holderService()
+				.openForwarded(StatementForwardingTests.this.forwarding.routes().route("primary").orElseThrow());
+			session.run(new ForwardStatementRequest(session.route(), Map.of(), LogPosition.NONE, "id", Action.WRITE,
+					"WRITE 1 x", null, new TransactionScope(1, true, false), 500_000));
+			StatementForwardingTests.this.loop.advance(3_500);
+			assertThat(StatementForwardingTests.this.group.member("a").openTransactions()).isOne();
+			StatementForwardingTests.this.loop.advance(1_000);
+			assertThat(StatementForwardingTests.this.group.member("a").openTransactions()).isZero();
+		}
+
+		/**
+		 * Guards against work of other daemons that is cut off at a shutdown without an
+		 * answer.
+		 */
+		@Test
+		void shutdownRollsBackForwardedTransactions() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			client.send(Verb.WRITE, "1", "x");
+			holderService().closeAll();
+			assertThat(client.send(Verb.WRITE, "2", "y").error()).isEqualTo(StatementError.ROLLED_BACK);
+			assertThat(StatementForwardingTests.this.group.member("a").openTransactions()).isZero();
+		}
+
+	}
+
+}
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/TestClient.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/TestClient.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.magnolialead.api.session.StatementReply;
+
 /**
  * Client that records the answers that it receives.
  */
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConnectionShare.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConnectionShare.java
@@ -1,46 +1,51 @@
 package org.magnolialead.engine.session;
 
+import java.util.Objects;
+
 /**
- * Calculates how many connections to one member a daemon keeps. The daemons share the
- * connection limit of the member without coordination: each keeps a permanent connection
- * and opens additional ones only while work waits. This leaves connections for daemons
- * that start later, both when a fleet starts and a daemon knows few others yet, and
- * during a rolling restart.
+ * Share of one daemon in the connections to each member of a group. The daemons share the
+ * connection limit of a member without coordination: each derives its share from the
+ * fleet view. A part of the limit stays free for daemons whose views differ, and for
+ * connections of ended processes that a member has not closed yet.
+ *
+ * @param role part of the daemon in the connections
+ * @param held number of connections to each member that a holder keeps
+ * @param owner whether the daemon decides about promotions in the group, for which it
+ * needs a connection to each member
  */
-public final class ConnectionShare {
-
-	/** Share of the limit for permanent connections; the rest is for peak load. */
-	private static final int PERMANENT_PERCENT = 80;
-
-	private static final int PERCENT = 100;
-
-	/** Connections beyond the permanent ones to a member that may receive writes. */
-	private static final int ADDITIONAL_TO_PRIMARY = 2;
-
-	private static final int ADDITIONAL_TO_REPLICA = 1;
+public record ConnectionShare(ConnectionRole role, int held, boolean owner) {
 
-	private ConnectionShare() {
+	public ConnectionShare {
+		Objects.requireNonNull(role, "role must not be null");
+		if (held < 1) {
+			throw new IllegalArgumentException("held must be positive, found " + held);
+		}
 	}
 
 	/**
-	 * Returns the number of permanent connections of a daemon.
-	 * @param limit maximum number of connections to the member from all daemons together
-	 * @param daemons number of known daemons
-	 * @return 1, or 0 if there are too many daemons for each to keep one
+	 * Returns the number of connections that the daemon keeps to each member.
+	 * @return the number of permanent connections
 	 */
-	public static int permanent(int limit, int daemons) {
-		return (daemons <= limit * PERMANENT_PERCENT / PERCENT) ? 1 : 0;
+	public int permanent() {
+		int permanent = this.role.permanent(this.held);
+		return this.owner ? Math.max(1, permanent) : permanent;
 	}
 
 	/**
-	 * Returns the maximum number of connections of a daemon while work waits.
-	 * @param permanent number of permanent connections
-	 * @param mayBePrimary whether the member may be the primary, whose connections are
-	 * occupied by transactions
+	 * Returns the maximum number of connections to a member while work waits.
+	 * @param mayBePrimary whether the member may be the primary
 	 * @return the maximum number of connections
 	 */
-	public static int maximum(int permanent, boolean mayBePrimary) {
-		return permanent + (mayBePrimary ? ADDITIONAL_TO_PRIMARY : ADDITIONAL_TO_REPLICA);
+	public int maximum(boolean mayBePrimary) {
+		return Math.max(permanent(), this.role.maximum(this.held, mayBePrimary));
+	}
+
+	/**
+	 * Returns whether the daemon looks for the primary although no statement waits.
+	 * @return {@code false} if it serves no statements of the group at present
+	 */
+	public boolean followsPrimary() {
+		return permanent() > 0;
 	}
 
 }
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerClient.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerClient.java
@@ -29,7 +29,11 @@
 
 	private final PeerCodec codec = new PeerCodec();
 
-	private final EventLoopGroup eventLoops = NettySupport.eventLoops("peer-client", EVENT_LOOP_THREADS);
+	private final EventLoopGroup eventLoops;
+
+	private final boolean ownsEventLoops;
+
+	private final PeerConnectionSettings settings;
 
 	private final MonotonicClock clock;
 
@@ -54,6 +58,24 @@
 	public PeerClient(MonotonicClock clock, Executor completionExecutor) {
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.completionExecutor = Objects.requireNonNull(completionExecutor, "completionExecutor must not be null");
+		this.eventLoops = NettySupport.eventLoops("peer-client", EVENT_LOOP_THREADS);
+		this.ownsEventLoops = true;
+		this.settings = PeerConnectionSettings.DEFAULT;
+	}
+
+	/**
+	 * Creates a client on event loops of the caller, which also complete its futures.
+	 * @param clock clock on which deadlines are based
+	 * @param eventLoops event loops for all connections; not shut down by
+	 * {@link #close()}
+	 * @param settings timing of the connections
+	 */
+	public PeerClient(MonotonicClock clock, EventLoopGroup eventLoops, PeerConnectionSettings settings) {
+		this.clock = Objects.requireNonNull(clock, "clock must not be null");
+		this.eventLoops = Objects.requireNonNull(eventLoops, "eventLoops must not be null");
+		this.settings = Objects.requireNonNull(settings, "settings must not be null");
+		this.completionExecutor = Runnable::run;
+		this.ownsEventLoops = false;
 	}
 
 	/**
@@ -98,12 +120,14 @@
 	public void close() {
 		this.closed = true;
 		this.connections.values().forEach(PeerConnection::close);
-		NettySupport.shutDown(this.eventLoops);
+		if (this.ownsEventLoops) {
+			NettySupport.shutDown(this.eventLoops);
+		}
 	}
 
 	private PeerConnection connection(String address) {
 		return this.connections.computeIfAbsent(address, (key) -> new PeerConnection(key, this.eventLoops.next(),
-				this.codec, this.clock, this.completionExecutor));
+				this.codec, this.clock, this.completionExecutor, this.settings));
 	}
 
 	private static MagnolialeadException closedFailure(String address) {
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerCodec.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerCodec.java
@@ -17,6 +17,8 @@
 import org.magnolialead.api.FleetViewChange;
 import org.magnolialead.api.GroupView;
 import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.message.ForwardStatementAnswer;
+import org.magnolialead.api.message.ForwardStatementRequest;
 import org.magnolialead.api.message.MessageKind;
 import org.msgpack.core.MessageFormatException;
 import org.msgpack.core.MessagePack;
@@ -68,8 +70,9 @@
 	/**
 	 * Creates a mapper that encodes messages as MessagePack. Unknown properties are
 	 * ignored, so that processes of adjacent versions are compatible. The parts of the
-	 * fleet view are encoded as arrays without property names, which reduces the size of
-	 * a complete view by more than half; new properties may only be added at their end.
+	 * fleet view and forwarded statements are encoded as arrays without property names,
+	 * which reduces the size of a complete view by more than half; new properties may
+	 * only be added at their end.
 	 * @return the mapper
 	 */
 	public static ObjectMapper createMapper() {
@@ -82,6 +85,8 @@
 			.addMixIn(GroupView.class, ArrayShape.class)
 			.addMixIn(DaemonView.class, ArrayShape.class)
 			.addMixIn(MemberDescription.class, ArrayShape.class)
+			.addMixIn(ForwardStatementRequest.class, ArrayShape.class)
+			.addMixIn(ForwardStatementAnswer.class, ArrayShape.class)
 			.build();
 	}
 
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
@@ -43,8 +43,6 @@
 	 */
 	static final long MAXIMUM_QUEUED_BYTES = 8L * PeerCodec.MAXIMUM_FRAME_BYTES;
 
-	private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
-
 	private static final long MINIMUM_BACKOFF_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(25);
 
 	/**
@@ -53,13 +51,6 @@
 	 */
 	private static final long MAXIMUM_BACKOFF_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(150);
 
-	/**
-	 * Time without a received frame after a write until a probe is sent, and after the
-	 * probe until the connection is closed. TCP alone would keep a connection that was
-	 * lost without being closed for minutes after the network has recovered.
-	 */
-	private static final long PROBE_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(750);
-
 	private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
 
 	private final Queue<QueuedFrame> queuedFrames = new ArrayDeque<>();
@@ -76,6 +67,8 @@
 
 	private final Executor completionExecutor;
 
+	private final PeerConnectionSettings settings;
+
 	private Channel channel;
 
 	private boolean connecting;
@@ -91,12 +84,13 @@
 	private boolean probeScheduled;
 
 	PeerConnection(String address, EventLoop eventLoop, PeerCodec codec, MonotonicClock clock,
-			Executor completionExecutor) {
+			Executor completionExecutor, PeerConnectionSettings settings) {
 		this.address = address;
 		this.eventLoop = eventLoop;
 		this.codec = codec;
 		this.clock = clock;
 		this.completionExecutor = completionExecutor;
+		this.settings = settings;
 	}
 
 	CompletableFuture<Object> request(long correlationId, ByteBuf frame, long deadline) {
@@ -194,8 +188,8 @@
 	private void connect() {
 		this.connecting = true;
 		try {
-			ChannelFuture opening = NettySupport.connect(this.eventLoop, this.address, CONNECT_TIMEOUT_MILLISECONDS,
-					new PipelineInitializer());
+			ChannelFuture opening = NettySupport.connect(this.eventLoop, this.address,
+					this.settings.connectTimeoutMilliseconds(), new PipelineInitializer());
 			opening.addListener((done) -> connected(opening));
 		}
 		catch (IllegalArgumentException ex) {
@@ -274,7 +268,8 @@
 			this.probeScheduled = true;
 			this.receivedSinceWrite = false;
 			Channel probed = this.channel;
-			this.eventLoop.schedule(() -> probe(probed, false), PROBE_INTERVAL_NANOSECONDS, TimeUnit.NANOSECONDS);
+			this.eventLoop.schedule(() -> probe(probed, false), this.settings.probeIntervalMilliseconds(),
+					TimeUnit.MILLISECONDS);
 		}
 	}
 
@@ -291,7 +286,8 @@
 			return;
 		}
 		probed.writeAndFlush(PeerCodec.encodeProbe(0));
-		this.eventLoop.schedule(() -> probe(probed, true), PROBE_INTERVAL_NANOSECONDS, TimeUnit.NANOSECONDS);
+		this.eventLoop.schedule(() -> probe(probed, true), this.settings.probeIntervalMilliseconds(),
+				TimeUnit.MILLISECONDS);
 	}
 
 	private void receive(PeerFrame frame) {
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerHandler.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerHandler.java
@@ -18,4 +18,11 @@
 	 */
 	CompletableFuture<Object> handle(Object message);
 
+	/**
+	 * Releases what the handler keeps for its connection after the connection was lost.
+	 * Called on the executor of the server, only if each connection has its own handler.
+	 */
+	default void connectionClosed() {
+	}
+
 }
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
@@ -8,11 +8,13 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -42,31 +44,59 @@
 
 	private final PeerCodec codec = new PeerCodec();
 
-	private final EventLoopGroup eventLoops = NettySupport.eventLoops("peer-server", EVENT_LOOP_THREADS);
-
 	private final AtomicInteger requestsInProgress = new AtomicInteger();
 
-	private final PeerHandler handler;
+	private final Supplier<PeerHandler> handlers;
 
 	private final Executor executor;
 
+	private final EventLoopGroup ownEventLoops;
+
 	private final Channel listener;
 
 	/**
-	 * Starts a server.
+	 * Starts a server with a listener and event loops of its own.
 	 * @param host local address
 	 * @param port local port, or 0 for any free port
-	 * @param handler handles the messages
+	 * @param handler handles the messages of all connections
 	 * @param executor executor on which the handler is called
 	 */
 	public PeerServer(String host, int port, PeerHandler handler, Executor executor) {
-		this.handler = Objects.requireNonNull(handler, "handler must not be null");
+		Objects.requireNonNull(handler, "handler must not be null");
+		this.handlers = () -> handler;
+		this.executor = Objects.requireNonNull(executor, "executor must not be null");
+		this.ownEventLoops = NettySupport.eventLoops("peer-server", EVENT_LOOP_THREADS);
+		this.listener = NettySupport.listen(this.ownEventLoops, host, port, new PipelineInitializer());
+	}
+
+	/**
+	 * Creates a server for connections that another listener accepts.
+	 * @param handlers creates the handler of each connection
+	 * @param executor executor on which the handlers are called
+	 */
+	public PeerServer(Supplier<PeerHandler> handlers, Executor executor) {
+		this.handlers = Objects.requireNonNull(handlers, "handlers must not be null");
 		this.executor = Objects.requireNonNull(executor, "executor must not be null");
-		this.listener = NettySupport.listen(this.eventLoops, host, port, new PipelineInitializer());
+		this.ownEventLoops = null;
+		this.listener = null;
+	}
+
+	/**
+	 * Adds the handlers of this server to an accepted connection.
+	 * @param pipeline pipeline of the connection
+	 */
+	public void addTo(ChannelPipeline pipeline) {
+		pipeline
+			.addLast(
+					new FlushConsolidationHandler(FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES, true))
+			.addLast(new LengthFieldBasedFrameDecoder(PeerCodec.MAXIMUM_FRAME_BYTES, 0, PeerCodec.LENGTH_BYTES, 0,
+					PeerCodec.LENGTH_BYTES))
+			.addLast(new ConnectionHandler(this.handlers.get()));
 	}
 
 	/**
-	 * Returns the port on which the server listens.
+	 * Returns the port on which the server listens. Must not be called if another
+	 * listener accepts the connections.
 	 * @return the local port
 	 */
 	public int port() {
@@ -85,8 +115,10 @@
 
 	@Override
 	public void close() {
-		this.listener.close();
-		NettySupport.shutDown(this.eventLoops);
+		if (this.listener != null) {
+			this.listener.close();
+			NettySupport.shutDown(this.ownEventLoops);
+		}
 	}
 
 	private static ErrorAnswer errorAnswer(Throwable failure) {
@@ -106,12 +138,7 @@
 
 		@Override
 		protected void initChannel(Channel channel) {
-			channel.pipeline()
-				.addLast(new FlushConsolidationHandler(FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES,
-						true))
-				.addLast(new LengthFieldBasedFrameDecoder(PeerCodec.MAXIMUM_FRAME_BYTES, 0, PeerCodec.LENGTH_BYTES, 0,
-						PeerCodec.LENGTH_BYTES))
-				.addLast(new ConnectionHandler());
+			addTo(channel.pipeline());
 		}
 
 	}
@@ -121,8 +148,27 @@
 	 */
 	private final class ConnectionHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
+		private final PeerHandler handler;
+
 		private int inProgress;
 
+		private ConnectionHandler(PeerHandler handler) {
+			this.handler = handler;
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext context) {
+			try {
+				PeerServer.this.executor.execute(this.handler::connectionClosed);
+			}
+			catch (RejectedExecutionException ex) {
+				// The process is shutting down and has released everything.
+				context.fireChannelInactive();
+				return;
+			}
+			context.fireChannelInactive();
+		}
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
 			if (PeerCodec.isProbe(frame)) {
@@ -162,9 +208,9 @@
 		private void handle(ChannelHandlerContext context, PeerFrame frame) {
 			CompletableFuture<Object> answer;
 			try {
-				answer = PeerServer.this.handler.handle(frame.message());
+				answer = this.handler.handle(frame.message());
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | Error ex) {
 				answer = CompletableFuture.failedFuture(ex);
 			}
 			if (answer == null) {
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/relay/RelayServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/relay/RelayServer.java
@@ -1,7 +1,6 @@
 package org.magnolialead.transport.relay;
 
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import io.netty.buffer.ByteBuf;
@@ -10,7 +9,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
@@ -22,68 +21,39 @@
  * daemon can reach itself, so that the caller learns immediately if it has to ask another
  * relay.
  */
-public final class RelayServer implements AutoCloseable {
+public final class RelayServer {
 
 	private static final System.Logger LOGGER = System.getLogger(RelayServer.class.getName());
 
 	/** Short because this daemon is known to reach the member. */
 	private static final int CONNECT_TIMEOUT_MILLISECONDS = 100;
 
-	/** Time after which a connection without a request is closed. */
-	private static final int REQUEST_TIMEOUT_MILLISECONDS = 1_000;
-
 	private final EventLoopGroup eventLoops;
 
 	private final Function<RelayRequest, Optional<String>> addressLookup;
 
-	private final Channel listener;
-
 	/**
-	 * Starts a server.
-	 * @param eventLoops event loops for all connections; addresses are looked up on them
-	 * @param host local address
-	 * @param port local port, or 0 for any free port
+	 * Creates a server for connections that a {@link PeerPort} accepts.
+	 * @param eventLoops event loops for connections to members; addresses are looked up
+	 * on them
 	 * @param addressLookup returns the address of a member in the form {@code host:port},
 	 * or empty if this daemon does not reach the member
 	 */
-	public RelayServer(EventLoopGroup eventLoops, String host, int port,
-			Function<RelayRequest, Optional<String>> addressLookup) {
+	public RelayServer(EventLoopGroup eventLoops, Function<RelayRequest, Optional<String>> addressLookup) {
 		this.eventLoops = eventLoops;
 		this.addressLookup = addressLookup;
-		this.listener = NettySupport.listen(eventLoops, host, port, new ChannelInitializer<Channel>() {
-
-			@Override
-			protected void initChannel(Channel channel) {
-				channel.pipeline().addLast(RelayCodec.decoder(), new RequestHandler());
-			}
-
-		});
 	}
 
 	/**
-	 * Returns the listening channel.
-	 * @return the channel
+	 * Adds the handlers of this server to an accepted connection.
+	 * @param pipeline pipeline of the connection
 	 */
-	Channel listener() {
-		return this.listener;
-	}
-
-	@Override
-	public void close() {
-		this.listener.close();
+	void addTo(ChannelPipeline pipeline) {
+		pipeline.addLast(RelayCodec.decoder(), new RequestHandler());
 	}
 
 	private final class RequestHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
-		@Override
-		public void channelActive(ChannelHandlerContext context) {
-			context.executor().schedule(() -> {
-				if (!context.isRemoved()) {
-					context.close();
-				}
-			}, REQUEST_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
-		}
-
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
 			// Nothing is read from the caller until the member is connected.
--- a/magnolialead-transport/src/test/java/org/magnolialead/transport/relay/RelayServerTests.java
+++ b/magnolialead-transport/src/test/java/org/magnolialead/transport/relay/RelayServerTests.java
@@ -4,7 +4,6 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -12,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -23,7 +23,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.message.ViewQuery;
 import org.magnolialead.transport.netty.NettySupport;
+import org.magnolialead.transport.peer.PeerClient;
+import org.magnolialead.transport.peer.PeerConnectionSettings;
+import org.magnolialead.transport.peer.PeerServer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -41,7 +46,7 @@
 
 	private ServerSocket member;
 
-	private RelayServer relay;
+	private PeerPort relay;
 
 	@BeforeEach
 	void start() throws IOException {
@@ -49,7 +54,7 @@
 		Thread echo = new Thread(this::echo);
 		echo.setDaemon(true);
 		echo.start();
-		this.relay = new RelayServer(this.eventLoops, HOST, 0, this::address);
+		this.relay = listen(this::address);
 	}
 
 	@AfterEach
@@ -59,6 +64,11 @@
 		NettySupport.shutDown(this.eventLoops);
 	}
 
+	private PeerPort listen(Function<RelayRequest, Optional<String>> addressLookup) {
+		PeerServer peers = new PeerServer(() -> (message) -> CompletableFuture.completedFuture(message), Runnable::run);
+		return new PeerPort(this.eventLoops, HOST, 0, new RelayServer(this.eventLoops, addressLookup), peers);
+	}
+
 	private Optional<String> address(RelayRequest request) {
 		return switch (request.member()) {
 			case "reached" -> Optional.of(HOST + ":" + this.member.getLocalPort());
@@ -68,7 +78,7 @@
 	}
 
 	private int port() {
-		return ((InetSocketAddress) this.relay.listener().localAddress()).getPort();
+		return this.relay.port();
 	}
 
 	private void echo() {
@@ -126,8 +136,7 @@
 	void disconnectOfCallerClosesMemberConnection() throws IOException, InterruptedException {
 		CountDownLatch ended = new CountDownLatch(1);
 		try (ServerSocket watched = new ServerSocket(0, 0, InetAddress.getByName(HOST))) {
-			RelayServer server = new RelayServer(this.eventLoops, HOST, 0,
-					(request) -> Optional.of(HOST + ":" + watched.getLocalPort()));
+			PeerPort server = listen((request) -> Optional.of(HOST + ":" + watched.getLocalPort()));
 			Thread reader = new Thread(() -> {
 				try (Socket accepted = watched.accept()) {
 					while (accepted.getInputStream().read() >= 0) {
@@ -142,8 +151,7 @@
 			});
 			reader.setDaemon(true);
 			reader.start();
-			int port = ((InetSocketAddress) server.listener().localAddress()).getPort();
-			try (Socket socket = new Socket(HOST, port)) {
+			try (Socket socket = new Socket(HOST, server.port())) {
 				ByteBuf request = RelayCodec.encode(new RelayRequest("group", "reached"));
 				request.readBytes(socket.getOutputStream(), request.readableBytes());
 				assertThat(new DataInputStream(socket.getInputStream()).readInt()).isPositive();
@@ -153,6 +161,21 @@
 		}
 	}
 
+	/**
+	 * Guards against a peer message that is taken for a relay request on the port that
+	 * both protocols share.
+	 */
+	@Test
+	void peerMessagesAreAnsweredOnTheSamePort() {
+		try (PeerClient client = new PeerClient(MonotonicClock.SYSTEM, this.eventLoops,
+				PeerConnectionSettings.STATEMENTS)) {
+			ViewQuery query = new ViewQuery();
+			long deadline = MonotonicClock.SYSTEM.nanoseconds() + TimeUnit.SECONDS.toNanos(10);
+			assertThat(client.request(HOST + ":" + port(), query, deadline).join()).isEqualTo(query);
+		}
+		bytesAreForwardedInBothDirections();
+	}
+
 	private CompletableFuture<String> connect(String name, String text) {
 		CompletableFuture<String> answer = new CompletableFuture<>();
 		NettySupport.connect(this.eventLoops, HOST + ":" + port(), SOCKET_TIMEOUT_MILLISECONDS,
