Keep odd member reports and late deregistrations from changing the fleet

An Error (for example a stack overflow) in a periodic task cancelled the task, and in a handler left the caller without an answer.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/command/ControlCommand.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/command/ControlCommand.java
@@ -76,8 +76,21 @@
 	 *
 	 * @param group name of the group
 	 * @param member name of the member
+	 * @param startedAtMilliseconds time at which the process that leaves started, in
+	 * milliseconds since the Unix epoch; a process that started later is kept. 0 removes
+	 * any process
 	 */
-	record ForgetMember(String group, String member) implements ControlCommand {
+	record ForgetMember(String group, String member, long startedAtMilliseconds) implements ControlCommand {
+
+		/**
+		 * Creates a command that removes any process of a member.
+		 * @param group name of the group
+		 * @param member name of the member
+		 */
+		public ForgetMember(String group, String member) {
+			this(group, member, 0);
+		}
+
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -333,7 +333,7 @@
 		try {
 			tick();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			LogEvent.CONTROL_TICK_FAILED.log(LOGGER, ex);
 		}
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -136,7 +136,7 @@
 		try {
 			sendHeartbeat();
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			LogEvent.REQUEST_FAILED_UNEXPECTEDLY.log(LOGGER, Step.CONTROL, this.leaderAddress, ex);
 			this.heartbeatInProgress = false;
 			retryHeartbeat();
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlSnapshot.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlSnapshot.java
@@ -20,12 +20,14 @@
  * @param groups database groups
  * @param daemons registered daemons
  * @param removedDaemons latest removals of daemons
+ * @param removedMembers latest removals of database members, or {@code null} in a
+ * snapshot of an earlier version
  * @param ledgerTime time of the ledger in milliseconds since the Unix epoch
  * @param requests records of non-repeatable requests
  */
 public record ControlSnapshot(long viewVersion, FleetConfiguration configuration, long configurationChangedAt,
 		List<Answer> answers, long nextAnswerSequence, List<GroupView> groups, List<DaemonView> daemons,
-		RemovedDaemons removedDaemons, long ledgerTime, List<Request> requests) {
+		RemovedDaemons removedDaemons, RemovedMembers removedMembers, long ledgerTime, List<Request> requests) {
 
 	/**
 	 * Creates a snapshot of a state.
@@ -45,7 +47,7 @@
 						request.answer(), request.forgetDeadline(), request.attempt())));
 		return new ControlSnapshot(state.viewVersion(), state.configuration(), state.configurationChangedAt(),
 				answersOf(state.answers()), state.answers().nextSequence(), groups, daemons, state.removedDaemons(),
-				state.ledger().time(), requests);
+				state.removedMembers(), state.ledger().time(), requests);
 	}
 
 	private static List<Answer> answersOf(RecordedAnswers recorded) {
@@ -81,7 +83,8 @@
 			ledger = ledger.with(request.group(), request.toRecord());
 		}
 		return new ControlState(this.viewVersion, this.configuration, this.configurationChangedAt, recorded, groupMap,
-				daemonMap, this.removedDaemons, ledger);
+				daemonMap, this.removedDaemons,
+				(this.removedMembers != null) ? this.removedMembers : RemovedMembers.NONE, ledger);
 	}
 
 	/**
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlState.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ControlState.java
@@ -29,11 +29,12 @@
  * @param daemons registered entry daemons by name; at most one incarnation of a name is
  * registered, and the daemon that a group names as its owner is always that incarnation
  * @param removedDaemons latest removals of daemons
+ * @param removedMembers latest removals of database members
  * @param ledger records of non-repeatable requests
  */
 public record ControlState(long viewVersion, FleetConfiguration configuration, long configurationChangedAt,
 		RecordedAnswers answers, PersistentMap<String, GroupView> groups, PersistentMap<String, DaemonView> daemons,
-		RemovedDaemons removedDaemons, Ledger ledger) {
+		RemovedDaemons removedDaemons, RemovedMembers removedMembers, Ledger ledger) {
 
 	/**
 	 * Returns the state of a new cluster.
@@ -41,7 +42,7 @@
 	 */
 	public static ControlState initial() {
 		return new ControlState(0, FleetConfiguration.initial(), 0, RecordedAnswers.NONE, PersistentMap.empty(),
-				PersistentMap.empty(), RemovedDaemons.NONE, Ledger.empty(0));
+				PersistentMap.empty(), RemovedDaemons.NONE, RemovedMembers.NONE, Ledger.empty(0));
 	}
 
 	/**
@@ -200,7 +201,8 @@
 		GroupView versioned = new GroupView(group.group(), version, group.term(), group.primary(), group.reservedTerm(),
 				group.candidate(), group.owner(), group.ownerEpoch(), group.releaseRequested(), group.members());
 		return new ControlState(version, this.configuration, this.configurationChangedAt, this.answers,
-				this.groups.with(group.group(), versioned), this.daemons, this.removedDaemons, this.ledger);
+				this.groups.with(group.group(), versioned), this.daemons, this.removedDaemons, this.removedMembers,
+				this.ledger);
 	}
 
 	ControlState withDaemon(DaemonView daemon) {
@@ -208,29 +210,35 @@
 		DaemonView versioned = new DaemonView(daemon.daemon(), version, daemon.incarnation(), daemon.peerAddress(),
 				daemon.availabilityZone(), daemon.draining());
 		return new ControlState(version, this.configuration, this.configurationChangedAt, this.answers, this.groups,
-				this.daemons.with(daemon.daemon(), versioned), this.removedDaemons, this.ledger);
+				this.daemons.with(daemon.daemon(), versioned), this.removedDaemons, this.removedMembers, this.ledger);
 	}
 
 	ControlState withoutDaemon(String daemon) {
 		long version = this.viewVersion + 1;
 		return new ControlState(version, this.configuration, this.configurationChangedAt, this.answers, this.groups,
-				this.daemons.without(daemon), this.removedDaemons.with(daemon, version), this.ledger);
+				this.daemons.without(daemon), this.removedDaemons.with(daemon, version), this.removedMembers,
+				this.ledger);
 	}
 
 	ControlState withConfiguration(FleetConfiguration next) {
 		long version = this.viewVersion + 1;
 		return new ControlState(version, next, version, this.answers, this.groups, this.daemons, this.removedDaemons,
-				this.ledger);
+				this.removedMembers, this.ledger);
 	}
 
 	ControlState withAnswers(RecordedAnswers next) {
 		return new ControlState(this.viewVersion, this.configuration, this.configurationChangedAt, next, this.groups,
-				this.daemons, this.removedDaemons, this.ledger);
+				this.daemons, this.removedDaemons, this.removedMembers, this.ledger);
+	}
+
+	ControlState withRemovedMember(RemovedMembers.Removal removal) {
+		return new ControlState(this.viewVersion, this.configuration, this.configurationChangedAt, this.answers,
+				this.groups, this.daemons, this.removedDaemons, this.removedMembers.with(removal), this.ledger);
 	}
 
 	ControlState withLedger(Ledger next) {
 		return new ControlState(this.viewVersion, this.configuration, this.configurationChangedAt, this.answers,
-				this.groups, this.daemons, this.removedDaemons, next);
+				this.groups, this.daemons, this.removedDaemons, this.removedMembers, next);
 	}
 
 }
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/GroupRules.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/GroupRules.java
@@ -7,6 +7,7 @@
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.GroupView;
 import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.RouteTable;
 import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.command.ControlCommand.AnnounceMember;
 import org.magnolialead.api.command.ControlCommand.AssignOwner;
@@ -85,12 +86,16 @@
 	private static ApplyResult announceMember(ControlState state, MemberDescription member) {
 		NameChecks.requireValid("group name", member.group());
 		NameChecks.requireValid("member name", member.member());
-		NameChecks.requireValid("member address", member.address());
+		NameChecks.requireAddress("member address", member.address());
 		NameChecks.requireValid("availability zone", member.availabilityZone());
 		GroupView announced = state.groups().get(member.group());
+		if (announced == null && isUnknownToRoutes(state, member.group())) {
+			return ApplyResult.accepted(state);
+		}
 		GroupView group = (announced != null) ? announced
 				: new GroupView(member.group(), 0, 0, "", 0, "", "", 0, Map.of());
-		if (member.equals(group.members().get(member.member())) || isOutdated(group, member)) {
+		if (member.equals(group.members().get(member.member())) || isOutdated(group, member)
+				|| hasLeft(state, member)) {
 			return ApplyResult.accepted(state);
 		}
 		Map<String, MemberDescription> members = new HashMap<>(group.members());
@@ -103,6 +108,19 @@
 		return ApplyResult.accepted(state.withGroup(withMembers(group, members)));
 	}
 
+	// Without routes any group may exist. With routes, an announcement for another group
+	// must not occupy the state and an owner; a member announces itself again, so it is
+	// recorded once the routes name its group.
+	private static boolean isUnknownToRoutes(ControlState state, String group) {
+		RouteTable routes = state.configuration().routes();
+		return routes.number() > 0 && !routes.connectionLimits().containsKey(group);
+	}
+
+	private static boolean hasLeft(ControlState state, MemberDescription member) {
+		return member.startedAtMilliseconds() > 0
+				&& state.removedMembers().contains(member.group(), member.member(), member.startedAtMilliseconds());
+	}
+
 	// A delayed announcement may arrive after its sender has been replaced at the same
 	// address, or after a later announcement in which the sender is leaving.
 	private static boolean isOutdated(GroupView group, MemberDescription member) {
@@ -133,12 +151,17 @@
 					"a promotion to term %d of group %s is not confirmed yet".formatted(group.reservedTerm(),
 							group.group()));
 		}
-		if (!group.members().containsKey(command.member())) {
+		MemberDescription present = group.members().get(command.member());
+		boolean restarted = present != null && command.startedAtMilliseconds() > 0
+				&& present.startedAtMilliseconds() > command.startedAtMilliseconds();
+		if (present == null || restarted) {
 			return ApplyResult.accepted(state);
 		}
 		Map<String, MemberDescription> members = new HashMap<>(group.members());
 		members.remove(command.member());
-		return ApplyResult.accepted(state.withGroup(withMembers(group, members)));
+		RemovedMembers.Removal removal = new RemovedMembers.Removal(group.group(), command.member(),
+				present.startedAtMilliseconds());
+		return ApplyResult.accepted(state.withGroup(withMembers(group, members)).withRemovedMember(removal));
 	}
 
 	private static ApplyResult assignOwner(ControlState state, GroupView group, AssignOwner command) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/NameChecks.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/NameChecks.java
@@ -11,6 +11,10 @@
 	 */
 	static final int MAXIMUM_NAME_LENGTH = 256;
 
+	private static final int MAXIMUM_PORT = 65_535;
+
+	private static final int MAXIMUM_PORT_DIGITS = 5;
+
 	private NameChecks() {
 	}
 
@@ -21,4 +25,18 @@
 		}
 	}
 
+	// An address that no connection can use would make every daemon that receives the
+	// view fail when it tries.
+	static void requireAddress(String subject, String address) {
+		requireValid(subject, address);
+		int colon = address.lastIndexOf(':');
+		String port = address.substring(colon + 1);
+		boolean digits = !port.isEmpty() && port.length() <= MAXIMUM_PORT_DIGITS
+				&& port.chars().allMatch((digit) -> digit >= '0' && digit <= '9');
+		if (colon < 1 || !digits || Integer.parseInt(port) < 1 || Integer.parseInt(port) > MAXIMUM_PORT) {
+			throw new IllegalArgumentException(
+					"%s must consist of a host and a port from 1 to %d".formatted(subject, MAXIMUM_PORT));
+		}
+	}
+
 }
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ControlStateTests.java
@@ -186,6 +186,56 @@
 	@Nested
 	class Announcements {
 
+		/**
+		 * Guards against a delayed report that puts a member back in use after it has
+		 * left, also after a restart of the control daemons.
+		 */
+		@Test
+		void announcementOfAMemberThatHasLeftIsIgnored() {
+			apply(new AnnounceMember(announcement("m1", "a:1", false, 100)));
+			apply(new AnnounceMember(announcement("m2", "a:2", false, 100)));
+			apply(new ForgetMember("g", "m1", 100));
+			ControlStateTests.this.state = ControlSnapshot.of(ControlStateTests.this.state).toState();
+			TestChecks.check(apply(new AnnounceMember(announcement("m1", "a:1", false, 100))).isAccepted(), context());
+			TestChecks.checkEqual(Set.of("m2"), group().members().keySet(), context());
+			apply(new AnnounceMember(announcement("m1", "a:1", false, 200)));
+			TestChecks.checkEqual(Set.of("m1", "m2"), group().members().keySet(), context());
+		}
+
+		/**
+		 * Guards against a delayed deregistration of a former process that removes the
+		 * present one.
+		 */
+		@Test
+		void deregistrationOfAnEarlierProcessKeepsThePresentOne() {
+			apply(new AnnounceMember(announcement("m1", "a:1", false, 200)));
+			TestChecks.check(apply(new ForgetMember("g", "m1", 100)).isAccepted(), context());
+			TestChecks.checkEqual(Set.of("m1"), group().members().keySet(), context());
+		}
+
+		/**
+		 * Guards against reports that name an invented group, each of which would occupy
+		 * the state and an owner.
+		 */
+		@Test
+		void groupThatNoRouteNamesIsNotCreated() {
+			Route route = new Route("db", "routed", FreshnessRule.LATEST, 0, 0, 800);
+			apply(new ReplaceRoutes(new RouteTable(1, Map.of("db", route), Map.of("routed", 18), 3_000, "")));
+			TestChecks.check(apply(new AnnounceMember(announcement("m1", "a:1", false, 100))).isAccepted(), context());
+			TestChecks.check(ControlStateTests.this.state.group("g").isEmpty(), context());
+		}
+
+		/**
+		 * Guards against an address that no daemon can use, which each of them would try
+		 * again and again.
+		 */
+		@Test
+		void memberWithAnUnusableAddressIsRefused() {
+			List.of("a", "a:", ":1", "a:0", "a:70000", "a:-1", "a:99999999999", "a:1.5")
+				.forEach((address) -> TestChecks
+					.check(!apply(new AnnounceMember(announcement("m1", address, false, 100))).isAccepted(), address));
+		}
+
 		private MemberDescription announcement(String name, String address, boolean leaving, long startedAt) {
 			return new MemberDescription("g", name, address, "z1", 2, 18, leaving, false, startedAt);
 		}
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServer.java
@@ -172,7 +172,7 @@
 				.exceptionally(HttpErrors::response)
 				.thenAccept(response::complete);
 		}
-		catch (RuntimeException ex) {
+		catch (RuntimeException | Error ex) {
 			response.complete(HttpErrors.response(ex));
 		}
 	}
