Keep the control leader's authority while a restarted fleet asks for its view

Cause: after a loss of power of all VMs the first leaders lost their authority within 0.3 s, two or three times in a row, because consensus messages waited for the same two worker threads as the heartbeats of all entry daemons, each of which encodes the complete view, and because cold processes answer slower than an election timeout of 250 ms permits. Entry daemons without a view asked again every 20 to 40 ms while no leader was known.

Ruled out: handing out the view that a control daemon has on its disk before a leader confirms it. The service would return earlier, but a member that had left or a withdrawn route could be in use again after a restart.

A daemon that has no view yet is tried again by the daemons that forward to it after 50 ms instead of 500 ms.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -34,6 +34,7 @@
 import org.magnolialead.transport.http.HttpHandler;
 import org.magnolialead.transport.http.HttpServer;
 import org.magnolialead.transport.peer.PeerClient;
+import org.magnolialead.transport.peer.PeerHandler;
 import org.magnolialead.transport.peer.PeerServer;
 
 /**
@@ -94,7 +95,7 @@
 
 	@Override
 	public void open() {
-		this.peerServer = Listeners.peer(this.settings, this::handle, this.executor);
+		this.peerServer = Listeners.peer(this.settings, new MessageHandler(), this.executor);
 		this.httpServer = Listeners.http(this.settings, this.httpHandler, this.executor);
 		initializeIfFirst();
 		this.log.start();
@@ -192,4 +193,20 @@
 		this.executor.shutdownNow();
 	}
 
+	private final class MessageHandler implements PeerHandler {
+
+		@Override
+		public CompletableFuture<Object> handle(Object message) {
+			return ControlDaemon.this.handle(message);
+		}
+
+		// When the fleet restarts, all entry daemons request the complete view at once. A
+		// leader whose messages waited behind these requests would lose its authority.
+		@Override
+		public boolean isUrgent(Object message) {
+			return message instanceof ConsensusMessage;
+		}
+
+	}
+
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/StartOrder.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/StartOrder.java
@@ -17,7 +17,7 @@
 	/**
 	 * Maximum time to wait, so that a process that is down delays the start only briefly.
 	 */
-	private static final long WAIT_TIMEOUT_NANOSECONDS = 300_000_000L;
+	private static final long WAIT_TIMEOUT_NANOSECONDS = 800_000_000L;
 
 	private static final int CONNECT_TIMEOUT_MILLISECONDS = 20;
 
@@ -31,7 +31,7 @@
 	 * @param address its address in the form {@code host:port}
 	 * @param clock clock for the timeout
 	 * @return {@code true} if it accepts connections, {@code false} if it does not within
-	 * 300 ms
+	 * the timeout
 	 */
 	static boolean await(String address, MonotonicClock clock) {
 		long deadline = clock.nanoseconds() + WAIT_TIMEOUT_NANOSECONDS;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -49,6 +49,9 @@
  */
 public final class ControlController implements AutoCloseable {
 
+	/** Delay of the answer to a daemon without a view while no leader is known. */
+	private static final long NO_LEADER_ANSWER_DELAY_MILLISECONDS = 60;
+
 	private static final System.Logger LOGGER = System.getLogger(ControlController.class.getName());
 
 	private static final long FORGET_REQUESTS_INTERVAL_NANOSECONDS = TimeUnit.MINUTES.toNanos(1);
@@ -77,6 +80,8 @@
 
 	private final WallClock wallClock;
 
+	private volatile CompleteView completeView;
+
 	private final ScheduledExecutorService executor;
 
 	private volatile boolean started;
@@ -132,7 +137,7 @@
 	public CompletableFuture<HeartbeatAnswer> heartbeat(HeartbeatRequest request) {
 		Leadership current = currentLeadership();
 		if (current == null) {
-			return CompletableFuture.completedFuture(withoutLease(null));
+			return withoutLeadership(request);
 		}
 		if (current.isReady()) {
 			return answer(current, request).exceptionally((failure) -> withoutLease(null));
@@ -142,6 +147,25 @@
 			.exceptionally((failure) -> withoutLease(null));
 	}
 
+	// A daemon without a view asks again as soon as it is answered. While no leader is
+	// known, the answers are delayed, so that the requests of a restarted fleet leave
+	// time for the election.
+	private CompletableFuture<HeartbeatAnswer> withoutLeadership(HeartbeatRequest request) {
+		if (request.viewVersion() > 0 || !leaderAddress().isEmpty()) {
+			return CompletableFuture.completedFuture(withoutLease(null));
+		}
+		CompletableFuture<HeartbeatAnswer> answer = new CompletableFuture<>();
+		try {
+			this.executor.schedule(() -> answer.complete(withoutLease(null)), NO_LEADER_ANSWER_DELAY_MILLISECONDS,
+					TimeUnit.MILLISECONDS);
+		}
+		catch (RejectedExecutionException ex) {
+			// The controller is closed.
+			answer.complete(withoutLease(null));
+		}
+		return answer;
+	}
+
 	private CompletableFuture<HeartbeatAnswer> answer(Leadership current, HeartbeatRequest request) {
 		DaemonView registered = this.machine.state().daemons().get(request.daemon());
 		if (registered != null && !registered.incarnation().equals(request.incarnation())) {
@@ -199,9 +223,19 @@
 				this.log.voterAddresses());
 	}
 
-	private static FleetViewChange viewChangeFor(ControlState state, HeartbeatRequest request) {
-		return (request.viewVersion() < state.viewVersion())
-				? state.changeSince(request.viewVersion(), request.removalsVersion()) : null;
+	private FleetViewChange viewChangeFor(ControlState state, HeartbeatRequest request) {
+		if (request.viewVersion() >= state.viewVersion()) {
+			return null;
+		}
+		if (request.viewVersion() > 0) {
+			return state.changeSince(request.viewVersion(), request.removalsVersion());
+		}
+		CompleteView known = this.completeView;
+		if (known == null || known.state() != state) {
+			known = new CompleteView(state, state.changeSince(0, request.removalsVersion()));
+			this.completeView = known;
+		}
+		return known.change();
 	}
 
 	private HeartbeatAnswer withoutLease(FleetViewChange change) {
@@ -414,4 +448,14 @@
 		return notAppended ? ErrorCode.NOT_LEADER : ErrorCode.COMMAND_UNKNOWN;
 	}
 
+	/**
+	 * First part of the complete view of a state, which all daemons of a restarted fleet
+	 * request.
+	 *
+	 * @param state the state
+	 * @param change the change from an empty view
+	 */
+	private record CompleteView(ControlState state, FleetViewChange change) {
+	}
+
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementForwarder.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementForwarder.java
@@ -193,6 +193,10 @@
 	// its member may be slow, and a lost connection is noticed earlier.
 	private void failed(DaemonView holder, MagnolialeadException cause, long deadline) {
 		long now = this.clock.nanoseconds();
+		if (cause.code() == ErrorCode.NO_MEMBER) {
+			this.availability.notReady(holder, now);
+			return;
+		}
 		boolean concernsDaemon = now - deadline < 0 && cause.code() != ErrorCode.REQUEST_TOO_LARGE;
 		if (concernsDaemon && this.availability.failed(holder, now)) {
 			LogEvent.FORWARDING_LOST.log(LOGGER, holder.daemon(), cause.code(), cause.getMessage());
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/PeerAvailability.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/PeerAvailability.java
@@ -18,6 +18,12 @@
 	/** Time for which a daemon is avoided after its first failure, in nanoseconds. */
 	static final long FIRST_PAUSE_NANOSECONDS = 500_000_000L;
 
+	/**
+	 * Time for which a daemon is avoided that answered that it cannot serve statements
+	 * yet, in nanoseconds.
+	 */
+	static final long NOT_READY_PAUSE_NANOSECONDS = 50_000_000L;
+
 	private static final int MAXIMUM_DOUBLINGS = 4;
 
 	private final Map<String, Failure> failures = new HashMap<>();
@@ -46,26 +52,37 @@
 	 */
 	public boolean failed(DaemonView daemon, long now) {
 		Failure previous = this.failures.get(daemon.daemon());
-		boolean repeated = previous != null && previous.incarnation().equals(daemon.incarnation());
+		boolean repeated = previous != null && previous.lost() && previous.incarnation().equals(daemon.incarnation());
 		if (repeated && now - previous.avoidedUntil() < 0) {
 			return false;
 		}
 		int doublings = repeated ? Math.min(previous.doublings() + 1, MAXIMUM_DOUBLINGS) : 0;
 		this.failures.put(daemon.daemon(),
-				new Failure(daemon.incarnation(), now + (FIRST_PAUSE_NANOSECONDS << doublings), doublings));
+				new Failure(daemon.incarnation(), true, now + (FIRST_PAUSE_NANOSECONDS << doublings), doublings));
 		return !repeated;
 	}
 
+	/**
+	 * Records that a daemon answered that it cannot serve statements yet.
+	 * @param daemon the daemon
+	 * @param now present time in nanoseconds
+	 */
+	public void notReady(DaemonView daemon, long now) {
+		this.failures.put(daemon.daemon(),
+				new Failure(daemon.incarnation(), false, now + NOT_READY_PAUSE_NANOSECONDS, 0));
+	}
+
 	/**
 	 * Records that a daemon has answered.
 	 * @param daemon the daemon
-	 * @return {@code true} if it had not answered before
+	 * @return {@code true} if it had been lost
 	 */
 	public boolean answered(DaemonView daemon) {
-		return !this.failures.isEmpty() && this.failures.remove(daemon.daemon()) != null;
+		Failure previous = this.failures.isEmpty() ? null : this.failures.remove(daemon.daemon());
+		return previous != null && previous.lost();
 	}
 
-	private record Failure(String incarnation, long avoidedUntil, int doublings) {
+	private record Failure(String incarnation, boolean lost, long avoidedUntil, int doublings) {
 	}
 
 }
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ConnectionHoldersTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ConnectionHoldersTests.java
@@ -162,6 +162,19 @@
 			.contains(candidates.get(0));
 	}
 
+	/**
+	 * Guards against a restarted fleet whose daemons avoid each other for long because
+	 * one of them received the fleet view a moment later.
+	 */
+	@Test
+	void daemonThatIsNotReadyIsTriedAgainSoon() {
+		PeerAvailability availability = new PeerAvailability();
+		List<DaemonView> only = List.of(daemon(1, "first", false));
+		availability.notReady(only.get(0), 0);
+		assertThat(availability.select(only, 1)).isEmpty();
+		assertThat(availability.select(only, PeerAvailability.NOT_READY_PAUSE_NANOSECONDS)).contains(only.get(0));
+	}
+
 	@Test
 	void everyCandidateMayBeAvoided() {
 		PeerAvailability availability = new PeerAvailability();
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerHandler.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerHandler.java
@@ -18,6 +18,17 @@
 	 */
 	CompletableFuture<Object> handle(Object message);
 
+	/**
+	 * Returns whether a message is handled before messages that wait for the executor.
+	 * The handling of an urgent message must not block, because it runs on the event loop
+	 * of the connection.
+	 * @param message the message
+	 * @return {@code true} if it must not wait behind others
+	 */
+	default boolean isUrgent(Object message) {
+		return false;
+	}
+
 	/**
 	 * Releases what the handler keeps for its connection after the connection was lost.
 	 * Called on the executor of the server, only if each connection has its own handler.
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerServer.java
@@ -197,6 +197,10 @@
 		}
 
 		private void dispatch(ChannelHandlerContext context, PeerFrame frame) {
+			if (this.handler.isUrgent(frame.message())) {
+				handle(context, frame);
+				return;
+			}
 			try {
 				PeerServer.this.executor.execute(() -> handle(context, frame));
 			}
--- a/magnolialead-transport/src/test/java/org/magnolialead/transport/peer/PeerClientServerTests.java
+++ b/magnolialead-transport/src/test/java/org/magnolialead/transport/peer/PeerClientServerTests.java
@@ -181,6 +181,53 @@
 		TestChecks.checkEquals(new ViewQuery(), handled.get(10, TimeUnit.SECONDS));
 	}
 
+	/**
+	 * Guards against a leader whose messages wait behind the requests of a whole fleet,
+	 * so that it loses its authority.
+	 */
+	@Test
+	void urgentMessageIsHandledWhileTheExecutorIsBusy() throws Exception {
+		CountDownLatch end = new CountDownLatch(1);
+		CountDownLatch busy = new CountDownLatch(1);
+		CompletableFuture<Object> handled = new CompletableFuture<>();
+		ExecutorService singleThread = Executors.newSingleThreadExecutor();
+		this.resources.add(singleThread::shutdownNow);
+		PeerServer server = new PeerServer(HOST, 0, new PeerHandler() {
+
+			@Override
+			public CompletableFuture<Object> handle(Object message) {
+				if (isUrgent(message)) {
+					handled.complete(message);
+					return null;
+				}
+				busy.countDown();
+				awaitUninterruptibly(end);
+				return null;
+			}
+
+			@Override
+			public boolean isUrgent(Object message) {
+				return message instanceof ViewQuery;
+			}
+
+		}, singleThread);
+		this.resources.add(server);
+		this.client.send(HOST + ":" + server.port(), new InitializeRequest());
+		busy.await();
+		this.client.send(HOST + ":" + server.port(), new ViewQuery());
+		TestChecks.checkEquals(new ViewQuery(), handled.get(10, TimeUnit.SECONDS));
+		end.countDown();
+	}
+
+	private static void awaitUninterruptibly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	private PeerServer startServer(PeerHandler handler) {
 		PeerServer server = new PeerServer(HOST, 0, handler, this.executor);
 		this.resources.add(server);
