Count late answers for a control leader's authority

Cause: after two heartbeats without an answer (100 ms in the deployment) a leader treated its messages to a member as lost and forgot their send times, so answers that took longer never counted for its authority, and it stepped down after 250 ms.

Change: send times are kept until the answer arrives; only the flow control treats the messages as lost. Entries are repeated from the last known match and, while none is known, from the end of the log. A leader whose authority has ended goes on sending heartbeats for one more election timeout without granting anything, so late answers do not cause an election. A leader without any answer steps down after the greatest election timeout.

Each new test of ConsensusRulesTests was seen failing on the code before.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
@@ -325,18 +325,20 @@
 	}
 
 	/**
-	 * Returns when this leader steps down unless a majority answers. A new leader has at
-	 * least the minimum election timeout to reach a majority.
+	 * Returns when this leader steps down unless a majority answers. It leads for longer
+	 * than it has authority: if the answers are only late, for example because all
+	 * members have just started, an election would delay them further.
 	 * @param now present time in nanoseconds
 	 * @return the time in nanoseconds
 	 */
 	long stepDownDeadline(long now) {
-		long firstMajorityDeadline = this.since + this.settings.minimumElectionTimeout();
+		long firstMajorityDeadline = this.since + this.settings.maximumElectionTimeout();
 		OptionalLong authority = authorityDeadline(now);
-		if (authority.isEmpty() || authority.getAsLong() - firstMajorityDeadline < 0) {
+		if (authority.isEmpty()) {
 			return firstMajorityDeadline;
 		}
-		return authority.getAsLong();
+		long nextMajorityDeadline = authority.getAsLong() + this.settings.minimumElectionTimeout();
+		return (nextMajorityDeadline - firstMajorityDeadline < 0) ? firstMajorityDeadline : nextMajorityDeadline;
 	}
 
 	/**
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/MemberProgress.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/MemberProgress.java
@@ -19,6 +19,11 @@
 
 	private final Deque<SentRound> unanswered = new ArrayDeque<>();
 
+	/** First round that counts as in flight; earlier ones are treated as lost. */
+	private long firstRoundInFlight;
+
+	private int inFlight;
+
 	private long matchIndex;
 
 	private long nextIndex;
@@ -75,13 +80,14 @@
 	}
 
 	boolean maySendEntries(int maximumInFlight) {
-		return this.pipelining ? this.unanswered.size() < maximumInFlight : !this.awaitingProbe;
+		return this.pipelining ? this.inFlight < maximumInFlight : !this.awaitingProbe;
 	}
 
 	void recordSend(long round, long now, int entries) {
 		this.unanswered.addLast(new SentRound(round, now));
+		this.inFlight++;
 		if (this.unanswered.size() > MAXIMUM_UNANSWERED) {
-			this.unanswered.removeFirst();
+			removeFirstUnanswered();
 		}
 		if (this.pipelining) {
 			this.nextIndex += entries;
@@ -95,7 +101,9 @@
 	 * Records an answer in the leader's term.
 	 * @param round round of the answered message
 	 * @param now present time in nanoseconds
-	 * @return {@code true} if the message was still recorded as unanswered
+	 * @return {@code true} if the message was in flight, {@code false} if it was treated
+	 * as lost. The answer of a message that was treated as lost still shows that the
+	 * member had contact with the leader when the message was sent
 	 */
 	boolean recordAnswer(long round, long now) {
 		if (round < this.firstRound) {
@@ -104,9 +112,9 @@
 		this.lastAnswerTime = now;
 		boolean known = false;
 		while (!this.unanswered.isEmpty() && this.unanswered.peekFirst().round() <= round) {
-			SentRound sent = this.unanswered.removeFirst();
+			SentRound sent = removeFirstUnanswered();
 			if (sent.round() == round) {
-				known = true;
+				known = round >= this.firstRoundInFlight;
 				this.answered = true;
 				this.answeredSendTime = sent.time();
 			}
@@ -114,6 +122,14 @@
 		return known;
 	}
 
+	private SentRound removeFirstUnanswered() {
+		SentRound first = this.unanswered.removeFirst();
+		if (first.round() >= this.firstRoundInFlight) {
+			this.inFlight--;
+		}
+		return first;
+	}
+
 	void recordMatch(long index) {
 		this.matchIndex = Math.max(this.matchIndex, index);
 		this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
@@ -132,10 +148,13 @@
 
 	/**
 	 * Treats messages in flight as lost and sends one message at a time, starting after
-	 * the last matching entry.
+	 * the last matching entry. While none is known, it repeats the present one: a member
+	 * whose first answer is late would otherwise receive the whole log.
 	 */
 	void resendFromMatch() {
-		this.nextIndex = this.matchIndex + 1;
+		if (this.matchIndex > 0) {
+			this.nextIndex = this.matchIndex + 1;
+		}
 		startProbing();
 	}
 
@@ -146,7 +165,10 @@
 	private void startProbing() {
 		this.pipelining = false;
 		this.awaitingProbe = false;
-		this.unanswered.clear();
+		this.inFlight = 0;
+		if (!this.unanswered.isEmpty()) {
+			this.firstRoundInFlight = this.unanswered.peekLast().round() + 1;
+		}
 	}
 
 	ConsensusSnapshot transfer() {
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusRulesTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusRulesTests.java
@@ -183,6 +183,92 @@
 		assertThat(node.term()).isEqualTo(3);
 	}
 
+	/**
+	 * Guards against elections that follow each other because the members of a restarted
+	 * fleet answer slower than a leader keeps its authority.
+	 */
+	@Test
+	void leaderWithLateAnswersLeadsWithoutAuthority() {
+		assertThat(shareOfTimeWithAuthority(600)).isZero();
+	}
+
+	/**
+	 * Guards against a leader that ignores answers because it has treated their messages
+	 * as lost and sent the entries again. In measurements all answers took longer than
+	 * two heartbeats after a restart of the fleet.
+	 */
+	@Test
+	void lateAnswersCountForTheAuthority() {
+		assertThat(shareOfTimeWithAuthority(300)).isGreaterThan(0.8);
+	}
+
+	/**
+	 * Lets one of two other members answer each message of a leader after a delay.
+	 * @param answerDelay delay in nanoseconds, a multiple of 50
+	 * @return the share of the time in which the leader has authority
+	 */
+	private static double shareOfTimeWithAuthority(long answerDelay) {
+		ConsensusNode node = member(THREE_VOTERS, 2);
+		elect(node, "b");
+		Map<Long, List<AppendRequest>> sent = new HashMap<>();
+		int steps = 100;
+		int stepsWithAuthority = 0;
+		for (long now = ELECTION_TIMEOUT + 50; now <= ELECTION_TIMEOUT + 50 * steps; now += 50) {
+			List<AppendRequest> requests = new ArrayList<>(appendRequestsTo("b", node.tick(now)));
+			for (AppendRequest request : sent.getOrDefault(now - answerDelay, List.of())) {
+				long matchIndex = request.previousIndex() + request.entries().size();
+				requests.addAll(appendRequestsTo("b", node.receive(
+						new AppendAnswer(identity("b"), "cluster", node.term(), true, matchIndex, request.round()),
+						now)));
+			}
+			sent.put(now, requests);
+			node.persisted(node.lastIndex(), node.lastTerm(), now);
+			assertThat(node.isLeader()).as("leader at %d", now).isTrue();
+			stepsWithAuthority += (node.authorityDeadline(now).orElse(now) > now) ? 1 : 0;
+		}
+		return (double) stepsWithAuthority / steps;
+	}
+
+	private static List<AppendRequest> appendRequestsTo(String address, List<ConsensusAction> actions) {
+		List<AppendRequest> requests = new ArrayList<>();
+		for (ConsensusAction action : actions) {
+			if (action instanceof ConsensusAction.Send send && send.address().equals(address)
+					&& send.message() instanceof AppendRequest request) {
+				requests.add(request);
+			}
+		}
+		return requests;
+	}
+
+	/**
+	 * Guards against a leader that sends a snapshot or the whole log to each member of a
+	 * restarted fleet because their first answers are late.
+	 */
+	@Test
+	void memberWithoutAnAnswerReceivesOnlyTheLatestEntries() {
+		ConsensusNode node = member(THREE_VOTERS, 5);
+		elect(node, "b");
+		for (long now = ELECTION_TIMEOUT + 50; now < 2 * ELECTION_TIMEOUT; now += 50) {
+			List<ConsensusAction> actions = node.tick(now);
+			assertThat(actions).noneMatch((action) -> action instanceof ConsensusAction.Send send
+					&& send.message() instanceof SnapshotRequest);
+			assertThat(appendRequestsTo("b", actions)).allMatch((request) -> request.previousIndex() == 5);
+		}
+	}
+
+	/**
+	 * Guards against a leader that has lost its majority and prevents an election.
+	 */
+	@Test
+	void leaderWithoutAnswersStepsDown() {
+		ConsensusNode node = member(THREE_VOTERS, 2);
+		elect(node, "b");
+		node.tick(2 * ELECTION_TIMEOUT - 1);
+		assertThat(node.isLeader()).isTrue();
+		node.tick(2 * ELECTION_TIMEOUT);
+		assertThat(node.isLeader()).isFalse();
+	}
+
 	private static ConsensusNode restartedMember(String name, long lastPossibleLeaderContact, long now) {
 		List<ControlIdentity> voters = List.of(identity("a"), identity("b"), identity("c"));
 		ConsensusSettings settings = ConsensusSettings.of(identity(name), Map.of("a", "a", "b", "b", "c", "c"), 100,
