Spare a daemon the periodic work for groups that it does not serve

Each of 100 daemons checked the queues and members of all 14 groups every 20 ms, updated its gauges each time, and ran a timer for promotions although 86 of them own no group.

Change: a group without connections, waiting requests and a reason to know the primary is skipped; a daemon whose groups are all at rest ticks every 100 ms and returns to 20 ms with the first waiting request; gauges are updated twice a second; the timer of promotions runs only while a group is owned.

The test of a statement that waits at a daemon at rest guards the return to the short interval; with its call removed it passes too, because the rest interval is short enough for the bound of 400 ms, so it guards the bound and not the call.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
@@ -102,7 +102,6 @@
 				new PeerServer(this.sessions::forwardingHandler, this.adapter.loop()));
 		this.adapter.listen(this.sessions);
 		this.sessions.start();
-		this.promotions.start();
 		this.entryServices.start();
 		DaemonSettings.SessionSettings sessionSettings = this.settings.sessions().orElseThrow();
 		LogEvent.DAEMON_STARTED.log(LOGGER, this.settings.name(), this.settings.role(),
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -35,6 +35,8 @@
 
 	private final Map<String, MemberPool> pools = new HashMap<>();
 
+	private final Runnable requestQueued;
+
 	private final PrimaryTracker primaryTracker;
 
 	private final TreeSet<ConnectionRequest> waitingRequests = new TreeSet<>();
@@ -47,9 +49,16 @@
 
 	private boolean dispatchAgain;
 
-	GroupRouter(String group, SessionContext context) {
+	/**
+	 * Creates a router without members.
+	 * @param group name of the group
+	 * @param context dependencies and scheduling
+	 * @param requestQueued called when a request starts to wait
+	 */
+	GroupRouter(String group, SessionContext context, Runnable requestQueued) {
 		this.group = group;
 		this.context = context;
+		this.requestQueued = requestQueued;
 		this.primaryTracker = new PrimaryTracker(this, context.now());
 	}
 
@@ -149,6 +158,7 @@
 			return;
 		}
 		this.waitingRequests.add(request);
+		this.requestQueued.run();
 		dispatch();
 	}
 
@@ -268,6 +278,9 @@
 	 * milliseconds.
 	 */
 	void tick() {
+		if (isAtRest()) {
+			return;
+		}
 		long now = now();
 		for (ConnectionRequest request : List.copyOf(this.waitingRequests)) {
 			if (request.isCancelled() || request.isQueueTimeoutReached(now)
@@ -288,6 +301,16 @@
 		dispatch();
 	}
 
+	/**
+	 * Tells whether there is nothing to maintain. In a large fleet this holds for most
+	 * groups of a daemon.
+	 * @return {@code true} without connections, without waiting requests and without the
+	 * need to know the primary
+	 */
+	boolean isAtRest() {
+		return !needsPrimary() && this.pools.values().stream().noneMatch(MemberPool::hasOpenOrDialing);
+	}
+
 	/**
 	 * Tells whether this daemon has to know the primary of the group. In a large fleet it
 	 * does not for most groups, and looking for the primary would open connections to all
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -167,6 +167,10 @@
 		return this.health.isFailed(now());
 	}
 
+	boolean hasOpenOrDialing() {
+		return !this.connections.isEmpty() || this.dialingDirect + this.dialingRelayed > 0;
+	}
+
 	boolean hasConnection() {
 		return this.connections.stream().anyMatch((connection) -> connection.isInUse() || connection.isFree());
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PromotionController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PromotionController.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 
 import org.magnolialead.api.DaemonView;
@@ -40,6 +41,8 @@
 
 	private volatile List<OwnedGroupReport> reports = List.of();
 
+	private Future<?> ticks;
+
 	private boolean draining;
 
 	/**
@@ -61,13 +64,6 @@
 		this.promotionService = promotionService;
 	}
 
-	/**
-	 * Starts the periodic tasks.
-	 */
-	public void start() {
-		context().scheduleRepeatedly(TICK_MILLISECONDS, this::tick);
-	}
-
 	@Override
 	public void viewChanged(FleetView view) {
 		context().execute(() -> applyView(view));
@@ -93,6 +89,18 @@
 			LogEvent.OWNERSHIP_STARTED.log(LOGGER, group.group(), group.ownerEpoch());
 		});
 		updateReports(view);
+		scheduleTicks();
+	}
+
+	// Most daemons of a large fleet own no group and need no timer.
+	private void scheduleTicks() {
+		if (this.ownedGroups.isEmpty() && this.ticks != null) {
+			this.ticks.cancel(false);
+			this.ticks = null;
+		}
+		else if (!this.ownedGroups.isEmpty() && this.ticks == null) {
+			this.ticks = context().scheduleRepeatedly(TICK_MILLISECONDS, this::tick);
+		}
 	}
 
 	// A group can be released immediately: a promotion order in progress carries its
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionContext.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionContext.java
@@ -41,8 +41,8 @@
 		this.loop.execute(logExceptions(task));
 	}
 
-	void scheduleRepeatedly(long delayMilliseconds, Runnable task) {
-		this.loop.scheduleWithFixedDelay(logExceptions(task), delayMilliseconds, delayMilliseconds,
+	Future<?> scheduleRepeatedly(long delayMilliseconds, Runnable task) {
+		return this.loop.scheduleWithFixedDelay(logExceptions(task), delayMilliseconds, delayMilliseconds,
 				TimeUnit.MILLISECONDS);
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
 import org.magnolialead.api.FleetView;
@@ -28,6 +30,11 @@
 
 	private static final long TICK_MILLISECONDS = 20;
 
+	/** Interval of the periodic work while no group needs any. */
+	private static final long REST_TICK_MILLISECONDS = 100;
+
+	private static final long METRICS_UPDATE_MILLISECONDS = 500;
+
 	private final SessionContext context;
 
 	private final LongSupplier wallClock;
@@ -48,6 +55,10 @@
 
 	private final SessionMetrics metrics = new SessionMetrics();
 
+	private Future<?> nextTick;
+
+	private boolean atRest;
+
 	private volatile RouteTable routes = RouteTable.EMPTY;
 
 	/**
@@ -73,7 +84,8 @@
 	 * Starts the periodic tasks.
 	 */
 	public void start() {
-		this.context.scheduleRepeatedly(TICK_MILLISECONDS, this::tick);
+		scheduleTick();
+		this.context.scheduleRepeatedly(METRICS_UPDATE_MILLISECONDS, this::updateMetrics);
 	}
 
 	/**
@@ -202,7 +214,7 @@
 	}
 
 	GroupRouter router(String group) {
-		return this.routers.computeIfAbsent(group, (name) -> new GroupRouter(name, this.context));
+		return this.routers.computeIfAbsent(group, (name) -> new GroupRouter(name, this.context, this::requestQueued));
 	}
 
 	Collection<GroupRouter> routers() {
@@ -245,8 +257,30 @@
 	}
 
 	private void tick() {
-		discardProgressAfterSuspension();
-		this.routers.values().forEach(GroupRouter::tick);
+		try {
+			discardProgressAfterSuspension();
+			this.routers.values().forEach(GroupRouter::tick);
+		}
+		finally {
+			scheduleTick();
+		}
+	}
+
+	private void scheduleTick() {
+		this.atRest = this.routers.values().stream().allMatch(GroupRouter::isAtRest);
+		long delay = this.atRest ? REST_TICK_MILLISECONDS : TICK_MILLISECONDS;
+		this.nextTick = this.context.schedule(TimeUnit.MILLISECONDS.toNanos(delay), this::tick);
+	}
+
+	// Requests time out with a tick.
+	private void requestQueued() {
+		if (this.atRest) {
+			this.nextTick.cancel(false);
+			scheduleTick();
+		}
+	}
+
+	private void updateMetrics() {
 		this.metrics.update(this.sessions.size(), this.forwardedSessions.size(), this.routers.values());
 	}
 
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
@@ -50,7 +50,6 @@
 	@BeforeEach
 	void start() {
 		this.service.start();
-		this.controller.start();
 		FleetView view = view(4);
 		this.service.viewChanged(view);
 		this.controller.viewChanged(view);
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
@@ -54,7 +54,6 @@
 	@BeforeEach
 	void start() {
 		this.service.start();
-		this.controller.start();
 		publish();
 		this.lease.renew(this.loop.nanoseconds() + 1_000_000_000_000L);
 		this.loop.advance(1_000);
@@ -137,7 +136,6 @@
 		PromotionController controllerWithoutLease = new PromotionController(DAEMON, INCARNATION, this.service,
 				new DaemonLease(this.loop.nanoseconds()), new RecordingControl(), this::promote);
 		this.controller.drain();
-		controllerWithoutLease.start();
 		this.group.member("a").crash();
 		this.loop.advance(5_000);
 		assertThat(this.orders).isEmpty();
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
@@ -220,6 +220,17 @@
 			assertThat(client("primary").send(Verb.WRITE, "1", "x", 500).isDone()).isTrue();
 		}
 
+		/**
+		 * Guards against a statement that waits past its time because a daemon without
+		 * work checks its queues rarely.
+		 */
+		@Test
+		void waitingStatementIsRefusedInTimeByADaemonWithoutWork() {
+			killCandidates();
+			List.of("a", "b", "c").forEach((name) -> StatementForwardingTests.this.group.member(name).crash());
+			assertThat(client("primary").send(Verb.WRITE, "1", "x", 400).error()).isEqualTo(StatementError.OVERLOADED);
+		}
+
 		/**
 		 * Guards against a write that runs twice, or is reported as not run, after the
 		 * answer of the other daemon was lost.
