Name routed statements and transactions for what they do

Cause: a session creates them for each statement, also where this daemon executes it itself, so "forwarded" misled. Change: names and comments only; the 44 tests of sessions and forwarding pass.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
@@ -238,7 +238,7 @@
 			return;
 		}
 		boolean readOnly = statement.verb() == ClientStatement.Verb.BEGIN_READ;
-		this.transaction = new ForwardedTransaction(this, readOnly, statement.receivedAt());
+		this.transaction = new RoutedTransaction(this, readOnly, statement.receivedAt());
 		this.state = SessionState.TRANSACTION;
 		answerDone();
 	}
@@ -274,7 +274,7 @@
 			return;
 		}
 		if (findRoute()) {
-			this.singleStatement = new ForwardedStatement(this, statement, prepared, writes, deadline(statement));
+			this.singleStatement = new RoutedStatement(this, statement, prepared, writes, deadline(statement));
 			this.singleStatement.start();
 		}
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/RoutedStatement.java
@@ -12,11 +12,12 @@
 import org.magnolialead.engine.session.PreparedStatement;
 
 /**
- * Statement outside a transaction that a daemon with connections to the group executes.
- * If that daemon does not answer, another one is tried, and finally this daemon itself; a
- * write only if it was certainly not handled.
+ * Statement outside a transaction. It is forwarded to a daemon that holds connections to
+ * the group, or executed here if this daemon holds some. If the other daemon does not
+ * answer, the next one is tried, and finally this daemon itself; a write only if it was
+ * certainly not handled.
  */
-final class ForwardedStatement implements SingleStatement {
+final class RoutedStatement implements SingleStatement {
 
 	private final ClientSession session;
 
@@ -34,7 +35,7 @@
 
 	private boolean finished;
 
-	ForwardedStatement(ClientSession session, ClientStatement statement, PreparedStatement prepared, boolean writes,
+	RoutedStatement(ClientSession session, ClientStatement statement, PreparedStatement prepared, boolean writes,
 			long deadline) {
 		this.session = session;
 		this.statement = statement;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedTransaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/RoutedTransaction.java
@@ -13,12 +13,12 @@
 import org.magnolialead.engine.session.PreparedStatement;
 
 /**
- * Transaction whose statements a daemon with connections to the group executes. The
- * daemon is selected with the first statement; if none answers, this daemon executes the
- * transaction itself. As long as no commit was sent, a lost answer rolls the transaction
+ * Transaction whose statements are forwarded to a daemon that holds connections to the
+ * group, or executed here if this daemon holds some. The daemon is selected with the
+ * first statement. As long as no commit was sent, a lost answer rolls the transaction
  * back: the other daemon can only commit it on request.
  */
-final class ForwardedTransaction implements Transaction {
+final class RoutedTransaction implements Transaction {
 
 	private final ClientSession session;
 
@@ -38,7 +38,7 @@
 
 	private boolean ended;
 
-	ForwardedTransaction(ClientSession session, boolean readOnly, long begunAt) {
+	RoutedTransaction(ClientSession session, boolean readOnly, long begunAt) {
 		this.session = session;
 		this.readOnly = readOnly;
 		this.begunAt = begunAt;
