Let holders wait after a refused connection, and notice lost links sooner

After the loss of power they keep the connections of the ended processes for 3 s; the holders' connections do not fit beside them, and each holder tried again every 100 ms for each of its connections. And a forwarded statement whose answer was lost in a partition failed with its timeout of 800 ms, because a lost link was noticed after 600 to 900 ms only.

Change: a holder's second and further connections wait for 500 ms after a refusal, like additional ones; the first still waits for 100 ms. Links between entry daemons are probed every 200 ms instead of 300 ms, and connecting takes at most 200 ms, so that a read reaches another daemon within its timeout.

The test of ConnectBackoff does not compile without the change.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -13,6 +13,7 @@
 import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.engine.session.BeginTimeout;
 import org.magnolialead.engine.session.ConnectBackoff;
+import org.magnolialead.engine.session.ConnectionPurpose;
 import org.magnolialead.engine.session.MemberPath;
 import org.magnolialead.engine.session.OverloadBackoff;
 import org.magnolialead.engine.session.PrimaryHealth;
@@ -191,7 +192,7 @@
 	 */
 	void dialPermanent() {
 		if (openOrDialing() < this.permanentConnections) {
-			dial(false);
+			dial(firstOrHeld());
 		}
 	}
 
@@ -234,19 +235,23 @@
 	void dialForWaiting() {
 		int total = openOrDialing();
 		if (total < Math.max(1, this.permanentConnections)) {
-			dial(false);
+			dial(firstOrHeld());
 		}
 		else if (total < this.maximumConnections && total == this.connections.size()) {
-			dial(true);
+			dial(ConnectionPurpose.ADDITIONAL);
 		}
 	}
 
+	private ConnectionPurpose firstOrHeld() {
+		return this.connections.isEmpty() ? ConnectionPurpose.FIRST : ConnectionPurpose.HELD;
+	}
+
 	private List<String> relays() {
 		return this.context.forwarder().relays(this.member.group());
 	}
 
-	private void dial(boolean additional) {
-		if (this.closed || !this.connectBackoff.permits(additional, now())) {
+	private void dial(ConnectionPurpose purpose) {
+		if (this.closed || !this.connectBackoff.permits(purpose, now())) {
 			return;
 		}
 		List<String> relays = relays();
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConnectBackoff.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConnectBackoff.java
@@ -20,7 +20,9 @@
 	static final long REFUSED_DELAY_NANOSECONDS = 100_000_000L;
 
 	/**
-	 * Delay of an additional connection after the member refused one, in nanoseconds.
+	 * Delay of any other connection after the member refused one, in nanoseconds. After a
+	 * loss of power, a member keeps the former connections for seconds, and further
+	 * attempts of the holders would only be refused.
 	 */
 	static final long ADDITIONAL_REFUSED_DELAY_NANOSECONDS = 500_000_000L;
 
@@ -34,6 +36,8 @@
 
 	private long nextFirstAt;
 
+	private long nextHeldAt;
+
 	private long nextAdditionalAt;
 
 	/**
@@ -42,17 +46,23 @@
 	 */
 	public ConnectBackoff(long now) {
 		this.nextFirstAt = now;
+		this.nextHeldAt = now;
 		this.nextAdditionalAt = now + STARTUP_DELAY_NANOSECONDS;
 	}
 
 	/**
 	 * Tells whether a connection may be opened.
-	 * @param additional whether other connections are already open
+	 * @param purpose reason for which it is opened
 	 * @param now present time in nanoseconds
 	 * @return {@code true} if the delay is over
 	 */
-	public boolean permits(boolean additional, long now) {
-		return now - (additional ? this.nextAdditionalAt : this.nextFirstAt) >= 0;
+	public boolean permits(ConnectionPurpose purpose, long now) {
+		long nextAt = switch (purpose) {
+			case FIRST -> this.nextFirstAt;
+			case HELD -> this.nextHeldAt;
+			case ADDITIONAL -> this.nextAdditionalAt;
+		};
+		return now - nextAt >= 0;
 	}
 
 	/**
@@ -76,7 +86,8 @@
 	 */
 	public void refused(long now) {
 		this.nextFirstAt = now + REFUSED_DELAY_NANOSECONDS;
-		this.nextAdditionalAt = now + ADDITIONAL_REFUSED_DELAY_NANOSECONDS;
+		this.nextHeldAt = now + ADDITIONAL_REFUSED_DELAY_NANOSECONDS;
+		this.nextAdditionalAt = this.nextHeldAt;
 	}
 
 	/**
@@ -94,6 +105,7 @@
 			this.consecutiveFailures++;
 			this.nextFirstAt = now + (FIRST_DELAY_NANOSECONDS << doublings);
 		}
+		this.nextHeldAt = this.nextFirstAt;
 		this.nextAdditionalAt = this.nextFirstAt;
 	}
 
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ConnectBackoffTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ConnectBackoffTests.java
@@ -17,9 +17,11 @@
 	 */
 	@Test
 	void additionalConnectionsWaitForTheStartOfTheFleet() {
-		assertThat(this.backoff.permits(false, 0)).isTrue();
-		assertThat(this.backoff.permits(true, ConnectBackoff.STARTUP_DELAY_NANOSECONDS - 1)).isFalse();
-		assertThat(this.backoff.permits(true, ConnectBackoff.STARTUP_DELAY_NANOSECONDS)).isTrue();
+		assertThat(this.backoff.permits(ConnectionPurpose.FIRST, 0)).isTrue();
+		assertThat(this.backoff.permits(ConnectionPurpose.ADDITIONAL, ConnectBackoff.STARTUP_DELAY_NANOSECONDS - 1))
+			.isFalse();
+		assertThat(this.backoff.permits(ConnectionPurpose.ADDITIONAL, ConnectBackoff.STARTUP_DELAY_NANOSECONDS))
+			.isTrue();
 	}
 
 	/**
@@ -30,12 +32,12 @@
 	void delayDoublesUpToALimit() {
 		for (long delayMilliseconds : new long[] { 50, 100, 200, 200 }) {
 			this.backoff.failed(false, 0);
-			assertThat(this.backoff.permits(false, delayMilliseconds * 1_000_000 - 1)).isFalse();
-			assertThat(this.backoff.permits(false, delayMilliseconds * 1_000_000)).isTrue();
+			assertThat(this.backoff.permits(ConnectionPurpose.FIRST, delayMilliseconds * 1_000_000 - 1)).isFalse();
+			assertThat(this.backoff.permits(ConnectionPurpose.FIRST, delayMilliseconds * 1_000_000)).isTrue();
 		}
 		this.backoff.opened();
 		this.backoff.failed(false, 0);
-		assertThat(this.backoff.permits(false, ConnectBackoff.FIRST_DELAY_NANOSECONDS)).isTrue();
+		assertThat(this.backoff.permits(ConnectionPurpose.FIRST, ConnectBackoff.FIRST_DELAY_NANOSECONDS)).isTrue();
 	}
 
 	/**
@@ -44,7 +46,7 @@
 	@Test
 	void otherPathIsTriedWithoutDelay() {
 		this.backoff.failed(true, 7);
-		assertThat(this.backoff.permits(false, 7)).isTrue();
+		assertThat(this.backoff.permits(ConnectionPurpose.FIRST, 7)).isTrue();
 		assertThat(this.backoff.hasNoFailure()).isFalse();
 	}
 
@@ -55,9 +57,29 @@
 	@Test
 	void additionalConnectionsWaitLongerAfterARefusal() {
 		this.backoff.refused(0);
-		assertThat(this.backoff.permits(false, ConnectBackoff.REFUSED_DELAY_NANOSECONDS)).isTrue();
-		assertThat(this.backoff.permits(true, ConnectBackoff.REFUSED_DELAY_NANOSECONDS)).isFalse();
-		assertThat(this.backoff.permits(true, ConnectBackoff.ADDITIONAL_REFUSED_DELAY_NANOSECONDS)).isTrue();
+		assertThat(this.backoff.permits(ConnectionPurpose.FIRST, ConnectBackoff.REFUSED_DELAY_NANOSECONDS)).isTrue();
+		assertThat(this.backoff.permits(ConnectionPurpose.ADDITIONAL, ConnectBackoff.REFUSED_DELAY_NANOSECONDS))
+			.isFalse();
+		assertThat(
+				this.backoff.permits(ConnectionPurpose.ADDITIONAL, ConnectBackoff.ADDITIONAL_REFUSED_DELAY_NANOSECONDS))
+			.isTrue();
+	}
+
+	/**
+	 * Guards against holders that try again and again to open their further connections
+	 * while a member still keeps those of processes that have ended. In measurements a
+	 * restarted fleet made thousands of such attempts.
+	 */
+	@Test
+	void heldConnectionsWaitLongerThanTheFirstAfterARefusal() {
+		ConnectBackoff backoff = new ConnectBackoff(0);
+		assertThat(backoff.permits(ConnectionPurpose.HELD, 0)).isTrue();
+		backoff.refused(0);
+		long firstAt = ConnectBackoff.REFUSED_DELAY_NANOSECONDS;
+		long heldAt = ConnectBackoff.ADDITIONAL_REFUSED_DELAY_NANOSECONDS;
+		assertThat(backoff.permits(ConnectionPurpose.FIRST, firstAt)).isTrue();
+		assertThat(backoff.permits(ConnectionPurpose.HELD, firstAt)).isFalse();
+		assertThat(backoff.permits(ConnectionPurpose.HELD, heldAt)).isTrue();
 	}
 
 }
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnectionSettings.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnectionSettings.java
@@ -21,7 +21,7 @@
 	 * Settings for statements of clients, which have to reach another daemon within their
 	 * own timeout if the first one does not answer.
 	 */
-	public static final PeerConnectionSettings STATEMENTS = new PeerConnectionSettings(250, 300);
+	public static final PeerConnectionSettings STATEMENTS = new PeerConnectionSettings(200, 200);
 
 	public PeerConnectionSettings {
 		if (connectTimeoutMilliseconds < 1 || probeIntervalMilliseconds < 1) {
