--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
@@ -49,6 +49,8 @@
 	private final PromotionController controller = new PromotionController(DAEMON, INCARNATION, this.service,
 			this.lease, new RecordingControl(), this::promote);
 
+	private FleetView fleet;
+
 	private PromotionService.Result answer = PromotionService.Result.ACCEPTED;
 
 	@BeforeEach
@@ -68,6 +70,7 @@
 				initial.queueLimit(), table);
 		DaemonView daemon = new DaemonView(DAEMON, 1, INCARNATION, "10.0.0.9:1", "zone", false);
 		FleetView fleet = new FleetView(1, configuration, Map.of(FakeGroup.NAME, view), Map.of(DAEMON, daemon));
+		this.fleet = fleet;
 		this.service.viewChanged(fleet);
 		this.controller.viewChanged(fleet);
 	}
@@ -136,6 +139,7 @@
 		PromotionController controllerWithoutLease = new PromotionController(DAEMON, INCARNATION, this.service,
 				new DaemonLease(this.loop.nanoseconds()), new RecordingControl(), this::promote);
 		this.controller.drain();
+		controllerWithoutLease.viewChanged(this.fleet);
 		this.group.member("a").crash();
 		this.loop.advance(5_000);
 		assertThat(this.orders).isEmpty();
