Review: a planned stop promises ABORTED for a committed transaction

Cause: ForwardedSession.rollBack answers a pending COMMIT with ROLLED_BACK when a holder of connections closes its sessions.

--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -73,13 +73,17 @@
 	private final int graceSeconds;
 
 	Fleet(int controlMachines, int otherMachines, String cloudAddress, int graceSeconds) throws Exception {
+		this(controlMachines, otherMachines, cloudAddress, graceSeconds, 4);
+	}
+
+	Fleet(int controlMachines, int otherMachines, String cloudAddress, int graceSeconds, int zones) throws Exception {
 		this.folder = Files.createTempDirectory("review");
 		this.cloudAddress = cloudAddress;
 		this.graceSeconds = graceSeconds;
 		String prefix = Addresses.network();
 		for (int index = 0; index < controlMachines + otherMachines; index++) {
 			this.machines
-				.add(new Machine("front-" + (index + 1), prefix + (index + 1), "zone-" + (index % 4), index < controlMachines));
+				.add(new Machine("front-" + (index + 1), prefix + (index + 1), "zone-" + (index % zones), index < controlMachines));
 		}
 		int[] ports = Addresses.freePorts(this.machines.stream().map(Machine::ip).toList(), 5);
 		this.frontPort = ports[0];
--- a/review/harness/Load.java
+++ b/review/harness/Load.java
@@ -7,8 +7,8 @@
 /** Sessions of clients that read and write at a steady rate. */
 final class Load {
 
-	/** A kind of request: its database and the share of writes. */
-	record Kind(String database, double weight, double writes) {
+	/** A kind of request: its database, the share of writes and that of transactions that read. */
+	record Kind(String database, double weight, double writes, double transactions) {
 	}
 
 	final AtomicInteger served = new AtomicInteger();
@@ -69,7 +69,24 @@
 		}
 	}
 
-	private boolean operation(Client client, Kind kind, Random random) {
+	/** A transaction of 2 to 5 reads with pauses between them. */
+	private boolean transaction(Client client, Random random) throws InterruptedException {
+		Client.Reply reply = client.query(Client.newIdentifier(), "BEGIN READ");
+		for (int count = 2 + random.nextInt(4); count > 0 && reply.state().equals("T"); count--) {
+			reply = client.query(Client.newIdentifier(), "READ " + random.nextInt(2000));
+			Thread.sleep(50 + random.nextInt(150));
+		}
+		if (reply.state().equals("T")) {
+			reply = client.query(Client.newIdentifier(), "COMMIT");
+		}
+		(reply.isDone() ? this.served : this.notServed).incrementAndGet();
+		return reply.state().equals("I");
+	}
+
+	private boolean operation(Client client, Kind kind, Random random) throws InterruptedException {
+		if (random.nextDouble() < kind.transactions()) {
+			return transaction(client, random);
+		}
 		String identifier = Client.newIdentifier();
 		boolean write = random.nextDouble() < kind.writes();
 		String text = write ? "WRITE " + random.nextInt(2000) + " " + identifier : "READ " + random.nextInt(2000);
--- a/review/harness/Member.java
+++ b/review/harness/Member.java
@@ -56,6 +56,9 @@
 	/** Decides which statements fail, by verb and identifier. */
 	volatile BiPredicate<String, String> fails = (verb, identifier) -> false;
 
+	/** Decides for which statements that ran the answer is lost, by verb and identifier. */
+	volatile BiPredicate<String, String> losesAnswer = (verb, identifier) -> false;
+
 	/** Time in milliseconds that a read, write or commit takes. */
 	volatile ToLongFunction<String> work = (verb) -> 3 + ThreadLocalRandom.current().nextLong(12);
 
@@ -449,20 +452,20 @@
 			}
 			Member.this.runs.ran(identifier, text, Map.copyOf(this.values), writing);
 			if (!writing) {
-				done(mac(), List.of("row-" + item));
+				answer(verb, identifier, List.of("row-" + item));
 				return;
 			}
 			String data = (words.length > 1) ? words[1] : "";
 			if (this.state == 'T') {
 				this.writes.put(item, data);
-				done(mac(), List.of());
+				answer(verb, identifier, List.of());
 				return;
 			}
 			if (Member.this.group.commit(Member.this, Member.this.term, Map.of(item, data), identifier) == null) {
 				error("READONLY");
 				return;
 			}
-			done(mac(), List.of());
+			answer(verb, identifier, List.of());
 		}
 
 		private void commit(String identifier, String text) throws IOException, InterruptedException {
@@ -489,7 +492,15 @@
 				return;
 			}
 			this.writes.clear();
-			done(mac(), List.of());
+			answer("COMMIT", identifier, List.of());
+		}
+
+		private void answer(String verb, String identifier, List<String> rows) throws IOException {
+			if (Member.this.losesAnswer.test(verb, identifier)) {
+				Record.line("%s ran %s, and its answer is lost: %s", Member.this.id, verb, identifier);
+				return;
+			}
+			done(mac(), rows);
 		}
 
 		private String mac() {
--- a/review/harness/SyncReplicas.java
+++ b/review/harness/SyncReplicas.java
@@ -42,8 +42,8 @@
 		for (int index = 0; index < fleet.machines.size(); index++) {
 			fronts.add(fleet.front(index));
 		}
-		Load load = new Load(fronts, List.of(new Load.Kind("confirm", 1.5, 0.35), new Load.Kind("view", 1.5, 0),
-				new Load.Kind("change", 7, 0.12)), 60, 105);
+		Load load = new Load(fronts, List.of(new Load.Kind("confirm", 1.5, 0.35, 0), new Load.Kind("view", 1.5, 0, 0.1),
+				new Load.Kind("change", 7, 0.12, 0.12)), 60, 105);
 		load.start();
 		Thread.sleep(4_000);
 		for (int round = 0; round < ROUNDS && group.lost.isEmpty(); round++) {
