Answer an interrupted commit with an unknown outcome

Cause: ForwardedSession.rollBack answers the statement in progress with ROLLED_BACK at a shutdown and when the link is lost, also a COMMIT that was sent to the member. Ruled out: the member's log holds the commits; the forwarding daemon passes the answer on unchanged. Change: StatementStage states how far a statement has come and the one error that is true there. Every place that ends a statement without the answer of a member uses it, for local and forwarded sessions. The daemon that ends a forwarded session only tells whether the statement may have run; one that was not sent is run by another daemon. A daemon that shuts down answers the running statements of its own clients before it closes their connections.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
@@ -18,6 +18,7 @@
 import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.ReadPlan;
+import org.magnolialead.engine.session.StatementStage;
 
 /**
  * Session of a database client. Holds its session variables, prepared statements, open
@@ -388,11 +389,29 @@
 	}
 
 	/**
-	 * Ends the session and closes the connection to the client.
+	 * Ends the session and closes the connection to the client. A statement in progress
+	 * is answered first.
 	 */
 	void close() {
+		StatementReply reply = replyToInterruptedStatement();
 		clientDisconnected();
+		if (reply != null) {
+			this.channel.reply(reply);
+		}
 		this.channel.close();
 	}
 
+	private StatementReply replyToInterruptedStatement() {
+		if (this.closed || this.currentStatement == null) {
+			return null;
+		}
+		boolean inTransaction = this.transaction != null;
+		StatementStage reached = inTransaction ? this.transaction.stage() : this.singleStatement.stage();
+		boolean ends = !inTransaction || this.currentStatement.verb() == ClientStatement.Verb.COMMIT;
+		StatementReply reply = StatementReply.failed(reached.errorAfterLoss(), "the daemon is shutting down",
+				ends ? SessionState.IDLE : SessionState.FAILED_TRANSACTION);
+		statementLog().failed(this.currentStatement, this.database, reply);
+		return reply;
+	}
+
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedSession.java
@@ -5,15 +5,17 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
+import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.Route;
+import org.magnolialead.api.Step;
 import org.magnolialead.api.message.ForwardStatementAnswer;
 import org.magnolialead.api.message.ForwardStatementRequest;
-import org.magnolialead.api.session.SessionState;
-import org.magnolialead.api.session.StatementError;
 import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.ReadPlan;
+import org.magnolialead.engine.session.StatementStage;
 
 /**
  * Executes a statement, or the statements of a transaction, that another daemon forwards.
@@ -40,6 +42,8 @@
 
 	private Transaction transaction;
 
+	private SingleStatement singleStatement;
+
 	private CompletableFuture<Object> pendingAnswer;
 
 	private Future<?> idleTimer;
@@ -112,7 +116,8 @@
 		ClientStatement statement = new ClientStatement(request.identifier(), verb(request.action()), "",
 				(forwarded != null) ? forwarded.argument() : "", request.text(), now);
 		if (request.transaction() == null) {
-			new MemberStatement(this, statement, prepared, writes, deadline).start();
+			this.singleStatement = new MemberStatement(this, statement, prepared, writes, deadline);
+			this.singleStatement.start();
 			return answer;
 		}
 		if (this.transaction == null) {
@@ -171,7 +176,7 @@
 
 	private void startIdleTimer() {
 		long limit = TimeUnit.MILLISECONDS.toNanos(this.service.routes().idleTransactionMilliseconds());
-		this.idleTimer = context().schedule(limit + IDLE_MARGIN_NANOSECONDS, this::rollBack);
+		this.idleTimer = context().schedule(limit + IDLE_MARGIN_NANOSECONDS, this::interrupt);
 	}
 
 	private void stopIdleTimer() {
@@ -182,17 +187,34 @@
 	}
 
 	/**
-	 * Rolls back the transaction, if one is open. A statement in progress is answered
-	 * with an error.
+	 * Ends the session without waiting for members. An open transaction is rolled back.
+	 * The daemon that forwarded the statement in progress is told whether the statement
+	 * may have run, and answers its client accordingly.
 	 */
-	void rollBack() {
-		if (this.ended || this.transaction == null) {
+	void interrupt() {
+		if (this.ended) {
 			return;
 		}
-		this.transaction.rollBack(this.pendingAnswer != null);
+		StatementStage reached = interruptStatement();
 		end();
-		complete(StatementReply.failed(StatementError.ROLLED_BACK, "the transaction was rolled back",
-				SessionState.FAILED_TRANSACTION));
+		CompletableFuture<Object> answer = this.pendingAnswer;
+		this.pendingAnswer = null;
+		if (answer != null) {
+			ErrorCode code = reached.mayHaveRun() ? ErrorCode.NO_ANSWER : ErrorCode.DRAINING;
+			answer.completeExceptionally(new MagnolialeadException(code, Step.FORWARD, "",
+					"the session was ended before the member answered"));
+		}
+	}
+
+	private StatementStage interruptStatement() {
+		if (this.transaction == null) {
+			StatementStage reached = this.singleStatement.stage();
+			this.singleStatement.cancel();
+			return reached;
+		}
+		StatementStage reached = this.transaction.stage();
+		this.transaction.rollBack(this.pendingAnswer != null);
+		return reached;
 	}
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardingHandler.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardingHandler.java
@@ -40,7 +40,7 @@
 		if (message instanceof RollBackForwarded rollBack) {
 			ForwardedSession session = this.transactions.remove(rollBack.transaction());
 			if (session != null) {
-				session.rollBack();
+				session.interrupt();
 			}
 			return null;
 		}
@@ -86,7 +86,7 @@
 	@Override
 	public void connectionClosed() {
 		this.closed = true;
-		List.copyOf(this.transactions.values()).forEach(ForwardedSession::rollBack);
+		List.copyOf(this.transactions.values()).forEach(ForwardedSession::interrupt);
 		this.transactions.clear();
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
@@ -11,6 +11,7 @@
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.QueueAdmission;
 import org.magnolialead.engine.session.ReadPlan;
+import org.magnolialead.engine.session.StatementStage;
 
 /**
  * Executes one statement outside a transaction at the members. A read is also sent to
@@ -206,8 +207,8 @@
 			case TOO_MANY_CONNECTIONS, WRONG_MEMBER, NOT_PREPARED -> retry(pool, reply);
 			case CONNECTION_LOST -> {
 				if (this.writes) {
-					finish(StatementReply.failed(StatementError.UNKNOWN_OUTCOME, "connection to the member lost",
-							SessionState.IDLE));
+					finish(StatementReply.failed(StatementStage.WRITE_SENT.errorAfterLoss(),
+							"connection to the member lost", SessionState.IDLE));
 				}
 				else {
 					retry(pool, reply);
@@ -269,7 +270,8 @@
 	private StatementReply finalError(StatementReply reply) {
 		return switch (reply.error()) {
 			case FAILED, TIMED_OUT, MALFORMED -> reply.withState(SessionState.IDLE);
-			case CONNECTION_LOST -> StatementReply.failed(StatementError.FAILED, "read failed", SessionState.IDLE);
+			case CONNECTION_LOST ->
+				StatementReply.failed(StatementStage.READ_SENT.errorAfterLoss(), "read failed", SessionState.IDLE);
 			default -> StatementReply.failed(StatementError.OVERLOADED, "no member served this: " + reply.error(),
 					SessionState.IDLE);
 		};
@@ -288,12 +290,15 @@
 		if (this.finished) {
 			return;
 		}
-		if (this.pendingConnections.isEmpty()) {
-			finish(StatementReply.failed(StatementError.OVERLOADED, "not run in time: " + this.lastError,
-					SessionState.IDLE));
-			return;
-		}
-		finish(StatementReply.failed(StatementError.TIMED_OUT, "no answer of the member", SessionState.IDLE));
+		StatementStage reached = stage();
+		String detail = (reached == StatementStage.WAITING) ? "not run in time: " + this.lastError
+				: "no answer of the member";
+		finish(StatementReply.failed(reached.errorAfterTimeout(), detail, SessionState.IDLE));
+	}
+
+	@Override
+	public StatementStage stage() {
+		return StatementStage.ofSingle(this.writes, !this.pendingConnections.isEmpty());
 	}
 
 	@Override
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberTransaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberTransaction.java
@@ -11,6 +11,7 @@
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.QueueAdmission;
 import org.magnolialead.engine.session.ReadPlan;
+import org.magnolialead.engine.session.StatementStage;
 
 /**
  * Transaction that this daemon executes. From its first statement on it holds one member
@@ -51,6 +52,9 @@
 
 	private PendingStatement pendingStatement;
 
+	/** Whether the pending statement was sent and is not answered. */
+	private boolean sent;
+
 	MemberTransaction(StatementSession session, boolean readOnly, long begunAt) {
 		this.session = session;
 		this.readOnly = readOnly;
@@ -68,6 +72,7 @@
 		long now = this.session.context().now();
 		this.pendingStatement = new PendingStatement(statement, prepared, writes, commit, deadline,
 				QueueAdmission.unavailableMemberTimeoutAt(now, deadline), QueueAdmission.queueTimeoutAt(now, deadline));
+		this.sent = false;
 		if (this.connection == null) {
 			attempt();
 		}
@@ -131,12 +136,13 @@
 
 	private void send() {
 		PooledConnection used = this.connection;
-		PendingStatement sent = this.pendingStatement;
-		used.align(this.session.sessionVariables(), sent.prepared());
+		PendingStatement statement = this.pendingStatement;
+		used.align(this.session.sessionVariables(), statement.prepared());
 		long now = this.session.context().now();
-		long untilDeadline = sent.deadline() - now;
-		startTimer(sent.commit() ? untilDeadline : Math.min(STATEMENT_TIMEOUT_NANOSECONDS, untilDeadline));
-		used.send(MemberCommand.of(sent.statement(), sent.prepared(), null), (reply) -> {
+		long untilDeadline = statement.deadline() - now;
+		startTimer(statement.commit() ? untilDeadline : Math.min(STATEMENT_TIMEOUT_NANOSECONDS, untilDeadline));
+		this.sent = true;
+		used.send(MemberCommand.of(statement.statement(), statement.prepared(), null), (reply) -> {
 			if (this.connection == used) {
 				answered(reply, now);
 			}
@@ -145,6 +151,7 @@
 
 	private void answered(StatementReply reply, long requestedAt) {
 		stopTimer();
+		this.sent = false;
 		if (reply.isDone()) {
 			succeeded(reply, requestedAt);
 			return;
@@ -218,7 +225,7 @@
 		StatementError error = switch (reply.error()) {
 			case OVERLOADED, NOT_PRIMARY, ROLLED_BACK, MALFORMED -> StatementError.ROLLED_BACK;
 			case FAILED, TIMED_OUT -> reply.error();
-			default -> StatementError.UNKNOWN_OUTCOME;
+			default -> StatementStage.COMMIT_SENT.errorAfterLoss();
 		};
 		this.session
 			.transactionEnded(StatementReply.failed(error, "commit failed: " + reply.error(), SessionState.IDLE));
@@ -230,13 +237,12 @@
 		}
 		this.connection.discard();
 		this.connection = null;
-		if (this.pendingStatement.commit()) {
-			this.session.transactionEnded(StatementReply.failed(StatementError.UNKNOWN_OUTCOME,
-					"no answer to the commit", SessionState.IDLE));
-		}
-		else {
-			fail(StatementError.ROLLED_BACK, "no answer of the member");
-		}
+		fail(stage().errorAfterTimeout(), "no answer of the member");
+	}
+
+	@Override
+	public StatementStage stage() {
+		return StatementStage.ofTransaction(this.pendingStatement.commit(), this.sent);
 	}
 
 	private void fail(StatementError error, String detail) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/RoutedStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/RoutedStatement.java
@@ -10,6 +10,7 @@
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.engine.session.PreparedStatement;
+import org.magnolialead.engine.session.StatementStage;
 
 /**
  * Statement outside a transaction. It is forwarded to a daemon that holds connections to
@@ -82,13 +83,8 @@
 			start();
 			return;
 		}
-		StatementError error = StatementError.UNKNOWN_OUTCOME;
-		if (certainlyNotRun) {
-			error = StatementError.OVERLOADED;
-		}
-		else if (!inTime) {
-			error = StatementError.TIMED_OUT;
-		}
+		StatementStage reached = StatementStage.ofSingle(this.writes, !certainlyNotRun);
+		StatementError error = inTime ? reached.errorAfterLoss() : reached.errorAfterTimeout();
 		finish(StatementReply.failed(error, "forwarding failed: " + failure.getMessage(), SessionState.IDLE));
 	}
 
@@ -97,6 +93,11 @@
 		this.session.answer(reply);
 	}
 
+	@Override
+	public StatementStage stage() {
+		return (this.local != null) ? this.local.stage() : StatementStage.ofSingle(this.writes, true);
+	}
+
 	@Override
 	public void cancel() {
 		this.finished = true;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/RoutedTransaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/RoutedTransaction.java
@@ -11,6 +11,7 @@
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.engine.session.PreparedStatement;
+import org.magnolialead.engine.session.StatementStage;
 
 /**
  * Transaction whose statements are forwarded to a daemon that holds connections to the
@@ -30,6 +31,9 @@
 
 	private int attempts;
 
+	/** Whether the statement in progress commits the transaction. */
+	private boolean committing;
+
 	private DaemonView holder;
 
 	private Transaction local;
@@ -51,6 +55,7 @@
 
 	@Override
 	public void run(ClientStatement statement, PreparedStatement prepared, boolean writes, long deadline) {
+		this.committing = statement.verb() == ClientStatement.Verb.COMMIT;
 		if (this.holder == null && this.local == null) {
 			selectHolder();
 		}
@@ -58,7 +63,6 @@
 			this.local.run(statement, prepared, writes, deadline);
 			return;
 		}
-		boolean commit = statement.verb() == ClientStatement.Verb.COMMIT;
 		TransactionScope scope = new TransactionScope(this.number, !this.begun, this.readOnly);
 		this.session.forwarder()
 			.forward(this.holder, this.session.forwardRequest(statement, prepared, writes, scope), deadline)
@@ -74,7 +78,7 @@
 					run(statement, prepared, writes, deadline);
 				}
 				else {
-					failed((MagnolialeadException) failure, commit);
+					failed((MagnolialeadException) failure);
 				}
 			}));
 	}
@@ -113,16 +117,21 @@
 		}
 	}
 
-	private void failed(MagnolialeadException failure, boolean commit) {
+	private void failed(MagnolialeadException failure) {
 		rollBack(false);
 		String detail = "forwarding failed: " + failure.getMessage();
-		if (!commit) {
-			this.session.transactionFailed(
-					StatementReply.failed(StatementError.ROLLED_BACK, detail, SessionState.FAILED_TRANSACTION));
-			return;
+		StatementError error = StatementStage.ofTransaction(this.committing, !isNotRun(failure)).errorAfterLoss();
+		if (this.committing) {
+			this.session.transactionEnded(StatementReply.failed(error, detail, SessionState.IDLE));
+		}
+		else {
+			this.session.transactionFailed(StatementReply.failed(error, detail, SessionState.FAILED_TRANSACTION));
 		}
-		StatementError error = isNotRun(failure) ? StatementError.ROLLED_BACK : StatementError.UNKNOWN_OUTCOME;
-		this.session.transactionEnded(StatementReply.failed(error, detail, SessionState.IDLE));
+	}
+
+	@Override
+	public StatementStage stage() {
+		return (this.local != null) ? this.local.stage() : StatementStage.ofTransaction(this.committing, true);
 	}
 
 	@Override
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -183,11 +183,12 @@
 	}
 
 	/**
-	 * Closes all sessions. Open transactions are rolled back.
+	 * Closes all sessions. Open transactions are rolled back, and statements in progress
+	 * are answered with an error that tells whether they may still take effect.
 	 */
 	public void closeAll() {
 		List.copyOf(this.sessions).forEach(ClientSession::close);
-		List.copyOf(this.forwardedSessions).forEach(ForwardedSession::rollBack);
+		List.copyOf(this.forwardedSessions).forEach(ForwardedSession::interrupt);
 	}
 
 	boolean servesGroup(String group) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SingleStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SingleStatement.java
@@ -1,5 +1,7 @@
 package org.magnolialead.daemon.session;
 
+import org.magnolialead.engine.session.StatementStage;
+
 /**
  * Statement outside a transaction that is being executed. It answers its session once.
  */
@@ -10,6 +12,12 @@
 	 */
 	void start();
 
+	/**
+	 * Returns the point that the statement has reached.
+	 * @return the stage
+	 */
+	StatementStage stage();
+
 	/**
 	 * Cancels the statement because the client has disconnected.
 	 */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Transaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/Transaction.java
@@ -1,6 +1,7 @@
 package org.magnolialead.daemon.session;
 
 import org.magnolialead.engine.session.PreparedStatement;
+import org.magnolialead.engine.session.StatementStage;
 
 /**
  * Open transaction of a session. It is begun at a member with its first statement.
@@ -22,6 +23,12 @@
 	 */
 	void run(ClientStatement statement, PreparedStatement prepared, boolean writes, long deadline);
 
+	/**
+	 * Returns the point that the statement in progress has reached.
+	 * @return the stage
+	 */
+	StatementStage stage();
+
 	/**
 	 * Rolls the transaction back.
 	 * @param answerPending whether the answer to a statement is still pending
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
@@ -81,6 +81,20 @@
 		assertThat(client("primary").send(Verb.WRITE, "item", "x").isDone()).isTrue();
 	}
 
+	/**
+	 * Guards against a client whose connection is closed at a shutdown without an answer
+	 * to the statement that is running.
+	 */
+	@Test
+	void shutdownAnswersTheStatementInProgress() {
+		this.group.member("a").loseAnswers(1);
+		TestClient client = client("primary");
+		assertThat(client.send(Verb.WRITE, "1", "x", 50)).isNull();
+		this.service.closeAll();
+		assertThat(client.replies()).extracting(StatementReply::error).containsExactly(StatementError.UNKNOWN_OUTCOME);
+		assertThat(client.isClosed()).isTrue();
+	}
+
 	@Nested
 	class Isolation {
 
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
@@ -1,29 +1,17 @@
 package org.magnolialead.daemon.session;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.magnolialead.api.DaemonView;
-import org.magnolialead.api.FleetConfiguration;
-import org.magnolialead.api.FleetView;
-import org.magnolialead.api.FreshnessRule;
 import org.magnolialead.api.LogPosition;
-import org.magnolialead.api.Route;
-import org.magnolialead.api.RouteTable;
 import org.magnolialead.api.message.ForwardStatementRequest;
 import org.magnolialead.api.message.ForwardStatementRequest.Action;
 import org.magnolialead.api.message.ForwardStatementRequest.TransactionScope;
 import org.magnolialead.api.session.SessionState;
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.daemon.session.ClientStatement.Verb;
-import org.magnolialead.engine.session.ConnectionHolders;
-import org.magnolialead.engine.session.ConnectionRole;
 import org.magnolialead.transport.peer.PeerCodec;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -34,84 +22,24 @@
  */
 class StatementForwardingTests {
 
-	private static final int DAEMONS = 40;
+	private final SimulatedFleet fleet = new SimulatedFleet();
 
-	private static final int LIMIT = 18;
+	private final ManualLoop loop = this.fleet.loop();
 
-	private static final String ZONE = "zone";
+	private final FakeGroup group = this.fleet.group();
 
-	private final ManualLoop loop = new ManualLoop();
-
-	private final FakeGroup group = new FakeGroup(this.loop, "a", "b", "c");
-
-	private final SimulatedPeers peers = new SimulatedPeers(this.loop);
-
-	private final Map<String, SessionService> services = new HashMap<>();
-
-	private final List<DaemonView> candidates = new ArrayList<>();
-
-	/** Daemon that forwards the statements of its clients. */
-	private SessionService forwarding;
-
-	@BeforeEach
-	void start() {
-		Map<String, DaemonView> daemons = new HashMap<>();
-		for (int number = 0; number < DAEMONS; number++) {
-			String name = "daemon-" + number;
-			daemons.put(name, new DaemonView(name, 1, name, address(name), ZONE, false));
-			SessionService service = new SessionService(name, ZONE, this.loop, this.loop, this.loop::milliseconds,
-					this.group, this.peers.link(name));
-			this.services.put(name, service);
-			this.peers.add(address(name), service);
-		}
-		FleetView view = view(daemons);
-		this.services.values().forEach(SessionService::start);
-		this.services.values().forEach((service) -> service.viewChanged(view));
-		ConnectionHolders holders = new ConnectionHolders(daemons.values());
-		String forwardingDaemon = daemons.keySet()
-			.stream()
-			.filter((name) -> holders.share(FakeGroup.NAME, LIMIT, name, ZONE, false)
-				.role() == ConnectionRole.FORWARDING)
-			.min(Comparator.naturalOrder())
-			.orElseThrow();
-		this.forwarding = this.services.get(forwardingDaemon);
-		this.candidates.addAll(holders.candidates(FakeGroup.NAME, LIMIT, ZONE, forwardingDaemon));
-		this.loop.advance(1_500);
-	}
-
-	private static String address(String daemon) {
-		return daemon + ":1";
-	}
-
-	private FleetView view(Map<String, DaemonView> daemons) {
-		Map<String, Route> routes = Map.of("primary",
-				new Route("primary", FakeGroup.NAME, FreshnessRule.LATEST, 0, 0, 800), "session",
-				new Route("session", FakeGroup.NAME, FreshnessRule.SESSION, 2_500, 1, 800));
-		RouteTable table = new RouteTable(1, routes, Map.of(FakeGroup.NAME, LIMIT), 3_000, "");
-		FleetConfiguration initial = FleetConfiguration.initial();
-		FleetConfiguration configuration = new FleetConfiguration(1, initial.profiles(), initial.rankFloors(),
-				initial.queueLimit(), table);
-		return new FleetView(1, configuration, Map.of(FakeGroup.NAME, this.group.view("", 0, "a")), daemons);
-	}
+	private final SimulatedPeers peers = this.fleet.peers();
 
 	private TestClient client(String database) {
-		return new TestClient(this.loop, this.forwarding, database);
+		return new TestClient(this.loop, this.fleet.forwarding(), database);
 	}
 
 	private List<String> executedTexts() {
 		return this.group.executions().stream().map(FakeGroup.Execution::text).toList();
 	}
 
-	private String holder() {
-		return this.candidates.get(0).peerAddress();
-	}
-
-	private SessionService holderService() {
-		return this.services.get(this.candidates.get(0).daemon());
-	}
-
 	private void killCandidates() {
-		this.candidates.forEach((candidate) -> this.peers.kill(candidate.peerAddress()));
+		this.fleet.candidates().forEach((candidate) -> this.peers.kill(candidate.peerAddress()));
 	}
 
 	/**
@@ -121,9 +49,9 @@
 	@Test
 	void fleetKeepsFewConnectionsAndOpensNoMore() {
 		int opened = this.group.connectionsOpened();
-		assertThat(this.group.member("a").openConnections(false)).isBetween(1L, (long) LIMIT);
+		assertThat(this.group.member("a").openConnections(false)).isBetween(1L, (long) SimulatedFleet.CONNECTION_LIMIT);
 		for (int round = 0; round < 3; round++) {
-			this.services.values().forEach((service) -> {
+			this.fleet.services().values().forEach((service) -> {
 				TestClient client = new TestClient(this.loop, service, "session");
 				assertThat(client.send(Verb.WRITE, "1", "x", 10).isDone()).isTrue();
 				assertThat(client.send(Verb.READ, "1", "", 10).isDone()).isTrue();
@@ -206,7 +134,7 @@
 		 */
 		@Test
 		void standbyServesWhenTheHolderHasDied() {
-			StatementForwardingTests.this.peers.kill(holder());
+			StatementForwardingTests.this.peers.kill(StatementForwardingTests.this.fleet.holderAddress());
 			assertThat(client("primary").send(Verb.WRITE, "1", "x", 200).isDone()).isTrue();
 			TestClient transaction = client("primary");
 			transaction.send(Verb.BEGIN);
@@ -270,7 +198,7 @@
 			TestClient client = client("primary");
 			client.send(Verb.BEGIN);
 			client.send(Verb.WRITE, "1", "x");
-			StatementForwardingTests.this.peers.closeConnections(holder());
+			StatementForwardingTests.this.peers.closeConnections(StatementForwardingTests.this.fleet.holderAddress());
 			StatementForwardingTests.this.loop.advance(10);
 			assertThat(StatementForwardingTests.this.group.member("a").openTransactions()).isZero();
 			assertThat(client.send(Verb.COMMIT).error()).isEqualTo(StatementError.ROLLED_BACK);
@@ -281,7 +209,7 @@
 		void frozenHolderFailsTheTransactionWithoutRunningItElsewhere() {
 			TestClient client = client("primary");
 			client.send(Verb.BEGIN);
-			StatementForwardingTests.this.peers.freeze(holder());
+			StatementForwardingTests.this.peers.freeze(StatementForwardingTests.this.fleet.holderAddress());
 			assertThat(client.send(Verb.WRITE, "1", "x", 500).error()).isEqualTo(StatementError.ROLLED_BACK);
 			assertThat(client.send(Verb.ROLLBACK).isDone()).isTrue();
 			client.send(Verb.BEGIN);
@@ -298,7 +226,7 @@
 			TestClient client = client("primary");
 			client.send(Verb.BEGIN);
 			client.send(Verb.WRITE, "1", "x");
-			SessionService holder = holderService();
+			SessionService holder = StatementForwardingTests.this.fleet.holder();
 			assertThat(holder.closeIdle()).isOne();
 			client.session().clientDisconnected();
 			StatementForwardingTests.this.loop.advance(10);
@@ -311,8 +239,9 @@
 		 */
 		@Test
 		void transactionOfASilentDaemonIsRolledBack() {
-			ForwardedSession session = holderService()
-				.openForwarded(StatementForwardingTests.this.forwarding.routes().route("primary").orElseThrow());
+			ForwardedSession session = StatementForwardingTests.this.fleet.holder()
+				.openForwarded(
+						StatementForwardingTests.this.fleet.forwarding().routes().route("primary").orElseThrow());
 			session.run(new ForwardStatementRequest(session.route(), Map.of(), LogPosition.NONE, "id", Action.WRITE,
 					"WRITE 1 x", null, new TransactionScope(1, true, false), 500_000));
 			StatementForwardingTests.this.loop.advance(3_500);
@@ -330,7 +259,7 @@
 			TestClient client = client("primary");
 			client.send(Verb.BEGIN);
 			client.send(Verb.WRITE, "1", "x");
-			holderService().closeAll();
+			StatementForwardingTests.this.fleet.holder().closeAll();
 			assertThat(client.send(Verb.WRITE, "2", "y").error()).isEqualTo(StatementError.ROLLED_BACK);
 			assertThat(StatementForwardingTests.this.group.member("a").openTransactions()).isZero();
 		}
