Resume the control log after its disk has failed

Cause: DefaultCommandLog.fail stops the log for good on any Throwable, and the process goes on, so nothing starts it again. Ruled out: lost voters; three of the four were running all the time. Change: the log is suspended: it does not lead, vote or acknowledge, and refuses commands. Applied entries are not applied again, so the state never goes back. An opened log file is synced before it counts as stored.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -95,14 +95,20 @@
 	CONTROL_TICK_FAILED(4005, Level.ERROR, "due control commands could not be submitted"),
 	/** This control daemon joined a cluster. */
 	CONTROL_JOINED(4006, Level.INFO, "control cluster joined: daemon=%s cluster=%s"),
-	/** The control log of this daemon stopped. */
-	CONTROL_LOG_STOPPED(4007, Level.ERROR, "control log stopped: daemon=%s"),
+	/** The control log of this daemon failed and does not take part until it recovers. */
+	CONTROL_LOG_SUSPENDED(4007, Level.ERROR, "control log suspended: daemon=%s"),
 	/** An operator sent invalid routes. */
 	ROUTES_REFUSED(4008, Level.WARNING, "routes refused: from=%s cause=%s"),
 	/** An operator sent routes. */
 	ROUTES_RECEIVED(4009, Level.INFO, "routes received: number=%s from=%s outcome=%s"),
 	/** A member report is invalid. */
 	MEMBER_REPORT_REFUSED(4010, Level.WARNING, "member report refused: member=%s cause=%s"),
+	/** The control log of this daemon takes part again. */
+	CONTROL_LOG_RESUMED(4011, Level.INFO, "control log resumed: daemon=%s last_index=%s"),
+	/** The files of a suspended control log still cannot be used. */
+	CONTROL_LOG_RECOVERY_FAILED(4012, Level.WARNING, "control log recovery failed: daemon=%s cause=%s"),
+	/** A snapshot of the control log could not be written and is written again later. */
+	CONTROL_SNAPSHOT_FAILED(4013, Level.ERROR, "control snapshot failed: daemon=%s"),
 	/** A peer connection was closed because of malformed input. */
 	PEER_CONNECTION_DAMAGED(6001, Level.WARNING, "peer connection closed after malformed input: peer=%s"),
 	/** A peer message handler failed with an exception that has no error code. */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlHttpHandler.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlHttpHandler.java
@@ -62,7 +62,8 @@
 			.put("leader", this.controller.view().leader())
 			.put("term", this.log.term())
 			.put("commit_index", this.log.commitIndex())
-			.put("applied_index", this.log.appliedIndex());
+			.put("applied_index", this.log.appliedIndex())
+			.put("log_suspended", this.log.failure().isPresent());
 		for (Map.Entry<String, Meter> meter : this.metrics.getMeters().entrySet()) {
 			node.putObject(meter.getKey())
 				.put("count", meter.getValue().getCount())
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogStatus.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogStatus.java
@@ -30,7 +30,7 @@
 				node.leaderAddress(), node.cluster(), node.term(), node.commitIndex(), appliedIndex, node.voters());
 	}
 
-	CommandLogStatus stopped() {
+	CommandLogStatus inactive() {
 		return new CommandLogStatus(false, OptionalLong.empty(), 0, Optional.empty(), this.cluster, this.term,
 				this.commitIndex, this.appliedIndex, this.voters);
 	}
--- /dev/null
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/FailingDisk.java
@@ -0,0 +1,91 @@
+package org.magnolialead.daemon.control;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+
+import org.magnolialead.storage.Disk;
+
+/**
+ * Disk that can be made to fail. Failures apply to all files.
+ */
+final class FailingDisk implements Disk {
+
+	private volatile Fault fault = Fault.NONE;
+
+	private volatile boolean failed;
+
+	void fail(Fault present) {
+		this.fault = present;
+		this.failed |= present != Fault.NONE;
+	}
+
+	/**
+	 * Returns whether the disk has failed since the start, also if it works again.
+	 * @return {@code true} after a fault
+	 */
+	boolean hasFailed() {
+		return this.failed;
+	}
+
+	@Override
+	public void write(FileChannel channel, ByteBuffer content) throws IOException {
+		this.fault.write(channel, content);
+	}
+
+	@Override
+	public void sync(FileChannel channel) throws IOException {
+		this.fault.sync(channel);
+	}
+
+	/**
+	 * Way in which the disk fails.
+	 */
+	enum Fault {
+
+		/** The disk works. */
+		NONE,
+
+		/** No byte is written. */
+		FULL {
+
+			@Override
+			void write(FileChannel channel, ByteBuffer content) throws IOException {
+				throw new IOException("No space left on device");
+			}
+
+		},
+
+		/** A part of the bytes is written. */
+		FULL_WITHIN_RECORD {
+
+			@Override
+			void write(FileChannel channel, ByteBuffer content) throws IOException {
+				ByteBuffer part = content.slice(content.position(), content.remaining() / 2);
+				Disk.SYSTEM.write(channel, part);
+				throw new IOException("No space left on device");
+			}
+
+		},
+
+		/** All bytes are written, but may not be durable. */
+		SYNC_FAILS {
+
+			@Override
+			void sync(FileChannel channel) throws IOException {
+				throw new IOException("Input/output error");
+			}
+
+		};
+
+		void write(FileChannel channel, ByteBuffer content) throws IOException {
+			Disk.SYSTEM.write(channel, content);
+		}
+
+		void sync(FileChannel channel) throws IOException {
+			Disk.SYSTEM.sync(channel);
+		}
+
+	}
+
+}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
@@ -88,13 +88,31 @@
 	 */
 	public ConsensusNode(ConsensusSettings settings, StoredState stored, long lastPossibleLeaderContact, long now,
 			RandomGenerator random) {
+		this(settings, stored, 0, lastPossibleLeaderContact, now, random);
+	}
+
+	/**
+	 * Creates a member from its synced state in a process that has applied entries of it.
+	 * @param settings the settings
+	 * @param stored the synced state
+	 * @param appliedIndex index of the last entry that the driver has applied; entries up
+	 * to it are not passed to the driver again
+	 * @param lastPossibleLeaderContact latest time in nanoseconds at which this member
+	 * may have answered a leader before it was created; not later than {@code now}
+	 * @param now present time in nanoseconds
+	 * @param random source of election timeouts
+	 */
+	public ConsensusNode(ConsensusSettings settings, StoredState stored, long appliedIndex,
+			long lastPossibleLeaderContact, long now, RandomGenerator random) {
 		this.settings = Objects.requireNonNull(settings, "settings must not be null");
 		this.random = Objects.requireNonNull(random, "random must not be null");
 		this.cluster = stored.cluster();
 		this.vote = stored.vote();
 		this.log = new ReplicaLog(stored);
 		this.persistedIndex = this.log.lastIndex();
-		this.commitIndex = this.log.snapshotIndex();
+		this.commitIndex = Math.max(this.log.snapshotIndex(), appliedIndex);
+		Invariants.require(this.commitIndex <= this.log.lastIndex(), "",
+				"entries up to %d were applied but the log ends at %d", this.commitIndex, this.log.lastIndex());
 		this.knownCommitIndex = this.commitIndex;
 		// A restarted voter is a member already and waits for an election first.
 		this.nextJoinRequest = isVoter() ? now + settings.maximumElectionTimeout() : now;
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/DataFolder.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/DataFolder.java
@@ -37,6 +37,8 @@
 
 	private final Path folder;
 
+	private final DurableFiles files;
+
 	private final FileChannel lockChannel;
 
 	private final String incarnation;
@@ -57,12 +59,24 @@
 	 * if the folder is in use, incomplete or corrupted
 	 */
 	public DataFolder(Path folder) {
+		this(folder, Disk.SYSTEM);
+	}
+
+	/**
+	 * Opens a data folder on a given disk, creating it if it does not exist.
+	 * @param folder path of the folder
+	 * @param disk writes and syncs the files
+	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
+	 * if the folder is in use, incomplete or corrupted
+	 */
+	public DataFolder(Path folder, Disk disk) {
 		this.folder = folder;
+		this.files = new DurableFiles(disk);
 		this.lockChannel = lock(folder);
 		try {
 			this.incarnation = readOrCreateIncarnation();
-			this.voteFile = new VoteFile(folder.resolve(VOTE_FILE));
-			this.snapshotFile = new SnapshotFile(folder.resolve(SNAPSHOT_FILE));
+			this.voteFile = new VoteFile(folder.resolve(VOTE_FILE), this.files);
+			this.snapshotFile = new SnapshotFile(folder.resolve(SNAPSHOT_FILE), this.files);
 			load();
 		}
 		catch (RuntimeException ex) {
@@ -113,7 +127,7 @@
 	 * if the file cannot be written
 	 */
 	public void saveCluster(String cluster) {
-		DurableFiles.replaceWithChecksum(this.folder.resolve(CLUSTER_FILE), cluster.getBytes(StandardCharsets.UTF_8));
+		this.files.replaceWithChecksum(this.folder.resolve(CLUSTER_FILE), cluster.getBytes(StandardCharsets.UTF_8));
 	}
 
 	/**
@@ -138,7 +152,7 @@
 	 * if the file cannot be written
 	 */
 	public void prepareSnapshot(ConsensusSnapshot snapshot) {
-		new SnapshotFile(this.folder.resolve(PREPARED_SNAPSHOT_FILE)).write(snapshot);
+		new SnapshotFile(this.folder.resolve(PREPARED_SNAPSHOT_FILE), this.files).write(snapshot);
 	}
 
 	/**
@@ -148,7 +162,7 @@
 	 * if a file cannot be replaced
 	 */
 	public void installPreparedSnapshot(DurableLog.Content content) {
-		DurableFiles.move(this.folder.resolve(PREPARED_SNAPSHOT_FILE), this.folder.resolve(SNAPSHOT_FILE));
+		this.files.move(this.folder.resolve(PREPARED_SNAPSHOT_FILE), this.folder.resolve(SNAPSHOT_FILE));
 		this.log.replace(content);
 	}
 
@@ -169,6 +183,20 @@
 		this.storedState = state;
 	}
 
+	/**
+	 * Reads the folder again after a write or sync has failed, without what may not be
+	 * durable. Verifies that the disk accepts writes. Can be repeated if it fails; the
+	 * other methods must not be used until it has succeeded.
+	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
+	 * if a file cannot be read or written
+	 */
+	public void recover() {
+		this.log.discardUnsynced();
+		load();
+		// The directory entry of the vote may not be durable yet.
+		saveVote(this.storedState.vote());
+	}
+
 	@Override
 	public void close() {
 		try {
@@ -216,7 +244,7 @@
 		// A folder without a cluster gets a new incarnation each time it is opened,
 		// because the files of an earlier membership may have been lost.
 		if (!Files.exists(this.folder.resolve(CLUSTER_FILE))) {
-			DurableFiles.replaceWithChecksum(path, UUID.randomUUID().toString().getBytes(StandardCharsets.UTF_8));
+			this.files.replaceWithChecksum(path, UUID.randomUUID().toString().getBytes(StandardCharsets.UTF_8));
 		}
 		if (!Files.exists(path)) {
 			throw missingFile(INCARNATION_FILE);
@@ -236,7 +264,7 @@
 			throw missingFile(LOG_FILE);
 		}
 		ConsensusSnapshot snapshot = this.snapshotFile.read().orElse(null);
-		this.log = new DurableLog(this.folder.resolve(LOG_FILE));
+		this.log = new DurableLog(this.folder.resolve(LOG_FILE), this.files);
 		DurableLog.Content content = reconcile(snapshot);
 		this.storedState = new StoredState(new String(DurableFiles.readWithChecksum(cluster), StandardCharsets.UTF_8),
 				vote, snapshot, content.baseIndex(), content.baseTerm(), content.entries());
@@ -252,7 +280,7 @@
 		catch (IOException ex) {
 			throw StorageErrors.failure(this.folder, "cannot be cleared", ex);
 		}
-		this.log = new DurableLog(this.folder.resolve(LOG_FILE));
+		this.log = new DurableLog(this.folder.resolve(LOG_FILE), this.files);
 		saveVote(Vote.NONE);
 	}
 
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/DurableFiles.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/DurableFiles.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.Objects;
 import java.util.zip.CRC32C;
 
 /**
@@ -19,7 +20,10 @@
 
 	private static final int CHECKSUM_BYTES = Integer.BYTES;
 
-	private DurableFiles() {
+	private final Disk disk;
+
+	DurableFiles(Disk disk) {
+		this.disk = Objects.requireNonNull(disk, "disk must not be null");
 	}
 
 	/**
@@ -29,13 +33,12 @@
 	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
 	 * if the file cannot be replaced
 	 */
-	static void replace(Path path, ByteBuffer content) {
+	void replace(Path path, ByteBuffer content) {
 		Path temporary = path.resolveSibling(path.getFileName() + TEMPORARY_SUFFIX);
 		try {
 			try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
 					StandardOpenOption.TRUNCATE_EXISTING)) {
-				writeFully(channel, content);
-				channel.force(true);
+				append(channel, content);
 			}
 		}
 		catch (IOException ex) {
@@ -52,7 +55,7 @@
 	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
 	 * if the file cannot be replaced
 	 */
-	static void move(Path source, Path path) {
+	void move(Path source, Path path) {
 		try {
 			Files.move(source, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
 			syncDirectory(path.getParent());
@@ -69,7 +72,7 @@
 	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
 	 * if the file cannot be replaced
 	 */
-	static void replaceWithChecksum(Path path, byte[] content) {
+	void replaceWithChecksum(Path path, byte[] content) {
 		ByteBuffer buffer = ByteBuffer.allocate(CHECKSUM_BYTES + content.length);
 		buffer.putInt(checksum(content, 0, content.length)).put(content).flip();
 		replace(path, buffer);
@@ -106,15 +109,37 @@
 		}
 	}
 
-	static void syncDirectory(Path directory) throws IOException {
+	void syncDirectory(Path directory) throws IOException {
 		try (FileChannel channel = FileChannel.open(directory, StandardOpenOption.READ)) {
-			channel.force(true);
+			this.disk.sync(channel);
 		}
 	}
 
-	static void writeFully(FileChannel channel, ByteBuffer content) throws IOException {
-		while (content.hasRemaining()) {
-			channel.write(content);
+	/**
+	 * Writes bytes to an open file and syncs it.
+	 * @param channel the file
+	 * @param content the bytes
+	 * @throws IOException if the bytes may not be durable
+	 */
+	void append(FileChannel channel, ByteBuffer content) throws IOException {
+		this.disk.write(channel, content);
+		this.disk.sync(channel);
+	}
+
+	/**
+	 * Cuts a file to a length and syncs it.
+	 * @param path the file
+	 * @param length maximum length in bytes
+	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
+	 * if the file cannot be written
+	 */
+	void truncate(Path path, long length) {
+		try (FileChannel channel = FileChannel.open(path, StandardOpenOption.WRITE)) {
+			channel.truncate(length);
+			this.disk.sync(channel);
+		}
+		catch (IOException ex) {
+			throw StorageErrors.failure(path, "cannot be truncated", ex);
 		}
 	}
 
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/DurableLog.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/DurableLog.java
@@ -32,12 +32,17 @@
 
 	private final Path path;
 
+	private final DurableFiles files;
+
 	private final List<LogEntry> unsyncedEntries = new ArrayList<>();
 
 	private final Content recoveredContent;
 
 	private FileChannel channel;
 
+	/** Number of bytes at the start of the file that are certainly durable. */
+	private long syncedBytes;
+
 	/**
 	 * Opens a log file, creating it if it does not exist. A torn last record is
 	 * truncated.
@@ -46,9 +51,14 @@
 	 * if the file is corrupted before its last record or cannot be accessed
 	 */
 	public DurableLog(Path path) {
+		this(path, new DurableFiles(Disk.SYSTEM));
+	}
+
+	DurableLog(Path path, DurableFiles files) {
 		this.path = Objects.requireNonNull(path, "path must not be null");
+		this.files = files;
 		if (!Files.exists(path)) {
-			DurableFiles.replace(path, encodeRecord(StoredRecords.encode(new Content(0, 0, List.of()))));
+			this.files.replace(path, encodeRecord(StoredRecords.encode(new Content(0, 0, List.of()))));
 		}
 		this.recoveredContent = recover();
 	}
@@ -91,7 +101,8 @@
 	/**
 	 * Writes the unsynced entries as one record and syncs the file.
 	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
-	 * if the file cannot be written; the log must not be used afterwards
+	 * if the file cannot be written; the log must not be used afterwards, except for
+	 * {@link #discardUnsynced()}
 	 */
 	public void sync() {
 		if (this.unsyncedEntries.isEmpty()) {
@@ -101,8 +112,10 @@
 		// Only the base term of the first record in the file is used.
 		Content content = new Content(first.index() - 1, 0, this.unsyncedEntries);
 		try {
-			DurableFiles.writeFully(this.channel, encodeRecord(StoredRecords.encode(content)));
-			this.channel.force(false);
+			ByteBuffer record = encodeRecord(StoredRecords.encode(content));
+			int length = record.remaining();
+			this.files.append(this.channel, record);
+			this.syncedBytes += length;
 		}
 		catch (IOException ex) {
 			throw StorageErrors.failure(this.path, "cannot be written", ex);
@@ -119,10 +132,26 @@
 	 */
 	public void replace(Content content) {
 		this.unsyncedEntries.clear();
-		DurableFiles.replace(this.path, encodeRecord(StoredRecords.encode(content)));
+		// If this fails, the path may have the old or the new file. Both are durable in
+		// full.
+		this.syncedBytes = Long.MAX_VALUE;
+		this.files.replace(this.path, encodeRecord(StoredRecords.encode(content)));
 		reopen();
 	}
 
+	/**
+	 * Removes what a failed write or sync may have left behind, so that the file contains
+	 * only entries that are certainly durable, and closes it. Can be repeated if it
+	 * fails.
+	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
+	 * if the file cannot be written
+	 */
+	void discardUnsynced() {
+		this.unsyncedEntries.clear();
+		close();
+		this.files.truncate(this.path, this.syncedBytes);
+	}
+
 	@Override
 	public void close() {
 		if (this.channel == null) {
@@ -140,6 +169,7 @@
 		close();
 		try {
 			this.channel = FileChannel.open(this.path, StandardOpenOption.WRITE, StandardOpenOption.APPEND);
+			this.syncedBytes = this.channel.size();
 		}
 		catch (IOException ex) {
 			throw StorageErrors.failure(this.path, "cannot be opened", ex);
@@ -158,11 +188,13 @@
 			applyRecord(first.baseIndex(), entries, readBody(bytes, offset));
 			offset = nextRecordOffset(bytes, offset);
 		}
-		reopen();
 		if (offset < bytes.length) {
 			requireNoRecordAfter(bytes, offset);
-			truncate(offset);
 		}
+		// Also syncs the records: a process that ended may have written them without a
+		// sync.
+		this.files.truncate(this.path, offset);
+		reopen();
 		return new Content(first.baseIndex(), first.baseTerm(), entries);
 	}
 
@@ -192,16 +224,6 @@
 		}
 	}
 
-	private void truncate(int length) {
-		try {
-			this.channel.truncate(length);
-			this.channel.force(true);
-		}
-		catch (IOException ex) {
-			throw StorageErrors.failure(this.path, "cannot be truncated after a torn record", ex);
-		}
-	}
-
 	private Content readBody(byte[] bytes, int offset) {
 		int length = ByteBuffer.wrap(bytes).getInt(offset + Integer.BYTES);
 		byte[] body = new byte[length];
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/SnapshotFile.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/SnapshotFile.java
@@ -14,12 +14,19 @@
 
 	private final Path path;
 
+	private final DurableFiles files;
+
 	/**
 	 * Creates the accessor of a snapshot file.
 	 * @param path path of the file
 	 */
 	public SnapshotFile(Path path) {
+		this(path, new DurableFiles(Disk.SYSTEM));
+	}
+
+	SnapshotFile(Path path, DurableFiles files) {
 		this.path = Objects.requireNonNull(path, "path must not be null");
+		this.files = files;
 	}
 
 	/**
@@ -42,7 +49,7 @@
 	 * if the file cannot be written
 	 */
 	public void write(ConsensusSnapshot snapshot) {
-		DurableFiles.replaceWithChecksum(this.path, StoredRecords.encode(snapshot));
+		this.files.replaceWithChecksum(this.path, StoredRecords.encode(snapshot));
 	}
 
 }
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/VoteFile.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/VoteFile.java
@@ -14,12 +14,19 @@
 
 	private final Path path;
 
+	private final DurableFiles files;
+
 	/**
 	 * Creates the accessor of a vote file.
 	 * @param path path of the file
 	 */
 	public VoteFile(Path path) {
+		this(path, new DurableFiles(Disk.SYSTEM));
+	}
+
+	VoteFile(Path path, DurableFiles files) {
 		this.path = Objects.requireNonNull(path, "path must not be null");
+		this.files = files;
 	}
 
 	/**
@@ -42,7 +49,7 @@
 	 * if the file cannot be written
 	 */
 	public void write(Vote vote) {
-		DurableFiles.replaceWithChecksum(this.path, StoredRecords.encode(vote));
+		this.files.replaceWithChecksum(this.path, StoredRecords.encode(vote));
 	}
 
 }
--- a/magnolialead-storage/src/test/java/org/magnolialead/storage/DataFolderTests.java
+++ b/magnolialead-storage/src/test/java/org/magnolialead/storage/DataFolderTests.java
@@ -1,6 +1,8 @@
 package org.magnolialead.storage;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -135,6 +137,46 @@
 			}
 		}
 
+		/**
+		 * Guards against an entry that counts as stored although its sync failed: the
+		 * operating system may have discarded it, and a later sync succeeds.
+		 */
+		@Test
+		void discardsEntriesWhoseSyncFailed() {
+			boolean[] syncFails = { false };
+			Disk disk = new Disk() {
+
+				@Override
+				public void write(FileChannel channel, ByteBuffer content) throws IOException {
+					Disk.SYSTEM.write(channel, content);
+				}
+
+				@Override
+				public void sync(FileChannel channel) throws IOException {
+					if (syncFails[0]) {
+						throw new IOException("Input/output error");
+					}
+					Disk.SYSTEM.sync(channel);
+				}
+
+			};
+			List<Long> synced;
+			try (DataFolder data = new DataFolder(DataFolderTests.this.folder, disk)) {
+				synced = terms(data);
+				syncFails[0] = true;
+				requireStorageFailure(() -> commit(data, entry(4, 7)), "failed sync");
+				requireStorageFailure(data::recover, "recovery on a failed disk");
+				syncFails[0] = false;
+				data.recover();
+				require(terms(data).equals(synced), "only the synced entries are kept, found " + terms(data));
+				commit(data, entry(5, 7));
+			}
+			synced.add(5L);
+			try (DataFolder data = new DataFolder(DataFolderTests.this.folder)) {
+				require(terms(data).equals(synced), "the later entry follows the synced ones, found " + terms(data));
+			}
+		}
+
 		/**
 		 * Guards against a torn record whose pages contain zeros instead of its bytes.
 		 */
