Limit the control log in bytes

All members hold the same log. Commands and messages that wait, entries in flight to a member and the records of a replaced file are limited by size as well. The log file is read record by record. control.disk_megabytes states the disk, log_bytes in the metrics the size of the log.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -80,7 +80,7 @@
 			.withDefaults(settings.name(), settings.peer().address(), settings.dataFolder().orElseThrow(),
 					settings.controlMembers())
 			.withOverrides(Duration.ofMillis(settings.electionTimeoutMilliseconds()), settings.snapshotEntries(),
-					settings.seeds().isPresent() ? settings.controlAddresses() : List.of());
+					settings.seeds().isPresent() ? settings.controlAddresses() : List.of(), settings.diskBytes());
 		this.log = new DefaultCommandLog(logSettings, machine, this.peerClient::send, this.clock, new SecureRandom(),
 				launchedAt);
 		this.ledgerKeys = new LedgerKeys(this.log, machine);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlHttpHandler.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlHttpHandler.java
@@ -63,6 +63,7 @@
 			.put("term", this.log.term())
 			.put("commit_index", this.log.commitIndex())
 			.put("applied_index", this.log.appliedIndex())
+			.put("log_bytes", this.log.logBytes())
 			.put("log_suspended", this.log.failure().isPresent());
 		for (Map.Entry<String, Meter> meter : this.metrics.getMeters().entrySet()) {
 			node.putObject(meter.getKey())
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Objects;
 
+import org.magnolialead.engine.consensus.LogBudget;
+
 /**
  * Settings of a {@link DefaultCommandLog}.
  *
@@ -19,10 +21,11 @@
  * @param snapshotThreshold number of applied entries after which a snapshot is taken
  * @param seeds peer addresses at which other control daemons are contacted when the
  * settings list no peers
+ * @param logBudget limits of the log in bytes
  */
 public record CommandLogSettings(String name, String peerAddress, Path dataFolder, Map<String, String> peers,
 		Duration heartbeatInterval, Duration minimumElectionTimeout, Duration maximumElectionTimeout,
-		int snapshotThreshold, List<String> seeds) {
+		int snapshotThreshold, List<String> seeds, LogBudget logBudget) {
 
 	/** Default time between heartbeats of a leader. */
 	public static final Duration DEFAULT_HEARTBEAT_INTERVAL = Duration.ofMillis(100);
@@ -36,6 +39,9 @@
 	/** Default number of applied entries after which a snapshot is taken. */
 	public static final int DEFAULT_SNAPSHOT_THRESHOLD = 10_000;
 
+	/** Default size in bytes of the disk that holds the data folder. */
+	public static final long DEFAULT_DISK_BYTES = 1_024L * 1024 * 1024;
+
 	private static final int HEARTBEATS_PER_TIMEOUT = 5;
 
 	public CommandLogSettings {
@@ -44,6 +50,7 @@
 		Objects.requireNonNull(dataFolder, "dataFolder must not be null");
 		Objects.requireNonNull(heartbeatInterval, "heartbeatInterval must not be null");
 		Objects.requireNonNull(minimumElectionTimeout, "minimumElectionTimeout must not be null");
+		Objects.requireNonNull(logBudget, "logBudget must not be null");
 		Objects.requireNonNull(maximumElectionTimeout, "maximumElectionTimeout must not be null");
 		peers = Map.copyOf(peers);
 		seeds = List.copyOf(seeds);
@@ -53,17 +60,20 @@
 	}
 
 	/**
-	 * Returns settings with a different election timeout, snapshot threshold and seeds.
+	 * Returns settings with a different election timeout, snapshot threshold, seeds and
+	 * size of the disk.
 	 * @param electionTimeout minimum time without a leader before an election; the
 	 * maximum is twice that, and the heartbeat interval a fifth of it
 	 * @param entries number of entries between snapshots
 	 * @param seedAddresses peer addresses at which other control daemons are contacted
+	 * @param diskBytes size in bytes of the disk that holds the data folder
 	 * @return the settings
 	 */
-	public CommandLogSettings withOverrides(Duration electionTimeout, int entries, List<String> seedAddresses) {
+	public CommandLogSettings withOverrides(Duration electionTimeout, int entries, List<String> seedAddresses,
+			long diskBytes) {
 		return new CommandLogSettings(this.name, this.peerAddress, this.dataFolder, this.peers,
 				electionTimeout.dividedBy(HEARTBEATS_PER_TIMEOUT), electionTimeout, electionTimeout.multipliedBy(2),
-				entries, seedAddresses);
+				entries, seedAddresses, logBudget(diskBytes));
 	}
 
 	/**
@@ -81,7 +91,11 @@
 			Duration heartbeatInterval, Duration minimumElectionTimeout, Duration maximumElectionTimeout,
 			int snapshotThreshold) {
 		this(name, peerAddress, dataFolder, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout,
-				snapshotThreshold, List.of());
+				snapshotThreshold, List.of(), logBudget(DEFAULT_DISK_BYTES));
+	}
+
+	private static LogBudget logBudget(long diskBytes) {
+		return LogBudget.of(diskBytes, Runtime.getRuntime().maxMemory());
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogStatus.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogStatus.java
@@ -19,20 +19,22 @@
  * @param term the term
  * @param commitIndex index of the last committed entry
  * @param appliedIndex index of the last applied entry
+ * @param logBytes size in bytes of the commands in the log
  * @param voters the voting members
  */
 record CommandLogStatus(boolean leader, OptionalLong authorityDeadline, long leaderSince,
-		Optional<String> leaderAddress, String cluster, long term, long commitIndex, long appliedIndex,
+		Optional<String> leaderAddress, String cluster, long term, long commitIndex, long appliedIndex, long logBytes,
 		List<ControlIdentity> voters) {
 
 	static CommandLogStatus of(ConsensusNode node, long appliedIndex, long now) {
 		return new CommandLogStatus(node.isLeader(), node.authorityDeadline(now), node.leaderSince().orElse(0),
-				node.leaderAddress(), node.cluster(), node.term(), node.commitIndex(), appliedIndex, node.voters());
+				node.leaderAddress(), node.cluster(), node.term(), node.commitIndex(), appliedIndex, node.logBytes(),
+				node.voters());
 	}
 
 	CommandLogStatus inactive() {
 		return new CommandLogStatus(false, OptionalLong.empty(), 0, Optional.empty(), this.cluster, this.term,
-				this.commitIndex, this.appliedIndex, this.voters);
+				this.commitIndex, this.appliedIndex, this.logBytes, this.voters);
 	}
 
 	boolean hasAuthority(long now) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -4,12 +4,10 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.UUID;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +18,7 @@
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.MonotonicClock;
+import org.magnolialead.api.Outcome;
 import org.magnolialead.api.Step;
 import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand;
@@ -56,10 +55,11 @@
 
 	private static final int TICKS_PER_HEARTBEAT = 5;
 
-	private static final int MESSAGE_QUEUE_CAPACITY = 10_000;
-
 	private static final int MAXIMUM_BATCH_MESSAGES = 1_000;
 
+	/** Fraction of the maximum size of the log that each queue may use in addition. */
+	private static final int QUEUE_SHARE_OF_LOG = 2;
+
 	/**
 	 * Maximum size of a command in bytes, half of the largest frame of the peer protocol.
 	 */
@@ -92,9 +92,9 @@
 	 */
 	private final ExecutorService snapshotExecutor;
 
-	private final BlockingQueue<ConsensusMessage> messages = new LinkedBlockingQueue<>(MESSAGE_QUEUE_CAPACITY);
+	private final ConsensusMessageQueue messages;
 
-	private final PendingCommands commands = new PendingCommands();
+	private final PendingCommands commands;
 
 	private final AtomicBoolean queueHandlingScheduled = new AtomicBoolean();
 
@@ -139,11 +139,14 @@
 		this.transport = Objects.requireNonNull(transport, "transport must not be null");
 		this.clock = Objects.requireNonNull(clock, "clock must not be null");
 		this.random = Objects.requireNonNull(random, "random must not be null");
+		long queueBytes = settings.logBudget().maximumBytes() / QUEUE_SHARE_OF_LOG;
+		this.messages = new ConsensusMessageQueue(queueBytes);
+		this.commands = new PendingCommands(queueBytes);
 		this.folder = new DataFolder(settings.dataFolder(), disk);
 		ControlIdentity self = new ControlIdentity(settings.name(), this.folder.incarnation(), settings.peerAddress());
 		this.consensusSettings = ConsensusSettings.of(self, settings.peers(), settings.heartbeatInterval().toNanos(),
 				settings.minimumElectionTimeout().toNanos(), settings.maximumElectionTimeout().toNanos(),
-				settings.seeds());
+				settings.seeds(), settings.logBudget());
 		this.nextSnapshotAt = clock.nanoseconds();
 		createNode(this.folder.storedState(), folderUnusedSince);
 		this.executor = Executors.newSingleThreadScheduledExecutor((task) -> {
@@ -283,6 +286,14 @@
 		return this.status.cluster();
 	}
 
+	/**
+	 * Returns the size of the commands in the log.
+	 * @return the size in bytes
+	 */
+	public long logBytes() {
+		return this.status.logBytes();
+	}
+
 	/**
 	 * Returns the error that suspended the log.
 	 * @return the error, or empty if the log is not suspended
@@ -424,7 +435,7 @@
 					this.clock.nanoseconds());
 		}
 		catch (MagnolialeadException ex) {
-			if (ex.code() != ErrorCode.NOT_LEADER) {
+			if (ex.code().outcome() != Outcome.NOT_RUN) {
 				throw ex;
 			}
 			this.commands.reject(batch, ex);
@@ -447,7 +458,7 @@
 	}
 
 	private boolean isSnapshotDue() {
-		return this.node.commitIndex() - this.node.snapshotIndex() >= this.settings.snapshotThreshold()
+		return this.node.isSnapshotDue(this.settings.snapshotThreshold())
 				&& this.clock.nanoseconds() - this.nextSnapshotAt >= 0;
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/PendingCommands.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/PendingCommands.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
@@ -25,15 +26,28 @@
 
 	private static final int MAXIMUM_BATCH_COMMANDS = 1_000;
 
-	/** Limits the duration of one sync so that heartbeats are not delayed. */
+	/** Limits the duration of one sync so that heartbeats are not delayed, in bytes. */
 	private static final long MAXIMUM_BATCH_BYTES = 4 * 1024 * 1024;
 
 	private final BlockingQueue<Proposal> waiting = new LinkedBlockingQueue<>(QUEUE_CAPACITY);
 
+	private final AtomicLong waitingBytes = new AtomicLong();
+
+	private final long maximumWaitingBytes;
+
 	private final Map<Long, Proposal> proposedByIndex = new HashMap<>();
 
 	private final List<Runnable> completions = new ArrayList<>();
 
+	/**
+	 * Creates an empty queue.
+	 * @param maximumWaitingBytes maximum size in bytes of the commands that wait to be
+	 * proposed
+	 */
+	PendingCommands(long maximumWaitingBytes) {
+		this.maximumWaitingBytes = maximumWaitingBytes;
+	}
+
 	/**
 	 * Adds a command to the queue.
 	 * @param command the encoded command
@@ -42,9 +56,12 @@
 	 */
 	CompletableFuture<CommandResult> offer(byte[] command) {
 		Proposal proposal = new Proposal(command, new CompletableFuture<>());
-		if (!this.waiting.offer(proposal)) {
+		boolean fits = this.waitingBytes.addAndGet(command.length) <= this.maximumWaitingBytes;
+		if (!fits || !this.waiting.offer(proposal)) {
+			this.waitingBytes.addAndGet(-command.length);
 			return CompletableFuture.failedFuture(new MagnolialeadException(ErrorCode.OVERLOADED, Step.CONTROL, "",
-					"the queue of the control log is full: %d commands are waiting".formatted(QUEUE_CAPACITY)));
+					"the queue of the control log is full: %d commands of %d bytes are waiting"
+						.formatted(this.waiting.size(), this.waitingBytes.get())));
 		}
 		return proposal.result();
 	}
@@ -66,6 +83,7 @@
 				break;
 			}
 			bytes += proposal.command().length;
+			this.waitingBytes.addAndGet(-proposal.command().length);
 			batch.add(proposal);
 		}
 		return batch;
@@ -112,7 +130,10 @@
 	void rejectWaiting(MagnolialeadException cause) {
 		List<Proposal> rejected = new ArrayList<>();
 		this.waiting.drainTo(rejected);
-		rejected.forEach((proposal) -> proposal.result().completeExceptionally(cause));
+		rejected.forEach((proposal) -> {
+			this.waitingBytes.addAndGet(-proposal.command().length);
+			proposal.result().completeExceptionally(cause);
+		});
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -6,6 +6,8 @@
 import java.util.Objects;
 import java.util.Optional;
 
+import org.magnolialead.daemon.control.CommandLogSettings;
+
 /**
  * Validated settings of one daemon.
  *
@@ -20,6 +22,7 @@
  * daemons
  * @param dataFolder folder for durable state; present for control daemons
  * @param snapshotEntries number of log entries between snapshots of a control daemon
+ * @param diskBytes size in bytes of the disk that holds the data folder
  * @param electionTimeoutMilliseconds minimum time in milliseconds without a control
  * leader before an election
  * @param threads number of threads that serve requests
@@ -30,8 +33,8 @@
  */
 public record DaemonSettings(Path file, String name, DaemonRole role, String availabilityZone, PeerSettings peer,
 		Map<String, String> controlMembers, HttpSettings http, Optional<Path> sessionKeyFile, Optional<Path> dataFolder,
-		int snapshotEntries, long electionTimeoutMilliseconds, int threads, Optional<SeedSettings> seeds,
-		Optional<SessionSettings> sessions) {
+		int snapshotEntries, long diskBytes, long electionTimeoutMilliseconds, int threads,
+		Optional<SeedSettings> seeds, Optional<SessionSettings> sessions) {
 
 	/** Default minimum time without a control leader before an election. */
 	static final int DEFAULT_ELECTION_TIMEOUT_MILLISECONDS = 500;
@@ -63,7 +66,8 @@
 			Map<String, String> controlMembers, HttpSettings http, Optional<Path> sessionKeyFile,
 			Optional<Path> dataFolder, int snapshotEntries, int threads) {
 		this(file, name, role, availabilityZone, peer, controlMembers, http, sessionKeyFile, dataFolder,
-				snapshotEntries, DEFAULT_ELECTION_TIMEOUT_MILLISECONDS, threads, Optional.empty(), Optional.empty());
+				snapshotEntries, CommandLogSettings.DEFAULT_DISK_BYTES, DEFAULT_ELECTION_TIMEOUT_MILLISECONDS, threads,
+				Optional.empty(), Optional.empty());
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
@@ -15,6 +15,7 @@
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.Step;
+import org.magnolialead.daemon.control.CommandLogSettings;
 
 /**
  * Reads and validates the settings file of a daemon.
@@ -46,6 +47,13 @@
 
 	private static final int DEFAULT_SNAPSHOT_ENTRIES = 20_000;
 
+	private static final int BYTES_PER_MEGABYTE = 1024 * 1024;
+
+	private static final int MINIMUM_DISK_MEGABYTES = 8;
+
+	private static final int DEFAULT_DISK_MEGABYTES = (int) (CommandLogSettings.DEFAULT_DISK_BYTES
+			/ BYTES_PER_MEGABYTE);
+
 	private static final int MAXIMUM_THREADS = 64;
 
 	private static final int MINIMUM_ELECTION_TIMEOUT_MILLISECONDS = 100;
@@ -90,6 +98,8 @@
 				: controlMembers(control.section("members"), control);
 		Optional<Path> dataFolder = control.optionalString("data_folder").map((string) -> resolve(file, string));
 		int snapshotEntries = control.integer("snapshot_entries", 10, 10_000_000, DEFAULT_SNAPSHOT_ENTRIES);
+		long diskBytes = (long) BYTES_PER_MEGABYTE
+				* control.integer("disk_megabytes", MINIMUM_DISK_MEGABYTES, Integer.MAX_VALUE, DEFAULT_DISK_MEGABYTES);
 		int electionTimeout = control.integer("election_timeout_milliseconds", MINIMUM_ELECTION_TIMEOUT_MILLISECONDS,
 				MAXIMUM_TIMEOUT_MILLISECONDS, DaemonSettings.DEFAULT_ELECTION_TIMEOUT_MILLISECONDS);
 		control.rejectUnknownKeys();
@@ -107,7 +117,7 @@
 			checkKeyFile(keyFile, session);
 		}
 		return new DaemonSettings(file, name, role, availabilityZone, peer, members, http, keyFile, dataFolder,
-				snapshotEntries, electionTimeout, threads, seeds, sessions);
+				snapshotEntries, diskBytes, electionTimeout, threads, seeds, sessions);
 	}
 
 	private static JsonNode parse(Path file) {
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/FailingDisk.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/FailingDisk.java
@@ -1,13 +1,16 @@
 package org.magnolialead.daemon.control;
 
+import java.io.File;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.file.Path;
 
 import org.magnolialead.storage.Disk;
 
 /**
- * Disk that can be made to fail. Failures apply to all files.
+ * Disk that can be made to fail, and whose size can be limited. Failures apply to all
+ * files.
  */
 final class FailingDisk implements Disk {
 
@@ -15,6 +18,12 @@
 
 	private volatile boolean failed;
 
+	private Path folder;
+
+	private long capacity = Long.MAX_VALUE;
+
+	private long maximumUsed;
+
 	void fail(Fault present) {
 		this.fault = present;
 		this.failed |= present != Fault.NONE;
@@ -28,11 +37,44 @@
 		return this.failed;
 	}
 
+	/**
+	 * Limits the size of the files in a folder.
+	 * @param dataFolder the folder
+	 * @param bytes maximum size of its files together in bytes
+	 */
+	synchronized void limit(Path dataFolder, long bytes) {
+		this.folder = dataFolder;
+		this.capacity = bytes;
+	}
+
+	/**
+	 * Returns the largest size that the files of the folder had.
+	 * @return the size in bytes, 0 without a limit
+	 */
+	synchronized long maximumUsed() {
+		return this.maximumUsed;
+	}
+
 	@Override
 	public void write(FileChannel channel, ByteBuffer content) throws IOException {
+		requireSpace(content.remaining());
 		this.fault.write(channel, content);
 	}
 
+	private synchronized void requireSpace(int bytes) throws IOException {
+		if (this.folder == null) {
+			return;
+		}
+		long used = bytes;
+		for (File file : this.folder.toFile().listFiles()) {
+			used += file.length();
+		}
+		if (used > this.capacity) {
+			throw new IOException("No space left on device");
+		}
+		this.maximumUsed = Math.max(this.maximumUsed, used);
+	}
+
 	@Override
 	public void sync(FileChannel channel) throws IOException {
 		this.fault.sync(channel);
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
@@ -70,6 +70,9 @@
 	/** Highest committed and synced index; entries up to it were passed to the driver. */
 	private long commitIndex;
 
+	/** Size in bytes of the committed commands after the snapshot. */
+	private long committedBytes;
+
 	private long lastLeaderContact;
 
 	private long electionDeadline;
@@ -114,6 +117,7 @@
 		Invariants.require(this.commitIndex <= this.log.lastIndex(), "",
 				"entries up to %d were applied but the log ends at %d", this.commitIndex, this.log.lastIndex());
 		this.knownCommitIndex = this.commitIndex;
+		this.committedBytes = this.log.bytes(this.log.snapshotIndex() + 1, this.commitIndex);
 		// A restarted voter is a member already and waits for an election first.
 		this.nextJoinRequest = isVoter() ? now + settings.maximumElectionTimeout() : now;
 		// A leader may rely on an answer that this member sent just before the restart.
@@ -195,13 +199,15 @@
 	 * @param now present time in nanoseconds
 	 * @return the actions
 	 * @throws MagnolialeadException of code {@code NOT_LEADER} if this member is not the
-	 * leader; nothing was appended
+	 * leader, or {@code OVERLOADED} if the log has no room for the commands until the
+	 * next snapshot; nothing was appended
 	 */
 	public List<ConsensusAction> propose(List<byte[]> commands, long now) {
 		if (this.role != Role.LEADER || now - this.leadership.stepDownDeadline(now) >= 0) {
 			throw new MagnolialeadException(ErrorCode.NOT_LEADER, Step.CONTROL, leaderAddress().orElse(""),
 					"this control daemon is not the leader");
 		}
+		requireRoom(commands);
 		List<LogEntry> entries = new ArrayList<>();
 		for (byte[] command : commands) {
 			entries
@@ -211,6 +217,18 @@
 		return drainActions();
 	}
 
+	private void requireRoom(List<byte[]> commands) {
+		long bytes = this.log.bytes();
+		for (byte[] command : commands) {
+			bytes += command.length;
+		}
+		if (bytes > this.settings.logBudget().maximumBytes()) {
+			throw new MagnolialeadException(ErrorCode.OVERLOADED, Step.CONTROL, "",
+					"the control log would hold %d bytes, more than its limit of %d bytes, until the next snapshot"
+						.formatted(bytes, this.settings.logBudget().maximumBytes()));
+		}
+	}
+
 	/**
 	 * Reports that log entries are synced. Answers that waited for them are sent.
 	 * @param upToIndex index of the last synced entry
@@ -241,12 +259,23 @@
 				this.log.votersAt(this.commitIndex));
 	}
 
+	/**
+	 * Tells whether the driver should take a snapshot, because many commands were
+	 * committed since the last one.
+	 * @param entries number of committed entries from which on a snapshot is due
+	 * @return {@code true} if it is due by the number or by the size of the commands
+	 */
+	public boolean isSnapshotDue(int entries) {
+		return this.commitIndex - this.log.snapshotIndex() >= entries
+				|| this.committedBytes >= this.settings.logBudget().snapshotBytes();
+	}
+
 	/**
 	 * Removes entries that a snapshot covers. The driver calls it after syncing the
 	 * snapshot; entries may have been applied since its position was taken.
 	 * @param snapshot snapshot of the state at an earlier {@link #snapshotPosition()}
-	 * @param retainedEntries number of covered entries to keep for members that lag
-	 * slightly behind
+	 * @param retainedEntries maximum number of covered entries to keep for members that
+	 * lag slightly behind
 	 * @return {@code false} if nothing changed, because the member already has a snapshot
 	 * of the same or a later position, for example one installed from the leader
 	 */
@@ -254,7 +283,8 @@
 		if (snapshot.lastIndex() <= this.log.snapshotIndex()) {
 			return false;
 		}
-		this.log.compact(snapshot, snapshot.lastIndex() + 1 - retainedEntries);
+		this.log.compact(snapshot, retainedEntries, this.settings.logBudget().retainedBytes());
+		this.committedBytes = this.log.bytes(snapshot.lastIndex() + 1, this.commitIndex);
 		return true;
 	}
 
@@ -356,6 +386,14 @@
 		return this.log.snapshotIndex();
 	}
 
+	/**
+	 * Returns the size of the commands that the log holds.
+	 * @return the size in bytes
+	 */
+	public long logBytes() {
+		return this.log.bytes();
+	}
+
 	/**
 	 * Returns the voting members.
 	 * @return the voters
@@ -645,6 +683,10 @@
 			sendRejection(request, rejectionHint(request));
 			return;
 		}
+		if (!hasRoom(request.entries())) {
+			// Not answered, so that the leader sends the entries again with a heartbeat.
+			return;
+		}
 		appendMissing(request.entries());
 		long matchIndex = request.previousIndex() + request.entries().size();
 		this.knownCommitIndex = Math.max(this.knownCommitIndex, Math.min(request.commitIndex(), matchIndex));
@@ -653,6 +695,13 @@
 				new AppendAnswer(this.settings.self(), this.cluster, term(), true, matchIndex, request.round()));
 	}
 
+	// Entries are refused only if a snapshot is due, because only a snapshot makes room.
+	private boolean hasRoom(List<LogEntry> entries) {
+		LogBudget budget = this.settings.logBudget();
+		return entries.isEmpty() || this.log.bytes() <= budget.maximumBytes()
+				|| this.committedBytes < budget.snapshotBytes();
+	}
+
 	// Accepts the sender of a message as leader unless the message is of an earlier term.
 	private boolean follow(ConsensusMessage message, long now) {
 		if (this.cluster.isEmpty()) {
@@ -758,6 +807,7 @@
 		this.snapshotAssembly = null;
 		this.pendingAnswers.clear();
 		this.log.reset(snapshot);
+		this.committedBytes = 0;
 		this.persistedIndex = snapshot.lastIndex();
 		this.commitIndex = snapshot.lastIndex();
 		this.knownCommitIndex = Math.max(this.knownCommitIndex, this.commitIndex);
@@ -784,6 +834,7 @@
 				this.commitIndex, newCommitIndex);
 		if (newCommitIndex > this.commitIndex) {
 			this.actions.add(new ConsensusAction.ApplyEntries(this.log.range(this.commitIndex + 1, newCommitIndex)));
+			this.committedBytes += this.log.bytes(this.commitIndex + 1, newCommitIndex);
 			this.commitIndex = newCommitIndex;
 		}
 		if (isLeader()) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
@@ -25,10 +25,17 @@
  * @param snapshotPartBytes size of one part of a snapshot in bytes
  * @param seeds addresses to which a member sends join requests while it knows no leader;
  * used only if the settings list no peers
+ * @param logBudget limits of the log in bytes
  */
 public record ConsensusSettings(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
 		long minimumElectionTimeout, long maximumElectionTimeout, int maximumEntries, int maximumBytes,
-		int maximumInFlight, int snapshotPartBytes, List<String> seeds) {
+		int maximumInFlight, int snapshotPartBytes, List<String> seeds, LogBudget logBudget) {
+
+	/** Number of messages of the maximum size that are in flight per member. */
+	private static final int MAXIMUM_LARGE_MESSAGES_IN_FLIGHT = 4;
+
+	/** Size in bytes of the disk and of the heap unless settings state another. */
+	private static final long DEFAULT_RESOURCE_BYTES = 128L * 1024 * 1024;
 
 	private static final int DEFAULT_MAXIMUM_ENTRIES = 1_000;
 
@@ -41,6 +48,7 @@
 
 	public ConsensusSettings {
 		Objects.requireNonNull(self, "self must not be null");
+		Objects.requireNonNull(logBudget, "logBudget must not be null");
 		// Sorted so that a simulation is reproducible from its seed in every process.
 		peers = Collections.unmodifiableMap(new TreeMap<>(peers));
 		seeds = List.copyOf(seeds);
@@ -75,7 +83,8 @@
 			long minimumElectionTimeout, long maximumElectionTimeout, int maximumEntries, int maximumBytes,
 			int maximumInFlight, int snapshotPartBytes) {
 		this(self, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout, maximumEntries,
-				maximumBytes, maximumInFlight, snapshotPartBytes, List.of());
+				maximumBytes, maximumInFlight, snapshotPartBytes, List.of(),
+				LogBudget.of(DEFAULT_RESOURCE_BYTES, DEFAULT_RESOURCE_BYTES));
 	}
 
 	/**
@@ -86,13 +95,39 @@
 	 * @param minimumElectionTimeout minimum election timeout in nanoseconds
 	 * @param maximumElectionTimeout maximum election timeout in nanoseconds
 	 * @param seeds addresses to which a member sends join requests
+	 * @param logBudget limits of the log in bytes
 	 * @return the settings
 	 */
 	public static ConsensusSettings of(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
-			long minimumElectionTimeout, long maximumElectionTimeout, List<String> seeds) {
+			long minimumElectionTimeout, long maximumElectionTimeout, List<String> seeds, LogBudget logBudget) {
 		return new ConsensusSettings(self, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout,
 				DEFAULT_MAXIMUM_ENTRIES, DEFAULT_MAXIMUM_BYTES, DEFAULT_MAXIMUM_IN_FLIGHT, DEFAULT_SNAPSHOT_PART_BYTES,
-				seeds);
+				seeds, logBudget);
+	}
+
+	/**
+	 * Returns settings with default message and log limits.
+	 * @param self identity of this member
+	 * @param peers peer addresses of all configured control daemons by name
+	 * @param heartbeatInterval time between heartbeats in nanoseconds
+	 * @param minimumElectionTimeout minimum election timeout in nanoseconds
+	 * @param maximumElectionTimeout maximum election timeout in nanoseconds
+	 * @param seeds addresses to which a member sends join requests
+	 * @return the settings
+	 */
+	public static ConsensusSettings of(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
+			long minimumElectionTimeout, long maximumElectionTimeout, List<String> seeds) {
+		return of(self, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout, seeds,
+				LogBudget.of(DEFAULT_RESOURCE_BYTES, DEFAULT_RESOURCE_BYTES));
+	}
+
+	/**
+	 * Returns how many bytes of entries may be in flight per member. One message is
+	 * always permitted.
+	 * @return the size in bytes
+	 */
+	long maximumInFlightBytes() {
+		return (long) MAXIMUM_LARGE_MESSAGES_IN_FLIGHT * this.maximumBytes;
 	}
 
 	/**
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
@@ -131,7 +131,7 @@
 			progress.resendFromMatch();
 		}
 		progress.allowProbe();
-		if (progress.maySendEntries(this.settings.maximumInFlight())) {
+		if (maySendEntries(progress)) {
 			sendNext(progress, now, actions);
 		}
 		else {
@@ -162,11 +162,15 @@
 
 	private void replicate(MemberProgress progress, long now, List<ConsensusAction> actions) {
 		while (progress.transfer() == null && progress.nextIndex() <= this.log.lastIndex()
-				&& progress.maySendEntries(this.settings.maximumInFlight())) {
+				&& maySendEntries(progress)) {
 			sendNext(progress, now, actions);
 		}
 	}
 
+	private boolean maySendEntries(MemberProgress progress) {
+		return progress.maySendEntries(this.settings.maximumInFlight(), this.settings.maximumInFlightBytes());
+	}
+
 	private void sendNext(MemberProgress progress, long now, List<ConsensusAction> actions) {
 		if (progress.nextIndex() <= this.log.baseIndex() && progress.transfer() == null) {
 			progress.startTransfer(this.log.snapshot());
@@ -179,14 +183,14 @@
 				this.settings.maximumBytes());
 		this.round++;
 		send(address(progress), appendRequest(progress.nextIndex() - 1, entries), actions);
-		progress.recordSend(this.round, now, entries.size());
+		progress.recordSend(this.round, now, entries);
 	}
 
 	private void sendEmpty(MemberProgress progress, long now, List<ConsensusAction> actions) {
 		long previousIndex = Math.max(this.log.baseIndex(), progress.nextIndex() - 1);
 		this.round++;
 		send(address(progress), appendRequest(previousIndex, List.of()), actions);
-		progress.recordSend(this.round, now, 0);
+		progress.recordSend(this.round, now, List.of());
 	}
 
 	private void sendSnapshotPart(MemberProgress progress, long now, List<ConsensusAction> actions) {
@@ -199,7 +203,7 @@
 				snapshot.lastTerm(), snapshot.lastIndex(), snapshot.voters(), offset, part,
 				end == snapshot.data().length, this.round);
 		send(address(progress), request, actions);
-		progress.recordSend(this.round, now, 0);
+		progress.recordSend(this.round, now, List.of());
 	}
 
 	private AppendRequest appendRequest(long previousIndex, List<LogEntry> entries) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/MemberProgress.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/MemberProgress.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 
 import org.magnolialead.api.message.ControlIdentity;
+import org.magnolialead.api.message.LogEntry;
 
 /**
  * Replication progress of another member, as seen by the leader.
@@ -24,6 +26,8 @@
 
 	private int inFlight;
 
+	private long inFlightBytes;
+
 	private long matchIndex;
 
 	private long nextIndex;
@@ -79,18 +83,32 @@
 		return this.lastAnswerTime - time < 0;
 	}
 
-	boolean maySendEntries(int maximumInFlight) {
-		return this.pipelining ? this.inFlight < maximumInFlight : !this.awaitingProbe;
+	boolean maySendEntries(int maximumInFlight, long maximumInFlightBytes) {
+		if (!this.pipelining) {
+			return !this.awaitingProbe;
+		}
+		return this.inFlight < maximumInFlight && this.inFlightBytes < maximumInFlightBytes;
 	}
 
-	void recordSend(long round, long now, int entries) {
-		this.unanswered.addLast(new SentRound(round, now));
+	/**
+	 * Records a message.
+	 * @param round round of the message
+	 * @param now present time in nanoseconds
+	 * @param entries entries in the message
+	 */
+	void recordSend(long round, long now, List<LogEntry> entries) {
+		long bytes = 0;
+		for (LogEntry entry : entries) {
+			bytes += entry.command().length;
+		}
+		this.unanswered.addLast(new SentRound(round, now, bytes));
 		this.inFlight++;
+		this.inFlightBytes += bytes;
 		if (this.unanswered.size() > MAXIMUM_UNANSWERED) {
 			removeFirstUnanswered();
 		}
 		if (this.pipelining) {
-			this.nextIndex += entries;
+			this.nextIndex += entries.size();
 		}
 		else {
 			this.awaitingProbe = true;
@@ -126,6 +144,7 @@
 		SentRound first = this.unanswered.removeFirst();
 		if (first.round() >= this.firstRoundInFlight) {
 			this.inFlight--;
+			this.inFlightBytes -= first.bytes();
 		}
 		return first;
 	}
@@ -166,6 +185,7 @@
 		this.pipelining = false;
 		this.awaitingProbe = false;
 		this.inFlight = 0;
+		this.inFlightBytes = 0;
 		if (!this.unanswered.isEmpty()) {
 			this.firstRoundInFlight = this.unanswered.peekLast().round() + 1;
 		}
@@ -193,7 +213,7 @@
 		this.transfer = null;
 	}
 
-	private record SentRound(long round, long time) {
+	private record SentRound(long round, long time, long bytes) {
 	}
 
 }
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ReplicaLog.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ReplicaLog.java
@@ -24,6 +24,8 @@
 
 	private long baseTerm;
 
+	private long bytes;
+
 	ReplicaLog(StoredState stored) {
 		this.baseIndex = stored.baseIndex();
 		this.baseTerm = stored.baseTerm();
@@ -67,6 +69,28 @@
 		return termAt(lastIndex());
 	}
 
+	/**
+	 * Returns the size of the commands in the log.
+	 * @return the size in bytes
+	 */
+	long bytes() {
+		return this.bytes;
+	}
+
+	/**
+	 * Returns the size of the commands in a range of the log.
+	 * @param firstIndex index of the first entry
+	 * @param lastIndex index of the last entry; may precede the first one
+	 * @return the size in bytes
+	 */
+	long bytes(long firstIndex, long lastIndex) {
+		long size = 0;
+		for (long index = firstIndex; index <= lastIndex; index++) {
+			size += entry(index).command().length;
+		}
+		return size;
+	}
+
 	/**
 	 * Returns the term of an entry.
 	 * @param index the index
@@ -113,6 +137,7 @@
 			Invariants.require(entry.index() == lastIndex() + 1, "", "entry %d cannot be appended after entry %d",
 					entry.index(), lastIndex());
 			this.entries.add(entry);
+			this.bytes += entry.command().length;
 			if (entry.kind() == LogEntry.Kind.VOTERS) {
 				this.votersByIndex.put(entry.index(), entry.voters());
 			}
@@ -120,6 +145,7 @@
 	}
 
 	void truncateFrom(long index) {
+		this.bytes -= bytes(index, lastIndex());
 		this.entries.subList(position(index), this.entries.size()).clear();
 		this.votersByIndex.tailMap(index, true).clear();
 	}
@@ -127,24 +153,41 @@
 	/**
 	 * Records a snapshot of this log and removes entries that it covers.
 	 * @param compacted the snapshot
-	 * @param firstKeptIndex index of the first entry to keep
+	 * @param retainedEntries maximum number of covered entries to keep
+	 * @param retainedBytes maximum size of the commands in them in bytes
 	 */
-	void compact(ConsensusSnapshot compacted, long firstKeptIndex) {
+	void compact(ConsensusSnapshot compacted, int retainedEntries, long retainedBytes) {
+		long firstKeptIndex = firstKeptIndex(compacted.lastIndex(), retainedEntries, retainedBytes);
 		this.snapshot = compacted;
 		this.votersByIndex.headMap(compacted.lastIndex()).clear();
 		this.votersByIndex.put(compacted.lastIndex(), compacted.voters());
 		long newBase = Math.min(firstKeptIndex - 1, compacted.lastIndex());
 		if (newBase > this.baseIndex) {
 			long newBaseTerm = termAt(newBase);
+			this.bytes -= bytes(this.baseIndex + 1, newBase);
 			this.entries.subList(0, (int) (newBase - this.baseIndex)).clear();
 			this.baseIndex = newBase;
 			this.baseTerm = newBaseTerm;
 		}
 	}
 
+	private long firstKeptIndex(long lastCovered, int retainedEntries, long retainedBytes) {
+		long size = 0;
+		long index = lastCovered + 1;
+		while (index > this.baseIndex + 1 && index > lastCovered + 1 - retainedEntries) {
+			size += entry(index - 1).command().length;
+			if (size > retainedBytes) {
+				break;
+			}
+			index--;
+		}
+		return index;
+	}
+
 	void reset(ConsensusSnapshot installed) {
 		this.snapshot = installed;
 		this.entries.clear();
+		this.bytes = 0;
 		this.baseIndex = installed.lastIndex();
 		this.baseTerm = installed.lastTerm();
 		this.votersByIndex.clear();
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
@@ -61,6 +61,22 @@
 		}
 	}
 
+	/**
+	 * Guards against logs that grow without a limit when no snapshot is taken in time,
+	 * and against a full log from which a cluster never recovers.
+	 */
+	@Test
+	void keepsGuaranteesWithinItsLogBudget() {
+		long refusedCommands = 0;
+		for (long seed = 1; seed <= SEEDS_PER_SIZE; seed++) {
+			ConsensusSimulation simulation = new ConsensusSimulation(seed, 3, ConsensusSimulation.Fault.NONE)
+				.withLogBudget(new LogBudget(96, 32, 160));
+			simulation.run(SIMULATED_SECONDS);
+			refusedCommands += simulation.refusedCommands();
+		}
+		ConsensusSimulation.require(refusedCommands > 0, "no log was full");
+	}
+
 	/**
 	 * Guards against a majority that permanently includes a voter whose VM was replaced
 	 * at another address.
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/DurableFiles.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/DurableFiles.java
@@ -7,6 +7,8 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Objects;
 import java.util.zip.CRC32C;
 
@@ -29,16 +31,20 @@
 	/**
 	 * Replaces a file and syncs both the file and its directory.
 	 * @param path the file
-	 * @param content the new content
+	 * @param parts parts of the new content in order, taken one after the other so that
+	 * they need not be in memory at the same time
 	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
 	 * if the file cannot be replaced
 	 */
-	void replace(Path path, ByteBuffer content) {
+	void replace(Path path, Iterator<ByteBuffer> parts) {
 		Path temporary = path.resolveSibling(path.getFileName() + TEMPORARY_SUFFIX);
 		try {
 			try (FileChannel channel = FileChannel.open(temporary, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
 					StandardOpenOption.TRUNCATE_EXISTING)) {
-				append(channel, content);
+				while (parts.hasNext()) {
+					this.disk.write(channel, parts.next());
+				}
+				this.disk.sync(channel);
 			}
 		}
 		catch (IOException ex) {
@@ -75,7 +81,7 @@
 	void replaceWithChecksum(Path path, byte[] content) {
 		ByteBuffer buffer = ByteBuffer.allocate(CHECKSUM_BYTES + content.length);
 		buffer.putInt(checksum(content, 0, content.length)).put(content).flip();
-		replace(path, buffer);
+		replace(path, List.of(buffer).iterator());
 	}
 
 	/**
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/DurableLog.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/DurableLog.java
@@ -1,5 +1,6 @@
 package org.magnolialead.storage;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -7,6 +8,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Objects;
 
@@ -30,6 +32,12 @@
 
 	private static final int RECORD_HEADER_BYTES = 3 * Integer.BYTES;
 
+	/**
+	 * Maximum size in bytes of the commands in one record of a replaced file, exceeded
+	 * only by a single command.
+	 */
+	private static final int MAXIMUM_RECORD_BYTES = 1024 * 1024;
+
 	private final Path path;
 
 	private final DurableFiles files;
@@ -58,7 +66,7 @@
 		this.path = Objects.requireNonNull(path, "path must not be null");
 		this.files = files;
 		if (!Files.exists(path)) {
-			this.files.replace(path, encodeRecord(StoredRecords.encode(new Content(0, 0, List.of()))));
+			this.files.replace(path, encodeRecords(new Content(0, 0, List.of())));
 		}
 		this.recoveredContent = recover();
 	}
@@ -135,7 +143,7 @@
 		// If this fails, the path may have the old or the new file. Both are durable in
 		// full.
 		this.syncedBytes = Long.MAX_VALUE;
-		this.files.replace(this.path, encodeRecord(StoredRecords.encode(content)));
+		this.files.replace(this.path, encodeRecords(content));
 		reopen();
 	}
 
@@ -176,26 +184,34 @@
 		}
 	}
 
+	// Reads one record after the other, so that the bytes of the whole file are never in
+	// memory beside its entries.
 	private Content recover() {
-		byte[] bytes = DurableFiles.read(this.path);
-		if (!isValidRecord(bytes, 0)) {
-			throw StorageErrors.failure(this.path, "is corrupted: the first record is not valid");
-		}
-		Content first = readBody(bytes, 0);
-		List<LogEntry> entries = new ArrayList<>(first.entries());
-		int offset = nextRecordOffset(bytes, 0);
-		while (isValidRecord(bytes, offset)) {
-			applyRecord(first.baseIndex(), entries, readBody(bytes, offset));
-			offset = nextRecordOffset(bytes, offset);
+		try (FileChannel input = FileChannel.open(this.path, StandardOpenOption.READ)) {
+			ByteBuffer body = readRecord(input, 0);
+			if (body == null) {
+				throw StorageErrors.failure(this.path, "is corrupted: the first record is not valid");
+			}
+			Content first = StoredRecords.decodeContent(this.path, body);
+			List<LogEntry> entries = new ArrayList<>(first.entries());
+			long offset = 0;
+			while (body != null) {
+				offset += RECORD_HEADER_BYTES + body.capacity();
+				body = readRecord(input, offset);
+				if (body != null) {
+					applyRecord(first.baseIndex(), entries, StoredRecords.decodeContent(this.path, body));
+				}
+			}
+			requireNoRecordAfter(input, offset);
+			// Also syncs the records: a process that ended may have written them without
+			// a sync.
+			this.files.truncate(this.path, offset);
+			reopen();
+			return new Content(first.baseIndex(), first.baseTerm(), entries);
 		}
-		if (offset < bytes.length) {
-			requireNoRecordAfter(bytes, offset);
+		catch (IOException ex) {
+			throw StorageErrors.failure(this.path, "cannot be read", ex);
 		}
-		// Also syncs the records: a process that ended may have written them without a
-		// sync.
-		this.files.truncate(this.path, offset);
-		reopen();
-		return new Content(first.baseIndex(), first.baseTerm(), entries);
 	}
 
 	private void applyRecord(long baseIndex, List<LogEntry> entries, Content next) {
@@ -208,41 +224,68 @@
 		entries.addAll(next.entries());
 	}
 
-	private static int nextRecordOffset(byte[] bytes, int offset) {
-		return offset + RECORD_HEADER_BYTES + ByteBuffer.wrap(bytes).getInt(offset + Integer.BYTES);
-	}
-
 	// A valid record after an invalid one means corruption, because a crash can tear
 	// only the last record.
-	private void requireNoRecordAfter(byte[] bytes, int offset) {
-		for (int later = offset + 1; later <= bytes.length - RECORD_HEADER_BYTES; later++) {
-			if (isValidRecord(bytes, later)) {
+	private void requireNoRecordAfter(FileChannel input, long offset) throws IOException {
+		ByteBuffer tail = read(input, offset, Math.toIntExact(input.size() - offset));
+		for (int later = 1; later <= tail.limit() - RECORD_HEADER_BYTES; later++) {
+			if (tail.getInt(later) == RECORD_MARKER && readRecord(input, offset + later) != null) {
 				throw StorageErrors.failure(this.path,
 						"is corrupted: the record at byte %d is not valid but a valid record follows at byte %d"
-							.formatted(offset, later));
+							.formatted(offset, offset + later));
 			}
 		}
 	}
 
-	private Content readBody(byte[] bytes, int offset) {
-		int length = ByteBuffer.wrap(bytes).getInt(offset + Integer.BYTES);
-		byte[] body = new byte[length];
-		System.arraycopy(bytes, offset + RECORD_HEADER_BYTES, body, 0, length);
-		return StoredRecords.decodeContent(this.path, body);
-	}
-
-	private static boolean isValidRecord(byte[] bytes, int offset) {
-		if (bytes.length - offset < RECORD_HEADER_BYTES) {
-			return false;
+	/**
+	 * Reads the body of a record.
+	 * @param input the file
+	 * @param offset position of the record in bytes
+	 * @return the body, or {@code null} if no complete and valid record starts there
+	 * @throws IOException if the file cannot be read
+	 */
+	private static ByteBuffer readRecord(FileChannel input, long offset) throws IOException {
+		long available = input.size() - offset - RECORD_HEADER_BYTES;
+		if (available < 0) {
+			return null;
 		}
-		ByteBuffer header = ByteBuffer.wrap(bytes, offset, RECORD_HEADER_BYTES);
+		ByteBuffer header = read(input, offset, RECORD_HEADER_BYTES);
 		if (header.getInt() != RECORD_MARKER) {
-			return false;
+			return null;
 		}
 		int length = header.getInt();
 		int checksum = header.getInt();
-		return length >= 0 && length <= bytes.length - offset - RECORD_HEADER_BYTES
-				&& checksum == DurableFiles.checksum(bytes, offset + RECORD_HEADER_BYTES, length);
+		if (length < 0 || length > available) {
+			return null;
+		}
+		ByteBuffer body = read(input, offset + RECORD_HEADER_BYTES, length);
+		return (checksum == DurableFiles.checksum(body.array(), 0, length)) ? body : null;
+	}
+
+	private static ByteBuffer read(FileChannel input, long offset, int length) throws IOException {
+		ByteBuffer buffer = ByteBuffer.allocate(length);
+		while (buffer.hasRemaining()) {
+			if (input.read(buffer, offset + buffer.position()) < 0) {
+				throw new EOFException("the file was shortened while it was read");
+			}
+		}
+		return buffer.flip();
+	}
+
+	private static Iterator<ByteBuffer> encodeRecords(Content content) {
+		List<Content> records = new ArrayList<>();
+		int start = 0;
+		long bytes = 0;
+		for (int position = 0; position < content.entries().size(); position++) {
+			bytes += content.entries().get(position).command().length;
+			if (bytes > MAXIMUM_RECORD_BYTES && position > start) {
+				records.add(content.part(start, position));
+				start = position;
+				bytes = content.entries().get(position).command().length;
+			}
+		}
+		records.add(content.part(start, content.entries().size()));
+		return records.stream().map((record) -> encodeRecord(StoredRecords.encode(record))).iterator();
 	}
 
 	private static ByteBuffer encodeRecord(byte[] body) {
@@ -266,6 +309,13 @@
 		public Content {
 			entries = List.copyOf(entries);
 		}
+
+		private Content part(int fromPosition, int toPosition) {
+			long precedingTerm = (fromPosition == 0) ? this.baseTerm : this.entries.get(fromPosition - 1).term();
+			return new Content(this.baseIndex + fromPosition, precedingTerm,
+					this.entries.subList(fromPosition, toPosition));
+		}
+
 	}
 
 }
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/StoredRecords.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/StoredRecords.java
@@ -1,6 +1,7 @@
 package org.magnolialead.storage;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,7 +38,7 @@
 	}
 
 	static Vote decodeVote(Path path, byte[] bytes) {
-		return unpack(path, bytes, (unpacker) -> {
+		return unpack(path, MessagePack.newDefaultUnpacker(bytes), (unpacker) -> {
 			long term = unpacker.unpackLong();
 			return new Vote(term, unpacker.tryUnpackNil() ? null : unpackIdentity(unpacker));
 		});
@@ -53,8 +54,9 @@
 	}
 
 	static ConsensusSnapshot decodeSnapshot(Path path, byte[] bytes) {
-		return unpack(path, bytes, (unpacker) -> new ConsensusSnapshot(unpacker.unpackLong(), unpacker.unpackLong(),
-				unpackIdentities(unpacker), unpackBytes(unpacker)));
+		return unpack(path, MessagePack.newDefaultUnpacker(bytes),
+				(unpacker) -> new ConsensusSnapshot(unpacker.unpackLong(), unpacker.unpackLong(),
+						unpackIdentities(unpacker), unpackBytes(unpacker)));
 	}
 
 	static byte[] encode(DurableLog.Content content) {
@@ -72,8 +74,8 @@
 		});
 	}
 
-	static DurableLog.Content decodeContent(Path path, byte[] bytes) {
-		return unpack(path, bytes, (unpacker) -> {
+	static DurableLog.Content decodeContent(Path path, ByteBuffer bytes) {
+		return unpack(path, MessagePack.newDefaultUnpacker(bytes), (unpacker) -> {
 			long baseIndex = unpacker.unpackLong();
 			long baseTerm = unpacker.unpackLong();
 			int size = unpacker.unpackArrayHeader();
@@ -130,8 +132,8 @@
 		}
 	}
 
-	private static <T> T unpack(Path path, byte[] bytes, FieldReader<T> reader) {
-		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+	private static <T> T unpack(Path path, MessageUnpacker opened, FieldReader<T> reader) {
+		try (MessageUnpacker unpacker = opened) {
 			return reader.read(unpacker);
 		}
 		catch (IOException | MessagePackException | IllegalArgumentException ex) {
