Promote only a member that holds all acknowledged commits

Cause: "not asked" was taken for "not there". Only members with a free connection were asked, and the best of those that answered within 250 ms was promoted. The number of synchronous replicas was not read anywhere. Ruled out: wrong positions; each member states its own. Change: of N members with k synchronous replicas N - k must have stated their position. Status requests take the next free connection before any statement, and a busy member is asked again. A release of the primary is not ordered unless the candidate has caught up. Before an order the replicas are paused, because a primary that only the owner does not reach could go on acknowledging; they stay paused while an order may still be executed. Asynchronous groups keep their timing. The pause is proved by unit tests only.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/RouteTable.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/RouteTable.java
@@ -10,13 +10,15 @@
  * @param number number assigned by the operator; 0 if no table has been accepted yet
  * @param routes routes by database name
  * @param connectionLimits maximum number of connections to one member, by group
+ * @param synchronousReplicas number of replicas that have received a commit before the
+ * primary acknowledges it, by group; a group without an entry has none
  * @param idleTransactionMilliseconds time in milliseconds after which an idle transaction
  * may be ended
  * @param document document sent by the operator, kept so that it can be returned
  * unchanged
  */
 public record RouteTable(long number, Map<String, Route> routes, Map<String, Integer> connectionLimits,
-		long idleTransactionMilliseconds, String document) {
+		Map<String, Integer> synchronousReplicas, long idleTransactionMilliseconds, String document) {
 
 	/**
 	 * Empty table that applies before the first change.
@@ -26,6 +28,8 @@
 	public RouteTable {
 		routes = Map.copyOf(routes);
 		connectionLimits = Map.copyOf(connectionLimits);
+		// Absent in tables that were stored by earlier releases.
+		synchronousReplicas = (synchronousReplicas != null) ? Map.copyOf(synchronousReplicas) : Map.of();
 		Objects.requireNonNull(document, "document must not be null");
 		if (number < 0 || idleTransactionMilliseconds < 1) {
 			throw new IllegalArgumentException(
@@ -40,6 +44,29 @@
 		}
 	}
 
+	/**
+	 * Creates a table of groups that replicate asynchronously.
+	 * @param number number assigned by the operator
+	 * @param routes routes by database name
+	 * @param connectionLimits maximum number of connections to one member, by group
+	 * @param idleTransactionMilliseconds time in milliseconds after which an idle
+	 * transaction may be ended
+	 * @param document document sent by the operator
+	 */
+	public RouteTable(long number, Map<String, Route> routes, Map<String, Integer> connectionLimits,
+			long idleTransactionMilliseconds, String document) {
+		this(number, routes, connectionLimits, Map.of(), idleTransactionMilliseconds, document);
+	}
+
+	/**
+	 * Returns how many replicas have received a commit before it is acknowledged.
+	 * @param group name of the group
+	 * @return the number of replicas, 0 for asynchronous replication
+	 */
+	public int synchronousReplicas(String group) {
+		return this.synchronousReplicas.getOrDefault(group, 0);
+	}
+
 	/**
 	 * Returns the route of a database.
 	 * @param database name of the database
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
@@ -1,7 +1,6 @@
 package org.magnolialead.daemon.session;
 
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -41,9 +40,15 @@
 	/** Interval between probes of the primary. */
 	private static final long PROBE_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
 
-	/** Timeout of the status requests to members. */
+	/** Timeout of the status requests to members that replicate asynchronously. */
 	private static final long STATUS_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(250);
 
+	/**
+	 * Timeout of the status requests to members of a group with synchronous replicas,
+	 * without which nothing can be selected.
+	 */
+	private static final long SYNCHRONOUS_STATUS_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
 	/**
 	 * Time after which a promotion attempt that has not succeeded is ended, so that a new
 	 * one can start.
@@ -70,6 +75,8 @@
 
 	private final GroupRouter router;
 
+	private final ReplicationPause replicationPause;
+
 	private final long ownerEpoch;
 
 	private GroupView view;
@@ -94,6 +101,7 @@
 		this.controller = controller;
 		this.router = router;
 		this.view = view;
+		this.replicationPause = new ReplicationPause(controller.context());
 		this.ownerEpoch = view.ownerEpoch();
 		this.primaryProbedAt = router.now();
 		// A new owner first has to find out from the members which one is the primary.
@@ -149,6 +157,17 @@
 		}
 		MemberPool pool = primary.get();
 		confirmIfNew(pool);
+		if (!this.replicationPause.mayRemainPrimary(pool.member().member())) {
+			// The order may still be executed, so the replicas have to stay paused.
+			startAttempt("promotion order without an outcome", null);
+			return;
+		}
+		if (this.replicationPause.isOrderOutstanding()) {
+			this.replicationPause.promotionEnded(true);
+		}
+		if (synchronousReplicas() > 0) {
+			this.replicationPause.resumeIfDue(this.router.pools());
+		}
 		if (pool.health().isFailed(now) && now - this.earliestAttemptAt >= 0) {
 			this.router.primaryTracker().primaryLost(pool, "not responding");
 			startAttempt("primary is not responding", null);
@@ -201,72 +220,44 @@
 		this.attemptDeadline = this.router.now() + ATTEMPT_TIMEOUT_NANOSECONDS;
 		this.candidate = "";
 		LogEvent.SESSION_PROMOTION_STARTED.log(LOGGER, group(), cause, this.ownerEpoch);
-		requestStatuses(attempt, leavingPrimary, this.router.now() + STATUS_TIMEOUT_NANOSECONDS);
+		requestStatuses(attempt, leavingPrimary);
 	}
 
-	private void requestStatuses(long attempt, MemberPool leavingPrimary, long deadline) {
-		if (!isCurrent(attempt)) {
-			return;
-		}
-		Map<MemberPool, MemberStatus> statuses = new LinkedHashMap<>();
-		int requested = 0;
-		for (MemberPool pool : this.router.pools()) {
-			if (pool != leavingPrimary && requestStatus(pool, statuses)) {
-				requested++;
-			}
-		}
-		if (requested == 0) {
-			if (this.router.now() - deadline >= 0) {
-				endAttempt("no free connection to any member");
-				return;
-			}
-			// All connections are in use, for example for probes.
-			this.controller.context()
-				.schedule(STATUS_POLL_INTERVAL_NANOSECONDS, () -> requestStatuses(attempt, leavingPrimary, deadline));
-			return;
-		}
-		awaitStatuses(attempt, statuses, requested, this.router.now() + STATUS_TIMEOUT_NANOSECONDS, leavingPrimary);
+	private void requestStatuses(long attempt, MemberPool leavingPrimary) {
+		StatusRequests requests = new StatusRequests(this.controller.context());
+		this.router.pools().stream().filter((pool) -> pool != leavingPrimary).forEach(requests::ask);
+		awaitStatuses(attempt, requests, statusDeadline(),
+				(statuses) -> statusesKnown(attempt, statuses, leavingPrimary));
 	}
 
-	private void awaitStatuses(long attempt, Map<MemberPool, MemberStatus> statuses, int requested, long deadline,
-			MemberPool leavingPrimary) {
-		boolean complete = statuses.size() == requested;
-		if (complete || this.router.now() - deadline >= 0) {
-			selectCandidate(attempt, statuses, leavingPrimary);
+	private long statusDeadline() {
+		return this.router.now()
+				+ ((synchronousReplicas() == 0) ? STATUS_TIMEOUT_NANOSECONDS : SYNCHRONOUS_STATUS_TIMEOUT_NANOSECONDS);
+	}
+
+	// With asynchronous replication, a member without a connection delays nothing. With
+	// synchronous replicas, the attempt waits for as many members as the selection needs.
+	private void awaitStatuses(long attempt, StatusRequests requests, long deadline,
+			Consumer<Map<MemberPool, MemberStatus>> next) {
+		int answered = requests.answers().size();
+		boolean complete = answered >= requiredAnswers() && answered == requests.askedCount();
+		if (!isCurrent(attempt) || complete || this.router.now() - deadline >= 0) {
+			requests.close();
+			if (isCurrent(attempt)) {
+				next.accept(requests.answers());
+			}
 			return;
 		}
 		this.controller.context()
-			.schedule(STATUS_POLL_INTERVAL_NANOSECONDS,
-					() -> awaitStatuses(attempt, statuses, requested, deadline, leavingPrimary));
+			.schedule(STATUS_POLL_INTERVAL_NANOSECONDS, () -> awaitStatuses(attempt, requests, deadline, next));
 	}
 
-	private boolean requestStatus(MemberPool pool, Map<MemberPool, MemberStatus> statuses) {
-		Optional<PooledConnection> free = pool.free(Map.of());
-		if (free.isEmpty()) {
-			pool.dialForWaiting();
-			return false;
-		}
-		PooledConnection connection = free.get();
-		connection.acquire(this.router.now());
-		this.controller.context().schedule(STATUS_TIMEOUT_NANOSECONDS, () -> {
-			if (connection.isInUse() && !statuses.containsKey(pool)) {
-				connection.discard();
-			}
-		});
-		connection.send(MemberCommand.internal(MemberCommand.Kind.STATUS), (reply) -> {
-			if (reply.error() == StatementError.CONNECTION_LOST) {
-				connection.discard();
-				return;
-			}
-			Optional<MemberStatus> status = parseStatus(reply);
-			if (status.isEmpty()) {
-				LogEvent.MEMBER_ANSWER_REFUSED.log(LOGGER, group(), pool.member().member(),
-						"invalid status: error=%s rows=%s".formatted(reply.error(), reply.rows()));
-			}
-			status.ifPresent((known) -> statuses.put(pool, known));
-			connection.release();
-		});
-		return true;
+	private int synchronousReplicas() {
+		return this.controller.synchronousReplicas(group());
+	}
+
+	private int requiredAnswers() {
+		return PromotionSelection.requiredAnswers(this.view.members().size(), synchronousReplicas());
 	}
 
 	private Optional<MemberStatus> parseStatus(StatementReply reply) {
@@ -282,13 +273,11 @@
 				&& this.controller.holdsLease();
 	}
 
-	private void selectCandidate(long attempt, Map<MemberPool, MemberStatus> statuses, MemberPool leavingPrimary) {
-		if (!isCurrent(attempt)) {
-			return;
-		}
+	private void statusesKnown(long attempt, Map<MemberPool, MemberStatus> statuses, MemberPool leavingPrimary) {
 		Optional<MemberPool> currentPrimary = statuses.keySet()
 			.stream()
-			.filter((pool) -> isPrimary(statuses.get(pool)) && leavingPrimary == null)
+			.filter((pool) -> leavingPrimary == null && isPrimary(statuses.get(pool))
+					&& this.replicationPause.mayRemainPrimary(pool.member().member()))
 			.findFirst();
 		if (currentPrimary.isPresent()) {
 			String member = currentPrimary.get().member().member();
@@ -296,12 +285,25 @@
 			this.router.primaryTracker().expectPrimary(member);
 			return;
 		}
+		if (synchronousReplicas() > 0 && leavingPrimary == null && statuses.size() >= requiredAnswers()) {
+			StatusRequests requests = this.replicationPause.pause(statuses, this.router.progress().term());
+			awaitStatuses(attempt, requests, statusDeadline(), (paused) -> selectCandidate(attempt, paused, null));
+			return;
+		}
+		selectCandidate(attempt, statuses, leavingPrimary);
+	}
+
+	private void selectCandidate(long attempt, Map<MemberPool, MemberStatus> statuses, MemberPool leavingPrimary) {
 		List<Candidate> candidates = new ArrayList<>();
 		statuses.forEach((pool, status) -> candidates
 			.add(new Candidate(pool.member().member(), status.received(), pool.member().leaving())));
-		Optional<Candidate> selected = PromotionSelection.select(candidates);
+		Optional<Candidate> selected = candidates.stream()
+			.filter((answered) -> this.replicationPause.isOrdered(answered.member()))
+			.findFirst()
+			.or(() -> PromotionSelection.select(candidates, this.view.members().size(), synchronousReplicas()));
 		if (selected.isEmpty()) {
-			endAttempt("no member answered");
+			endAttempt(
+					"%d of %d required members stated their position".formatted(candidates.size(), requiredAnswers()));
 			return;
 		}
 		this.candidate = selected.get().member();
@@ -328,22 +330,20 @@
 	// The leaving primary is demoted first, so that it acknowledges no further writes
 	// and its successor can receive all acknowledged ones.
 	private void demote(long attempt, long term, MemberPool leavingPrimary) {
-		Optional<PooledConnection> free = leavingPrimary.free(Map.of());
-		if (free.isEmpty()) {
-			this.controller.context().schedule(HANDOVER_POLL_INTERVAL_NANOSECONDS / 2, () -> {
-				if (isCurrent(attempt)) {
-					if (this.router.now() - this.attemptDeadline < -ATTEMPT_TIMEOUT_NANOSECONDS / 2) {
-						demote(attempt, term, leavingPrimary);
-					}
-					else {
-						orderPromotion(attempt, term);
-					}
-				}
-			});
+		Consumer<PooledConnection> user = (connection) -> demote(attempt, term, leavingPrimary, connection);
+		leavingPrimary.acquireNext(user);
+		this.controller.context().schedule(ATTEMPT_TIMEOUT_NANOSECONDS / 2, () -> {
+			if (leavingPrimary.cancelAcquire(user) && isCurrent(attempt)) {
+				orderWithoutCatchUp(attempt, term, "leaving primary cannot be demoted");
+			}
+		});
+	}
+
+	private void demote(long attempt, long term, MemberPool leavingPrimary, PooledConnection connection) {
+		if (!isCurrent(attempt)) {
+			connection.release();
 			return;
 		}
-		PooledConnection connection = free.get();
-		connection.acquire(this.router.now());
 		String memberTerm = Long.toString(this.router.progress().term() + 1);
 		connection.send(MemberCommand.internal(MemberCommand.Kind.DEMOTE, memberTerm), (reply) -> {
 			if (reply.error() == StatementError.CONNECTION_LOST) {
@@ -353,30 +353,40 @@
 				connection.release();
 			}
 			if (isCurrent(attempt)) {
-				LogPosition target = parseStatus(reply).map(MemberStatus::received).orElse(LogPosition.NONE);
-				this.router.primaryTracker().primaryLost(leavingPrimary, "is leaving");
-				awaitCaughtUp(attempt, term, target, this.router.now() + CATCH_UP_TIMEOUT_NANOSECONDS);
+				demoted(attempt, term, leavingPrimary, parseStatus(reply));
 			}
 		});
 	}
 
+	private void demoted(long attempt, long term, MemberPool leavingPrimary, Optional<MemberStatus> status) {
+		this.router.primaryTracker().primaryLost(leavingPrimary, "is leaving");
+		if (status.isEmpty() && synchronousReplicas() > 0) {
+			endAttempt("leaving primary did not state its position");
+			return;
+		}
+		LogPosition target = status.map(MemberStatus::received).orElse(LogPosition.NONE);
+		awaitCaughtUp(attempt, term, target, this.router.now() + CATCH_UP_TIMEOUT_NANOSECONDS);
+	}
+
 	private void awaitCaughtUp(long attempt, long term, LogPosition target, long deadline) {
 		if (!isCurrent(attempt)) {
 			return;
 		}
 		MemberPool pool = this.router.pool(this.candidate);
 		if (pool == null || this.router.now() - deadline >= 0) {
-			orderPromotion(attempt, term);
+			orderWithoutCatchUp(attempt, term, "candidate has not received the log of the leaving primary");
 			return;
 		}
-		Map<MemberPool, MemberStatus> statuses = new LinkedHashMap<>();
-		requestStatus(pool, statuses);
+		StatusRequests requests = new StatusRequests(this.controller.context());
+		requests.ask(pool);
 		this.controller.context().schedule(HANDOVER_POLL_INTERVAL_NANOSECONDS, () -> {
-			boolean caughtUp = statuses.values().stream().anyMatch((status) -> status.received().includes(target));
+			requests.close();
+			boolean caughtUp = requests.answers()
+				.values()
+				.stream()
+				.anyMatch((status) -> status.received().includes(target));
 			if (caughtUp) {
-				if (isCurrent(attempt)) {
-					orderPromotion(attempt, term);
-				}
+				orderPromotion(attempt, term);
 			}
 			else {
 				awaitCaughtUp(attempt, term, target, deadline);
@@ -384,9 +394,26 @@
 		});
 	}
 
+	// With synchronous replicas, the next attempt asks enough members, which may include
+	// the former primary.
+	private void orderWithoutCatchUp(long attempt, long term, String cause) {
+		if (synchronousReplicas() > 0) {
+			endAttempt(cause);
+		}
+		else {
+			orderPromotion(attempt, term);
+		}
+	}
+
 	private void orderPromotion(long attempt, long term) {
+		if (!isCurrent(attempt)) {
+			return;
+		}
 		LogEvent.PROMOTION_ORDERED.log(LOGGER, group(), this.candidate, term);
 		String ordered = this.candidate;
+		if (synchronousReplicas() > 0) {
+			this.replicationPause.promotionOrdered(ordered);
+		}
 		this.controller.orderPromotion(group(), ordered, this.ownerEpoch, (result) -> {
 			if (!isCurrent(attempt)) {
 				return;
@@ -398,6 +425,7 @@
 			LogEvent.PROMOTION_FAILED.log(LOGGER, group(), ordered, term, result);
 			endAttempt("platform answered " + result);
 			if (result == PromotionService.Result.REFUSED) {
+				this.replicationPause.promotionEnded(false);
 				this.earliestAttemptAt = this.router.now() + REFUSED_ORDER_DELAY_NANOSECONDS;
 			}
 		});
@@ -412,6 +440,7 @@
 				this.confirmationInProgress = true;
 				confirm(this.view.reservedTerm(), this.candidate);
 			}
+			this.replicationPause.promotionEnded(true);
 			endAttempt("promoted");
 			return;
 		}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberCommand.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberCommand.java
@@ -110,7 +110,11 @@
 		/** Requests the role, term and log positions. */
 		STATUS,
 		/** Demotes a primary of a lower term to a replica; the argument is the term. */
-		DEMOTE
+		DEMOTE,
+		/** Stops a replica from receiving commits; the argument is a new term. */
+		PAUSE,
+		/** Lets a paused replica receive commits again. */
+		RESUME
 
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -1,13 +1,16 @@
 package org.magnolialead.daemon.session;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.log.LogEvent;
@@ -45,6 +48,9 @@
 
 	private final List<PooledConnection> connections = new ArrayList<>();
 
+	/** Users that receive the next free connection before any statement does. */
+	private final Deque<Consumer<PooledConnection>> prioritizedUsers = new ArrayDeque<>();
+
 	private MemberDescription member;
 
 	private int permanentConnections = 1;
@@ -187,6 +193,39 @@
 			.min(Comparator.comparingInt((connection) -> connection.alignmentCost(sessionVariables)));
 	}
 
+	/**
+	 * Acquires the next connection that is free, ahead of all statements, so that load
+	 * cannot delay it beyond the statement in progress.
+	 * @param user receives the connection, immediately if one is free
+	 */
+	void acquireNext(Consumer<PooledConnection> user) {
+		this.prioritizedUsers.add(user);
+		grantToPrioritizedUsers();
+		if (this.prioritizedUsers.contains(user)) {
+			dialForWaiting();
+		}
+	}
+
+	/**
+	 * Withdraws a call of {@link #acquireNext}.
+	 * @param user the user
+	 * @return {@code false} if the user has received a connection already
+	 */
+	boolean cancelAcquire(Consumer<PooledConnection> user) {
+		return this.prioritizedUsers.remove(user);
+	}
+
+	private void grantToPrioritizedUsers() {
+		while (!this.prioritizedUsers.isEmpty()) {
+			Optional<PooledConnection> free = free(Map.of());
+			if (free.isEmpty()) {
+				return;
+			}
+			free.get().acquire(now());
+			this.prioritizedUsers.remove().accept(free.get());
+		}
+	}
+
 	/**
 	 * Opens a connection if fewer than the permanent ones are open.
 	 */
@@ -362,6 +401,7 @@
 		this.connectBackoff.opened();
 		connection.opened(channel, now());
 		this.connections.add(connection);
+		grantToPrioritizedUsers();
 		this.router.dispatch();
 	}
 
@@ -371,6 +411,7 @@
 			connection.discard();
 			return;
 		}
+		grantToPrioritizedUsers();
 		this.router.dispatch();
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PromotionController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PromotionController.java
@@ -145,6 +145,10 @@
 		return this.control;
 	}
 
+	int synchronousReplicas(String group) {
+		return this.sessions.routes().synchronousReplicas(group);
+	}
+
 	boolean holdsLease() {
 		return !this.draining && this.lease.isHeld(context().now());
 	}
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -77,7 +77,10 @@
 	void promote(String name) {
 		long term = this.members.values().stream().mapToLong((member) -> member.position.term()).max().orElseThrow();
 		Member promoted = member(name);
-		this.members.values().forEach((member) -> member.primary = member == promoted);
+		this.members.values().forEach((member) -> {
+			member.primary = member == promoted;
+			member.paused = false;
+		});
 		if (!this.termKept) {
 			promoted.position = new LogPosition(term + 1, promoted.position.index());
 		}
@@ -184,6 +187,10 @@
 
 		private int statementsToRefuse;
 
+		private int statusesToRefuse;
+
+		private boolean paused;
+
 		private boolean connectionLimitReached;
 
 		private boolean refusingConnections;
@@ -213,6 +220,34 @@
 			this.unresponsive = true;
 		}
 
+		void respondAgain() {
+			this.unresponsive = false;
+		}
+
+		/**
+		 * Starts the member again after a crash, as a replica with its log.
+		 */
+		void restart() {
+			this.down = false;
+			this.primary = false;
+		}
+
+		/**
+		 * Tells whether the member is kept from receiving commits.
+		 * @return {@code true} after it was paused
+		 */
+		boolean isPaused() {
+			return this.paused;
+		}
+
+		/**
+		 * Makes the member refuse status requests as if its queue were full.
+		 * @param count number of requests to refuse
+		 */
+		void refuseStatuses(int count) {
+			this.statusesToRefuse = count;
+		}
+
 		/**
 		 * Starts or ends a network partition between this daemon and the member. Relayed
 		 * connections are not affected.
@@ -341,10 +376,9 @@
 					this.prepared.clear();
 					yield done();
 				}
-				case STATUS -> new StatementReply(List
-					.of("%s %d %d.%d 0 0 0 1".formatted(this.member.primary ? "primary" : "replica",
-							this.member.position.term(), this.member.position.term(), this.member.position.index())),
-						"-", null, "", state(), this.member.position);
+				case STATUS -> status();
+				case PAUSE -> pause(true);
+				case RESUME -> pause(false);
 				case DEMOTE -> {
 					this.member.primary = false;
 					yield new StatementReply(
@@ -356,6 +390,22 @@
 			};
 		}
 
+		private StatementReply pause(boolean paused) {
+			this.member.paused = paused;
+			return status();
+		}
+
+		private StatementReply status() {
+			if (this.member.statusesToRefuse > 0) {
+				this.member.statusesToRefuse--;
+				return error(StatementError.OVERLOADED);
+			}
+			return new StatementReply(
+					List.of("%s %d %d.%d 0 0 0 1".formatted(this.member.primary ? "primary" : "replica",
+							this.member.position.term(), this.member.position.term(), this.member.position.index())),
+					"-", null, "", state(), this.member.position);
+		}
+
 		private StatementReply begin(boolean mayWrite) {
 			if (mayWrite && !this.member.primary) {
 				return error(StatementError.NOT_PRIMARY);
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnolialead.api.DaemonView;
 import org.magnolialead.api.FleetConfiguration;
@@ -49,6 +51,9 @@
 	private final PromotionController controller = new PromotionController(DAEMON, INCARNATION, this.service,
 			this.lease, new RecordingControl(), this::promote);
 
+	/** For each order, whether both replicas were paused when it was given. */
+	private final List<Boolean> pausedAtOrder = new ArrayList<>();
+
 	private FleetView fleet;
 
 	private PromotionService.Result answer = PromotionService.Result.ACCEPTED;
@@ -62,9 +67,14 @@
 	}
 
 	private void publish(String... leaving) {
+		publish(0, leaving);
+	}
+
+	private void publish(int synchronousReplicas, String... leaving) {
 		GroupView view = this.group.view(DAEMON, EPOCH, "a", leaving);
 		Route route = new Route("primary", FakeGroup.NAME, FreshnessRule.LATEST, 0, 0, 800);
-		RouteTable table = new RouteTable(1, Map.of("primary", route), Map.of(FakeGroup.NAME, 18), 3_000, "");
+		RouteTable table = new RouteTable(1, Map.of("primary", route), Map.of(FakeGroup.NAME, 18),
+				Map.of(FakeGroup.NAME, synchronousReplicas), 3_000, "");
 		FleetConfiguration initial = FleetConfiguration.initial();
 		FleetConfiguration configuration = new FleetConfiguration(1, initial.profiles(), initial.rankFloors(),
 				initial.queueLimit(), table);
@@ -78,6 +88,7 @@
 	private CompletableFuture<PromotionService.Result> promote(String name, String member, String holder,
 			long fencingToken) {
 		this.orders.add("%s %s %s %d".formatted(name, member, holder, fencingToken));
+		this.pausedAtOrder.add(this.group.member("b").isPaused() && this.group.member("c").isPaused());
 		if (this.answer == PromotionService.Result.ACCEPTED) {
 			this.group.promote(member);
 		}
@@ -164,6 +175,151 @@
 		assertThat(this.orders).hasSizeBetween(1, 4);
 	}
 
+	/**
+	 * Tests of a group whose commits are acknowledged once one replica has received them.
+	 * Replica b lacks commits that replica c has.
+	 */
+	@Nested
+	class SynchronousReplicas {
+
+		private final FakeGroup.Member first = PromotionControllerTests.this.group.member("a");
+
+		private final FakeGroup.Member late = PromotionControllerTests.this.group.member("b");
+
+		private final FakeGroup.Member current = PromotionControllerTests.this.group.member("c");
+
+		@BeforeEach
+		void publishSynchronousReplica() {
+			this.first.position(1, 9);
+			this.late.position(1, 5);
+			this.current.position(1, 9);
+			publish(1);
+		}
+
+		private void requirePromoted(String member) {
+			assertThat(PromotionControllerTests.this.orders).isNotEmpty()
+				.allMatch(("group " + member + " daemon-1 7")::equals);
+		}
+
+		/**
+		 * Guards against a late replica that is promoted because the connections to the
+		 * other one are in use.
+		 */
+		@Test
+		void replicaWhoseConnectionIsInUseIsAsked() {
+			SessionService service = PromotionControllerTests.this.service;
+			ManualLoop loop = PromotionControllerTests.this.loop;
+			PooledConnection used = service.router(FakeGroup.NAME).pool("c").free(Map.of()).orElseThrow();
+			used.acquire(loop.nanoseconds());
+			loop.schedule(used::release, 1_200, TimeUnit.MILLISECONDS);
+			this.first.crash();
+			loop.advance(3_000);
+			requirePromoted("c");
+		}
+
+		/**
+		 * Guards against a late replica that is promoted because the queue of the other
+		 * one is full for a moment.
+		 */
+		@Test
+		void replicaThatRefusesItsStatusIsAskedAgain() {
+			this.current.refuseStatuses(5);
+			this.first.crash();
+			PromotionControllerTests.this.loop.advance(3_000);
+			requirePromoted("c");
+		}
+
+		/**
+		 * Guards against the promotion of a late replica while the other one, which may
+		 * hold the latest commits, does not answer.
+		 */
+		@Test
+		void nothingIsOrderedWhileTooFewMembersAnswer() {
+			this.current.stopResponding();
+			this.first.crash();
+			PromotionControllerTests.this.loop.advance(10_000);
+			assertThat(PromotionControllerTests.this.orders).isEmpty();
+			this.current.respondAgain();
+			PromotionControllerTests.this.loop.advance(6_000);
+			requirePromoted("c");
+		}
+
+		/**
+		 * Guards against a late replica that is promoted although the former primary is
+		 * back with its log.
+		 */
+		@Test
+		void formerPrimaryThatIsAheadIsPromoted() {
+			this.current.crash();
+			this.first.crash();
+			PromotionControllerTests.this.loop.advance(2_000);
+			this.first.restart();
+			PromotionControllerTests.this.loop.advance(6_000);
+			requirePromoted("a");
+		}
+
+		/**
+		 * Guards against a primary that only this daemon does not reach and that goes on
+		 * acknowledging commits which the selected replica lacks.
+		 */
+		@Test
+		void replicasArePausedBeforeTheOrder() {
+			List<Boolean> paused = PromotionControllerTests.this.pausedAtOrder;
+			this.first.partitioned(true);
+			PromotionControllerTests.this.loop.advance(4_000);
+			requirePromoted("c");
+			assertThat(paused).isNotEmpty().containsOnly(true);
+		}
+
+		/**
+		 * Guards against replicas that receive nothing for good after a promotion that
+		 * did not take place, or after the owner that paused them has ended.
+		 */
+		@Test
+		void replicasReceiveAgainIfThePrimaryStays() {
+			PromotionControllerTests.this.answer = PromotionService.Result.REFUSED;
+			this.first.partitioned(true);
+			PromotionControllerTests.this.loop.advance(3_000);
+			assertThat(this.current.isPaused()).isTrue();
+			this.first.partitioned(false);
+			PromotionControllerTests.this.loop.advance(5_000);
+			assertThat(this.late.isPaused() || this.current.isPaused()).isFalse();
+		}
+
+		/**
+		 * Guards against replicas that receive commits of the former primary while an
+		 * order without an answer may still be executed.
+		 */
+		@Test
+		void outstandingOrderIsRepeatedWhileTheReplicasStayPaused() {
+			PromotionControllerTests.this.answer = PromotionService.Result.UNKNOWN;
+			this.first.partitioned(true);
+			PromotionControllerTests.this.loop.advance(3_000);
+			this.first.partitioned(false);
+			int ordered = PromotionControllerTests.this.orders.size();
+			PromotionControllerTests.this.loop.advance(6_000);
+			assertThat(PromotionControllerTests.this.orders).hasSizeGreaterThan(ordered);
+			requirePromoted("c");
+			assertThat(this.current.isPaused()).isTrue();
+			PromotionControllerTests.this.answer = PromotionService.Result.ACCEPTED;
+			PromotionControllerTests.this.loop.advance(6_000);
+			assertThat(this.late.isPaused() || this.current.isPaused()).isFalse();
+		}
+
+		/**
+		 * Guards against a release of the primary that promotes a replica which has not
+		 * received the log of the primary.
+		 */
+		@Test
+		void replicaThatDoesNotCatchUpWithALeavingPrimaryIsNotPromoted() {
+			this.current.position(1, 7);
+			publish(1, "a");
+			PromotionControllerTests.this.loop.advance(4_000);
+			assertThat(PromotionControllerTests.this.orders).doesNotContain("group b daemon-1 7", "group c daemon-1 7");
+		}
+
+	}
+
 	private final class RecordingControl implements CommandSubmitter {
 
 		@Override
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/PromotionSelection.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/PromotionSelection.java
@@ -16,18 +16,39 @@
 	}
 
 	/**
-	 * Returns the member with the highest received position, because a promotion rolls
-	 * the other members back to the position of the promoted one. A leaving member is
-	 * selected only if no other member responded.
+	 * Returns how many members must have stated their position before one of them can be
+	 * selected. An acknowledged commit is held by the primary and at least as many
+	 * replicas as it waits for. Any set of members that leaves out no more than that
+	 * number therefore contains a member that holds the latest acknowledged commit.
+	 * @param members number of members of the group, including the former primary
+	 * @param synchronousReplicas number of replicas that have received a commit before it
+	 * is acknowledged
+	 * @return the number of members, 1 if commits are replicated asynchronously
+	 */
+	public static int requiredAnswers(int members, int synchronousReplicas) {
+		return (synchronousReplicas == 0) ? 1 : Math.max(1, members - synchronousReplicas);
+	}
+
+	/**
+	 * Returns the member to promote. A promotion rolls the other members back to the
+	 * position of the promoted one, so a member with the highest received position is
+	 * selected. With synchronous replicas a leaving member is selected only if no other
+	 * member is as far, otherwise only if no other member responded.
 	 * @param candidates members that responded
-	 * @return the member, or empty if none responded
+	 * @param members number of members of the group, including the former primary
+	 * @param synchronousReplicas number of replicas that have received a commit before it
+	 * is acknowledged
+	 * @return the member, or empty if too few have responded
 	 */
-	public static Optional<Candidate> select(Collection<Candidate> candidates) {
-		return candidates.stream()
-			.max(Comparator.comparing(Candidate::leaving)
-				.reversed()
-				.thenComparing(Candidate::receivedPosition)
-				.thenComparing(Candidate::member));
+	public static Optional<Candidate> select(Collection<Candidate> candidates, int members, int synchronousReplicas) {
+		if (candidates.size() < requiredAnswers(members, synchronousReplicas)) {
+			return Optional.empty();
+		}
+		Comparator<Candidate> byLeaving = Comparator.comparing(Candidate::leaving).reversed();
+		Comparator<Candidate> byPosition = Comparator.comparing(Candidate::receivedPosition);
+		Comparator<Candidate> order = (synchronousReplicas == 0) ? byLeaving.thenComparing(byPosition)
+				: byPosition.thenComparing(byLeaving);
+		return candidates.stream().max(order.thenComparing(Candidate::member));
 	}
 
 	/**
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/SessionDecisionTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/SessionDecisionTests.java
@@ -1,7 +1,9 @@
 package org.magnolialead.engine.session;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -92,16 +94,53 @@
 
 		@Test
 		void memberWithHighestPositionIsSelected() {
-			assertThat(PromotionSelection.select(List.of(candidate("b", 1, 5, false), candidate("c", 1, 9, false))))
+			assertThat(
+					PromotionSelection.select(List.of(candidate("b", 1, 5, false), candidate("c", 1, 9, false)), 3, 0))
 				.hasValueSatisfying((selected) -> assertThat(selected.member()).isEqualTo("c"));
 		}
 
 		@Test
 		void leavingMemberIsSelectedOnlyIfNoOtherResponds() {
-			assertThat(PromotionSelection.select(List.of(candidate("b", 1, 5, false), candidate("c", 1, 9, true))))
+			assertThat(
+					PromotionSelection.select(List.of(candidate("b", 1, 5, false), candidate("c", 1, 9, true)), 3, 0))
 				.hasValueSatisfying((selected) -> assertThat(selected.member()).isEqualTo("b"));
-			assertThat(PromotionSelection.select(List.of(candidate("c", 1, 9, true)))).isPresent();
-			assertThat(PromotionSelection.select(List.of())).isEmpty();
+			assertThat(PromotionSelection.select(List.of(candidate("c", 1, 9, true)), 3, 0)).isPresent();
+			assertThat(PromotionSelection.select(List.of(), 3, 0)).isEmpty();
+		}
+
+		/**
+		 * Guards against the promotion of a member that lacks an acknowledged commit. The
+		 * latest commit is held by the primary and as many replicas as it waits for; each
+		 * set of such members, and each set of members that answer, is tried.
+		 */
+		@Test
+		void selectedMemberHoldsTheLatestAcknowledgedCommit() {
+			for (int members = 2; members <= 6; members++) {
+				for (int synchronousReplicas = 1; synchronousReplicas < members; synchronousReplicas++) {
+					for (int answering = 0; answering < 1 << members; answering++) {
+						requireHolderSelected(members, synchronousReplicas, answering);
+					}
+				}
+			}
+		}
+
+		private void requireHolderSelected(int members, int synchronousReplicas, int answering) {
+			for (int holders = 0; holders < 1 << members; holders++) {
+				if (Integer.bitCount(holders) != synchronousReplicas + 1) {
+					continue;
+				}
+				List<PromotionSelection.Candidate> candidates = new ArrayList<>();
+				for (int member = 0; member < members; member++) {
+					if ((answering & 1 << member) != 0) {
+						boolean holds = (holders & 1 << member) != 0;
+						candidates.add(candidate(String.valueOf(member), 1, holds ? 9 : 8, holds));
+					}
+				}
+				Optional<PromotionSelection.Candidate> selected = PromotionSelection.select(candidates, members,
+						synchronousReplicas);
+				assertThat(selected.isPresent()).isEqualTo(candidates.size() >= members - synchronousReplicas);
+				selected.ifPresent((found) -> assertThat(found.receivedPosition().index()).isEqualTo(9));
+			}
 		}
 
 		private PromotionSelection.Candidate candidate(String member, long term, long index, boolean leaving) {
