Move the election deadlines of a member to a class of their own

Change: ElectionTimer holds the election deadline and the time until which votes are refused. No behaviour changes; the random sequence of the simulations stays the same.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusNode.java
@@ -37,10 +37,10 @@
 
 	private final ConsensusSettings settings;
 
-	private final RandomGenerator random;
-
 	private final ReplicaLog log;
 
+	private final ElectionTimer electionTimer;
+
 	private final List<PendingAnswer> pendingAnswers = new ArrayList<>();
 
 	private final Set<MemberKey> grantedVotes = new HashSet<>();
@@ -73,10 +73,6 @@
 	/** Size in bytes of the committed commands after the snapshot. */
 	private long committedBytes;
 
-	private long lastLeaderContact;
-
-	private long electionDeadline;
-
 	private long nextJoinRequest;
 
 	/**
@@ -108,7 +104,7 @@
 	public ConsensusNode(ConsensusSettings settings, StoredState stored, long appliedIndex,
 			long lastPossibleLeaderContact, long now, RandomGenerator random) {
 		this.settings = Objects.requireNonNull(settings, "settings must not be null");
-		this.random = Objects.requireNonNull(random, "random must not be null");
+		Objects.requireNonNull(random, "random must not be null");
 		this.cluster = stored.cluster();
 		this.vote = stored.vote();
 		this.log = new ReplicaLog(stored);
@@ -120,20 +116,7 @@
 		this.committedBytes = this.log.bytes(this.log.snapshotIndex() + 1, this.commitIndex);
 		// A restarted voter is a member already and waits for an election first.
 		this.nextJoinRequest = isVoter() ? now + settings.maximumElectionTimeout() : now;
-		// A leader may rely on an answer that this member sent just before the restart.
-		this.lastLeaderContact = lastPossibleLeaderContact;
-		this.electionDeadline = firstElectionDeadline(now);
-	}
-
-	// If all voters restart at once, there is no leader. They then request pre-votes one
-	// after the other, in the order of the voter list, instead of waiting for random
-	// timeouts. Voters refuse pre-votes while they have contact with a leader.
-	private long firstElectionDeadline(long now) {
-		long refusalEnd = this.lastLeaderContact + this.settings.minimumElectionTimeout();
-		long earliest = (now - refusalEnd < 0) ? refusalEnd : now;
-		int position = MemberKey.indexOf(voters(), this.settings.self());
-		long jitter = this.random.nextLong(this.settings.heartbeatInterval() / 2 + 1);
-		return earliest + Math.max(0, position) * this.settings.heartbeatInterval() + jitter;
+		this.electionTimer = new ElectionTimer(settings, voters(), lastPossibleLeaderContact, now, random);
 	}
 
 	/**
@@ -147,7 +130,7 @@
 		if (this.role == Role.LEADER) {
 			tickAsLeader(now);
 		}
-		else if (isVoter() && now - this.electionDeadline >= 0) {
+		else if (isVoter() && this.electionTimer.isDue(now)) {
 			startPreVote(now);
 		}
 		requestToJoinIfDue(now);
@@ -158,7 +141,7 @@
 	// its own log, so voters send requests too. Requests are repeated because a leader
 	// removes unresponsive learners.
 	private void requestToJoinIfDue(long now) {
-		boolean leaderUnknown = this.leader == null || now - this.electionDeadline >= 0;
+		boolean leaderUnknown = this.leader == null || this.electionTimer.isDue(now);
 		boolean mayRequest = this.settings.hasOpenMembership() && this.role != Role.LEADER && leaderUnknown;
 		if (!mayRequest || now - this.nextJoinRequest < 0) {
 			return;
@@ -465,12 +448,9 @@
 
 	// Elections
 
-	// A pre-vote is repeated after one to two heartbeat intervals, because a voter that
-	// is just starting may have missed it. It does not change the term or vote of the
-	// voters.
+	// A pre-vote does not change the term or vote of the voters.
 	private void startPreVote(long now) {
-		long interval = this.settings.heartbeatInterval();
-		this.electionDeadline = now + interval + this.random.nextLong(interval + 1);
+		this.electionTimer.preVoteStarted(now);
 		this.leader = null;
 		this.role = Role.PRE_CANDIDATE;
 		requestVotes(term() + 1, true, now);
@@ -478,7 +458,7 @@
 
 	private void startElection(long now) {
 		enterTerm(new Vote(term() + 1, this.settings.self()), now);
-		resetElectionDeadline(now);
+		this.electionTimer.restart(now);
 		this.role = Role.CANDIDATE;
 		requestVotes(term(), false, now);
 	}
@@ -536,7 +516,7 @@
 		boolean granted = !refused && request.term() == term() && this.vote.candidate() != null
 				&& this.vote.candidate().isSameMember(request.from());
 		if (granted) {
-			resetElectionDeadline(now);
+			this.electionTimer.restart(now);
 		}
 		answerVote(request, granted);
 	}
@@ -555,15 +535,12 @@
 			return false;
 		}
 		this.role = Role.FOLLOWER;
-		long interval = this.settings.heartbeatInterval();
-		this.electionDeadline = now + 3 * interval + this.random.nextLong(interval + 1);
+		this.electionTimer.preVoteConceded(now);
 		return true;
 	}
 
-	// Votes are refused within the minimum election timeout after contact with a leader,
-	// because the leader relies on it for its authority.
 	private boolean hasRecentLeaderContact(long now) {
-		return isLeader() || now - this.lastLeaderContact < this.settings.minimumElectionTimeout();
+		return isLeader() || this.electionTimer.refusesVotes(now);
 	}
 
 	private boolean isUpToDate(VoteRequest request) {
@@ -616,21 +593,11 @@
 			this.role = Role.FOLLOWER;
 			this.leader = null;
 			this.leadership = null;
-			resetElectionDeadline(now);
+			this.electionTimer.restart(now);
 			this.actions.add(new ConsensusAction.StepDown(term()));
 		}
 	}
 
-	private void recordLeaderContact(long now) {
-		this.lastLeaderContact = now;
-		resetElectionDeadline(now);
-	}
-
-	private void resetElectionDeadline(long now) {
-		this.electionDeadline = now + this.random.nextLong(this.settings.minimumElectionTimeout(),
-				this.settings.maximumElectionTimeout() + 1);
-	}
-
 	private boolean isVoter() {
 		return MemberKey.contains(voters(), this.settings.self());
 	}
@@ -719,7 +686,7 @@
 		this.role = Role.FOLLOWER;
 		this.leader = message.from();
 		this.leaderOfTerm = this.leader;
-		recordLeaderContact(now);
+		this.electionTimer.leaderContacted(now);
 		return true;
 	}
 
