--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -6,13 +6,11 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import org.magnolialead.api.ErrorCode;
@@ -32,7 +30,6 @@
 import org.magnolialead.engine.consensus.ConsensusSettings;
 import org.magnolialead.engine.consensus.ConsensusSnapshot;
 import org.magnolialead.engine.consensus.RecoveryBackoff;
-import org.magnolialead.engine.consensus.SnapshotPosition;
 import org.magnolialead.engine.consensus.StoredState;
 import org.magnolialead.storage.DataFolder;
 import org.magnolialead.storage.Disk;
@@ -67,9 +64,6 @@
 
 	private static final long CLOSE_TIMEOUT_SECONDS = 10;
 
-	/** Delay before a snapshot that could not be written is written again. */
-	private static final long SNAPSHOT_RETRY_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
-
 	private final CommandLogSettings settings;
 
 	private final ReplicatedStateMachine stateMachine;
@@ -86,11 +80,7 @@
 
 	private final ScheduledExecutorService executor;
 
-	/**
-	 * Encodes and writes snapshots. With a million records this takes seconds. On the
-	 * thread of the log it would delay heartbeats until the leader loses its authority.
-	 */
-	private final ExecutorService snapshotExecutor;
+	private final SnapshotWriter snapshotWriter;
 
 	private final ConsensusMessageQueue messages;
 
@@ -102,10 +92,6 @@
 
 	private ConsensusNode node;
 
-	private boolean snapshotInProgress;
-
-	private long nextSnapshotAt;
-
 	private long appliedIndex;
 
 	private volatile CommandLogStatus status;
@@ -147,18 +133,13 @@
 		this.consensusSettings = ConsensusSettings.of(self, settings.peers(), settings.heartbeatInterval().toNanos(),
 				settings.minimumElectionTimeout().toNanos(), settings.maximumElectionTimeout().toNanos(),
 				settings.seeds(), settings.logBudget());
-		this.nextSnapshotAt = clock.nanoseconds();
+		this.snapshotWriter = new SnapshotWriter(settings.name(), this.folder, clock);
 		createNode(this.folder.storedState(), folderUnusedSince);
 		this.executor = Executors.newSingleThreadScheduledExecutor((task) -> {
 			Thread thread = new Thread(task, "control-log-" + settings.name());
 			thread.setDaemon(true);
 			return thread;
 		});
-		this.snapshotExecutor = Executors.newSingleThreadExecutor((task) -> {
-			Thread thread = new Thread(task, "control-snapshot-" + settings.name());
-			thread.setDaemon(true);
-			return thread;
-		});
 	}
 
 	/**
@@ -310,10 +291,10 @@
 	public void close() {
 		this.closed = true;
 		this.executor.shutdown();
-		this.snapshotExecutor.shutdown();
+		this.snapshotWriter.shutDown();
 		try {
 			boolean terminated = this.executor.awaitTermination(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
-					&& this.snapshotExecutor.awaitTermination(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+					&& this.snapshotWriter.awaitEnd(CLOSE_TIMEOUT_SECONDS);
 			if (!terminated) {
 				throw new MagnolialeadException(ErrorCode.STORAGE_FAILURE, Step.STORAGE, "",
 						"the control log did not stop within %d s".formatted(CLOSE_TIMEOUT_SECONDS));
@@ -450,46 +431,21 @@
 			this.folder.log().sync();
 			persisted();
 		}
-		if (!this.snapshotInProgress && isSnapshotDue()) {
-			startSnapshot();
+		if (this.node.isSnapshotDue(this.settings.snapshotThreshold()) && this.snapshotWriter.mayStart()) {
+			this.snapshotWriter.start(this.node.snapshotPosition(), this.stateMachine.snapshot(), this.executor,
+					(snapshot) -> suspendingOnFailure(() -> install(snapshot)).run());
 		}
 		publishStatus();
 		this.commands.runCompletions();
 	}
 
-	private boolean isSnapshotDue() {
-		return this.node.isSnapshotDue(this.settings.snapshotThreshold())
-				&& this.clock.nanoseconds() - this.nextSnapshotAt >= 0;
-	}
-
 	private void persisted() {
 		perform(this.node.persisted(this.node.lastIndex(), this.node.lastTerm(), this.clock.nanoseconds()));
 	}
 
-	private void startSnapshot() {
-		this.snapshotInProgress = true;
-		SnapshotPosition position = this.node.snapshotPosition();
-		Supplier<byte[]> encoder = this.stateMachine.snapshot();
-		CompletableFuture.supplyAsync(() -> prepareSnapshot(position, encoder), this.snapshotExecutor)
-			.whenCompleteAsync((snapshot, cause) -> suspendingOnFailure(() -> finishSnapshot(snapshot, cause)).run(),
-					this.executor);
-	}
-
-	private ConsensusSnapshot prepareSnapshot(SnapshotPosition position, Supplier<byte[]> encoder) {
-		ConsensusSnapshot snapshot = position.with(encoder.get());
-		this.folder.prepareSnapshot(snapshot);
-		return snapshot;
-	}
-
 	// The log is compacted only after the snapshot is synced. If the leader has sent a
 	// later snapshot in the meantime, that one is kept.
-	private void finishSnapshot(ConsensusSnapshot snapshot, Throwable cause) {
-		this.snapshotInProgress = false;
-		if (cause != null) {
-			LogEvent.CONTROL_SNAPSHOT_FAILED.log(LOGGER, cause, this.settings.name());
-			this.nextSnapshotAt = this.clock.nanoseconds() + SNAPSHOT_RETRY_NANOSECONDS;
-			return;
-		}
+	private void install(ConsensusSnapshot snapshot) {
 		if (!isRunning()) {
 			return;
 		}
