Move the handover of a leaving primary to a class of its own

Change: PrimaryHandover demotes the primary and waits for the successor; its Outcome states whether the successor certainly has all commits. One status request stays open until it is answered.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupPromotion.java
@@ -8,12 +8,9 @@
 import java.util.function.Consumer;
 
 import org.magnolialead.api.GroupView;
-import org.magnolialead.api.LogPosition;
 import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.log.LogEvent;
-import org.magnolialead.api.session.StatementError;
-import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.daemon.entry.CommandSubmitter;
 import org.magnolialead.engine.session.PromotionSelection;
 import org.magnolialead.engine.session.PromotionSelection.Candidate;
@@ -61,16 +58,8 @@
 	/** Timeout of commands to the control log. */
 	private static final long COMMAND_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(2_000);
 
-	/**
-	 * Time for the candidate to receive the log that a leaving primary had when it was
-	 * demoted.
-	 */
-	private static final long CATCH_UP_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(600);
-
 	private static final long STATUS_POLL_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(5);
 
-	private static final long HANDOVER_POLL_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(50);
-
 	private final PromotionController controller;
 
 	private final GroupRouter router;
@@ -260,10 +249,6 @@
 		return PromotionSelection.requiredAnswers(this.view.members().size(), synchronousReplicas());
 	}
 
-	private Optional<MemberStatus> parseStatus(StatementReply reply) {
-		return this.controller.context().dialer().status(reply);
-	}
-
 	private boolean isPrimary(MemberStatus status) {
 		return status.primary() && status.term() >= this.router.progress().term();
 	}
@@ -319,7 +304,7 @@
 				return;
 			}
 			if (leavingPrimary != null) {
-				demote(attempt, term, leavingPrimary);
+				handOver(attempt, term, leavingPrimary);
 			}
 			else {
 				orderPromotion(attempt, term);
@@ -327,88 +312,29 @@
 		}, () -> endAttempt("promotion could not be recorded in the control log"));
 	}
 
-	// The leaving primary is demoted first, so that it acknowledges no further writes
-	// and its successor can receive all acknowledged ones.
-	private void demote(long attempt, long term, MemberPool leavingPrimary) {
-		Consumer<PooledConnection> user = (connection) -> demote(attempt, term, leavingPrimary, connection);
-		leavingPrimary.acquireNext(user);
-		this.controller.context().schedule(ATTEMPT_TIMEOUT_NANOSECONDS / 2, () -> {
-			if (leavingPrimary.cancelAcquire(user) && isCurrent(attempt)) {
-				orderWithoutCatchUp(attempt, term, "leaving primary cannot be demoted");
-			}
-		});
-	}
-
-	private void demote(long attempt, long term, MemberPool leavingPrimary, PooledConnection connection) {
-		if (!isCurrent(attempt)) {
-			connection.release();
-			return;
-		}
-		String memberTerm = Long.toString(this.router.progress().term() + 1);
-		connection.send(MemberCommand.internal(MemberCommand.Kind.DEMOTE, memberTerm), (reply) -> {
-			if (reply.error() == StatementError.CONNECTION_LOST) {
-				connection.discard();
-			}
-			else {
-				connection.release();
-			}
-			if (isCurrent(attempt)) {
-				demoted(attempt, term, leavingPrimary, parseStatus(reply));
-			}
-		});
-	}
-
-	private void demoted(long attempt, long term, MemberPool leavingPrimary, Optional<MemberStatus> status) {
-		this.router.primaryTracker().primaryLost(leavingPrimary, "is leaving");
-		if (status.isEmpty() && synchronousReplicas() > 0) {
-			endAttempt("leaving primary did not state its position");
+	private void handOver(long attempt, long term, MemberPool leavingPrimary) {
+		MemberPool successor = this.router.pool(this.candidate);
+		if (successor == null) {
+			endAttempt("the candidate was removed from the group");
 			return;
 		}
-		LogPosition target = status.map(MemberStatus::received).orElse(LogPosition.NONE);
-		awaitCaughtUp(attempt, term, target, this.router.now() + CATCH_UP_TIMEOUT_NANOSECONDS);
-	}
-
-	private void awaitCaughtUp(long attempt, long term, LogPosition target, long deadline) {
-		if (!isCurrent(attempt)) {
-			return;
-		}
-		MemberPool pool = this.router.pool(this.candidate);
-		if (pool == null || this.router.now() - deadline >= 0) {
-			orderWithoutCatchUp(attempt, term, "candidate has not received the log of the leaving primary");
-			return;
-		}
-		StatusRequests requests = new StatusRequests(this.controller.context());
-		requests.ask(pool);
-		this.controller.context().schedule(HANDOVER_POLL_INTERVAL_NANOSECONDS, () -> {
-			requests.close();
-			boolean caughtUp = requests.answers()
-				.values()
-				.stream()
-				.anyMatch((status) -> status.received().includes(target));
-			if (caughtUp) {
-				orderPromotion(attempt, term);
-			}
-			else {
-				awaitCaughtUp(attempt, term, target, deadline);
-			}
-		});
+		new PrimaryHandover(this.controller.context(), this.router, leavingPrimary, successor, () -> isCurrent(attempt),
+				(outcome) -> handedOver(attempt, term, outcome))
+			.start();
 	}
 
 	// With synchronous replicas, the next attempt asks enough members, which may include
 	// the former primary.
-	private void orderWithoutCatchUp(long attempt, long term, String cause) {
-		if (synchronousReplicas() > 0) {
-			endAttempt(cause);
+	private void handedOver(long attempt, long term, PrimaryHandover.Outcome outcome) {
+		if (outcome.isComplete() || synchronousReplicas() == 0) {
+			orderPromotion(attempt, term);
 		}
 		else {
-			orderPromotion(attempt, term);
+			endAttempt(outcome.toString());
 		}
 	}
 
 	private void orderPromotion(long attempt, long term) {
-		if (!isCurrent(attempt)) {
-			return;
-		}
 		LogEvent.PROMOTION_ORDERED.log(LOGGER, group(), this.candidate, term);
 		String ordered = this.candidate;
 		if (synchronousReplicas() > 0) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatusRequests.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatusRequests.java
@@ -64,13 +64,14 @@
 	}
 
 	/**
-	 * Asks a member, as soon as a connection to it is free.
+	 * Asks a member, as soon as a connection to it is free. An earlier answer is dropped.
 	 * @param pool connections to the member
 	 */
 	void ask(MemberPool pool) {
 		if (this.closed) {
 			return;
 		}
+		this.answers.remove(pool);
 		Consumer<PooledConnection> user = (connection) -> send(pool, connection);
 		this.waiting.put(pool, user);
 		pool.acquireNext(user);
