Sync the data folder before its files count as stored

Cause: a control daemon that ends between replacing a file and syncing the directory reads the new file at its next start and acts on it, for example on a vote, although a loss of power may bring the old one back. Ruled out: the contents; a file is synced before it replaces another one. Change: opening a data folder syncs the directory first, as opening the log syncs the log file. Evidence: DataFolderTests.Log.isNotOpenedUnlessItCanBeSynced.

--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/DataFolder.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/DataFolder.java
@@ -193,7 +193,6 @@
 	public void recover() {
 		this.log.discardUnsynced();
 		load();
-		// The directory entry of the vote may not be durable yet.
 		saveVote(this.storedState.vote());
 	}
 
@@ -253,6 +252,7 @@
 	}
 
 	private void load() {
+		syncDirectory();
 		Path cluster = this.folder.resolve(CLUSTER_FILE);
 		if (!Files.exists(cluster)) {
 			deleteIncompleteFiles();
@@ -270,6 +270,18 @@
 				vote, snapshot, content.baseIndex(), content.baseTerm(), content.entries());
 	}
 
+	// A process that ended may have replaced a file without syncing the directory. The
+	// new
+	// file must not count before it is certain to be found after a loss of power.
+	private void syncDirectory() {
+		try {
+			this.files.syncDirectory(this.folder);
+		}
+		catch (IOException ex) {
+			throw StorageErrors.failure(this.folder, "cannot be synced", ex);
+		}
+	}
+
 	// Removes the files of an interrupted cluster start. The folder did not belong to a
 	// cluster yet, so no other member depends on their content.
 	private void deleteIncompleteFiles() {
--- a/magnolialead-storage/src/test/java/org/magnolialead/storage/DataFolderTests.java
+++ b/magnolialead-storage/src/test/java/org/magnolialead/storage/DataFolderTests.java
@@ -137,36 +137,31 @@
 			}
 		}
 
+		/**
+		 * Guards against a vote or an entry that counts as stored although an earlier
+		 * process has ended before it was synced.
+		 */
+		@Test
+		void isNotOpenedUnlessItCanBeSynced() {
+			FailingSync disk = new FailingSync();
+			disk.fails = true;
+			requireStorageFailure(() -> new DataFolder(DataFolderTests.this.folder, disk).close(), "unsynced folder");
+		}
+
 		/**
 		 * Guards against an entry that counts as stored although its sync failed: the
 		 * operating system may have discarded it, and a later sync succeeds.
 		 */
 		@Test
 		void discardsEntriesWhoseSyncFailed() {
-			boolean[] syncFails = { false };
-			Disk disk = new Disk() {
-
-				@Override
-				public void write(FileChannel channel, ByteBuffer content) throws IOException {
-					Disk.SYSTEM.write(channel, content);
-				}
-
-				@Override
-				public void sync(FileChannel channel) throws IOException {
-					if (syncFails[0]) {
-						throw new IOException("Input/output error");
-					}
-					Disk.SYSTEM.sync(channel);
-				}
-
-			};
+			FailingSync disk = new FailingSync();
 			List<Long> synced;
 			try (DataFolder data = new DataFolder(DataFolderTests.this.folder, disk)) {
 				synced = terms(data);
-				syncFails[0] = true;
+				disk.fails = true;
 				requireStorageFailure(() -> commit(data, entry(4, 7)), "failed sync");
 				requireStorageFailure(data::recover, "recovery on a failed disk");
-				syncFails[0] = false;
+				disk.fails = false;
 				data.recover();
 				require(terms(data).equals(synced), "only the synced entries are kept, found " + terms(data));
 				commit(data, entry(5, 7));
@@ -317,4 +312,26 @@
 
 	}
 
+	/**
+	 * Disk whose syncs can be made to fail.
+	 */
+	private static final class FailingSync implements Disk {
+
+		private boolean fails;
+
+		@Override
+		public void write(FileChannel channel, ByteBuffer content) throws IOException {
+			Disk.SYSTEM.write(channel, content);
+		}
+
+		@Override
+		public void sync(FileChannel channel) throws IOException {
+			if (this.fails) {
+				throw new IOException("Input/output error");
+			}
+			Disk.SYSTEM.sync(channel);
+		}
+
+	}
+
 }
