--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/InterruptedStatementTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/InterruptedStatementTests.java
@@ -71,93 +71,56 @@
 
 	private enum Pending {
 
-		SINGLE_READ {
+		SINGLE_READ(false, false, Verb.READ),
 
-			@Override
-			void prepare(TestClient client) {
-			}
-
-			@Override
-			StatementReply send(TestClient client) {
-				return client.send(Verb.READ, "1", "", PENDING_MILLISECONDS);
-			}
-
-		},
-
-		SINGLE_WRITE {
-
-			@Override
-			void prepare(TestClient client) {
-			}
-
-			@Override
-			StatementReply send(TestClient client) {
-				return client.send(Verb.WRITE, "1", "x", PENDING_MILLISECONDS);
-			}
-
-		},
-
-		FIRST_OF_TRANSACTION {
-
-			@Override
-			void prepare(TestClient client) {
-				client.send(Verb.BEGIN);
-			}
-
-			@Override
-			StatementReply send(TestClient client) {
-				return client.send(Verb.WRITE, "1", "x", PENDING_MILLISECONDS);
-			}
-
-		},
-
-		LATER_IN_TRANSACTION {
-
-			@Override
-			void prepare(TestClient client) {
-				client.send(Verb.BEGIN);
-				client.send(Verb.WRITE, "1", "x");
-			}
-
-			@Override
-			StatementReply send(TestClient client) {
-				return client.send(Verb.WRITE, "2", "y", PENDING_MILLISECONDS);
-			}
+		SINGLE_WRITE(false, false, Verb.WRITE),
 
-		},
-
-		COMMIT {
-
-			@Override
-			void prepare(TestClient client) {
-				client.send(Verb.BEGIN);
-				client.send(Verb.WRITE, "1", "x");
-			}
+		FIRST_OF_TRANSACTION(true, false, Verb.WRITE),
 
-			@Override
-			StatementReply send(TestClient client) {
-				return client.send(Verb.COMMIT, "", "", PENDING_MILLISECONDS);
-			}
+		LATER_IN_TRANSACTION(true, true, Verb.WRITE),
 
-		};
+		COMMIT(true, true, Verb.COMMIT);
 
 		/**
 		 * Time until the interruption. The statement has run at the member by then.
 		 */
 		private static final long PENDING_MILLISECONDS = 30;
 
+		private final boolean begun;
+
+		private final boolean written;
+
+		private final Verb verb;
+
+		Pending(boolean begun, boolean written, Verb verb) {
+			this.begun = begun;
+			this.written = written;
+			this.verb = verb;
+		}
+
 		/**
 		 * Brings the session to the state before the statement.
 		 * @param client the client
 		 */
-		abstract void prepare(TestClient client);
+		void prepare(TestClient client) {
+			if (this.begun) {
+				client.send(Verb.BEGIN);
+			}
+			if (this.written) {
+				client.send(Verb.WRITE, "1", "x");
+			}
+		}
 
 		/**
 		 * Sends the statement.
 		 * @param client the client
 		 * @return its answer, or {@code null} if there is none yet
 		 */
-		abstract StatementReply send(TestClient client);
+		StatementReply send(TestClient client) {
+			String item = (this.verb == Verb.COMMIT) ? "" : "2";
+			String data = (this.verb == Verb.WRITE) ? "y" : "";
+			return client.send(this.verb, item, data, PENDING_MILLISECONDS);
+		}
 
 	}
 
