Send a statement only after its session state is confirmed

Callers saw statements, writes among them, run with the session variables of other clients while one member failed a part of its requests.

Cause: a pooled connection sent RESET, SET and PREPARE and the statement right behind them, and counted each step as done when it was sent. A refused step closed the connection, but the statement had run by then.

Ruled out: two sessions on one connection at once (connections are held exclusively); reads of primary routes (they wait for the answer to BEGIN).

Change: ConnectionState knows a variable or prepared statement only once the member has confirmed it. Steps ahead of a BEGIN are sent with it and cost no round trip. A statement whose connection cannot be aligned was not sent, so it is tried again or refused with a promise that is true. New counters alignments.* and event 3314 tell alignments apart from statements that failed.

Why it works: the check stands at the one place that sends a statement, and nothing but a confirmation makes a value known.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -80,6 +80,9 @@
 	FORWARDING_LOST(3312, Level.WARNING, "daemon that serves forwarded statements lost: daemon=%s code=%s cause=%s"),
 	/** A daemon that holds connections for this one answers again. */
 	FORWARDING_REGAINED(3313, Level.INFO, "daemon that serves forwarded statements regained: daemon=%s"),
+	/** A member did not accept the session of a statement, which was not sent. */
+	SESSION_ALIGNMENT_FAILED(3314, Level.INFO,
+			"connection not aligned with session: request=%s database=%s member=%s error=%s attempt=%s"),
 	/** This control daemon became leader. */
 	CONTROL_LEADER(4001, Level.INFO, "control leadership started: daemon=%s term=%s"),
 	/** This control daemon stopped being leader. */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberCommand.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberCommand.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 
 import org.magnolialead.api.LogPosition;
+import org.magnolialead.engine.session.ConnectionState.AlignmentStep;
 import org.magnolialead.engine.session.PreparedStatement;
 
 /**
@@ -81,6 +82,23 @@
 		return (prepared != null) ? execute(statement, prepared, after) : forward(statement, after);
 	}
 
+	/**
+	 * Creates the command for a step that aligns a connection with a session.
+	 * @param step the step
+	 * @return the command
+	 */
+	public static MemberCommand of(AlignmentStep step) {
+		if (step instanceof AlignmentStep.SetVariable variable) {
+			return internal(Kind.SET, variable.name(), variable.value());
+		}
+		if (step instanceof AlignmentStep.Prepare prepare) {
+			PreparedStatement prepared = prepare.statement();
+			Kind kind = prepared.writes() ? Kind.PREPARE_WRITE : Kind.PREPARE_READ;
+			return internal(kind, prepared.sharedName(), prepared.text());
+		}
+		return internal(Kind.RESET);
+	}
+
 	/**
 	 * Kind of command.
 	 */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -14,12 +14,12 @@
 
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.log.LogEvent;
-import org.magnolialead.engine.session.BeginTimeout;
 import org.magnolialead.engine.session.ConnectBackoff;
 import org.magnolialead.engine.session.ConnectionPurpose;
 import org.magnolialead.engine.session.MemberPath;
 import org.magnolialead.engine.session.OverloadBackoff;
 import org.magnolialead.engine.session.PrimaryHealth;
+import org.magnolialead.engine.session.UnqueuedCommandTimeout;
 
 /**
  * Pool of the connections of this daemon to one database member.
@@ -67,7 +67,7 @@
 
 	private long serviceNanoseconds = INITIAL_SERVICE_NANOSECONDS;
 
-	private long smoothedBeginNanoseconds;
+	private long smoothedRoundTripNanoseconds;
 
 	private boolean lossRecorded;
 
@@ -467,29 +467,31 @@
 	}
 
 	/**
-	 * Returns the timeout of a command that begins a transaction.
+	 * Returns the timeout of a command that does not wait for a slot of the member.
 	 * @return the timeout in nanoseconds
 	 */
-	long beginTimeout() {
-		return BeginTimeout.nanoseconds(this.smoothedBeginNanoseconds);
+	long unqueuedCommandTimeout() {
+		return UnqueuedCommandTimeout.nanoseconds(this.smoothedRoundTripNanoseconds);
 	}
 
-	void transactionBegun(long durationNanoseconds) {
-		this.smoothedBeginNanoseconds += (durationNanoseconds - this.smoothedBeginNanoseconds) / SMOOTHING_DIVISOR;
+	void unqueuedCommandAnswered(long durationNanoseconds) {
+		this.smoothedRoundTripNanoseconds += (durationNanoseconds - this.smoothedRoundTripNanoseconds)
+				/ SMOOTHING_DIVISOR;
 	}
 
 	/**
-	 * Records that the begin of a transaction was not answered in time. Free connections
-	 * over the same path are closed, because they would not be answered either.
+	 * Records that a command that does not wait for a slot was not answered in time. Free
+	 * connections over the same path are closed, because they would not be answered
+	 * either.
 	 * @param connection the connection, which the caller closes
 	 */
-	void beginTimedOut(PooledConnection connection) {
+	void unqueuedCommandTimedOut(PooledConnection connection) {
 		this.health.connectionFailed();
 		if (connection.isRelayed()) {
 			this.path.relayFailed();
 		}
 		else {
-			directFailed("begin timed out");
+			directFailed("command timed out");
 		}
 		this.connectBackoff.permitNow(now());
 		List.copyOf(this.connections)
@@ -498,6 +500,10 @@
 			.forEach(PooledConnection::discard);
 	}
 
+	SessionMetrics metrics() {
+		return this.context.metrics();
+	}
+
 	Future<?> schedule(long delayNanoseconds, Runnable task) {
 		return this.context.schedule(delayNanoseconds, task);
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
@@ -67,6 +67,9 @@
 
 	private ConnectionRequest connectionRequest;
 
+	/** Number of members that received the statement and have not answered. */
+	private int unansweredStatements;
+
 	private int attempts;
 
 	private int hedges;
@@ -124,13 +127,12 @@
 			this.hedgeTimer = this.session.context()
 				.schedule(Math.max(MINIMUM_HEDGE_DELAY_NANOSECONDS, hedgeDelay), this::hedge);
 		}
-		connection.align(this.session.sessionVariables(), this.prepared);
 		boolean needsPrimaryProof = !this.writes && !plan.onReplica();
 		if (needsPrimaryProof) {
 			begin(connection);
 		}
 		else {
-			send(connection, plan, false);
+			align(connection, plan, false);
 		}
 	}
 
@@ -138,12 +140,13 @@
 	// write, so the read cannot miss a commit of the new primary.
 	private void begin(PooledConnection connection) {
 		long requestedAt = this.session.context().now();
-		connection.begin(MemberCommand.internal(MemberCommand.Kind.BEGIN), (reply) -> {
+		connection.startAlignment(this.session.sessionVariables(), this.prepared);
+		connection.sendUnqueued(MemberCommand.internal(MemberCommand.Kind.BEGIN), (reply) -> {
 			if (reply.isDone()) {
 				this.session.router()
 					.primaryTracker()
 					.primaryConfirmed(connection.pool(), requestedAt, reply.position());
-				send(connection, ReadPlan.PRIMARY, true);
+				align(connection, ReadPlan.PRIMARY, true);
 			}
 			else {
 				answered(connection, reply);
@@ -151,20 +154,50 @@
 		});
 	}
 
+	private void align(PooledConnection connection, ReadPlan plan, boolean inTransaction) {
+		connection.whenAligned(this.session.sessionVariables(), this.prepared,
+				() -> send(connection, plan, inTransaction), (reply) -> alignmentFailed(connection, reply));
+	}
+
 	private void send(PooledConnection connection, ReadPlan plan, boolean inTransaction) {
+		if (this.finished) {
+			this.pendingConnections.remove(connection);
+			this.session.router()
+				.endTransaction(connection, inTransaction ? SessionState.TRANSACTION : SessionState.IDLE);
+			return;
+		}
 		long requestedAt = this.session.context().now();
-		connection.send(MemberCommand.of(this.statement, this.prepared, plan.onReplica() ? plan.required() : null),
-				(reply) -> {
-					if (reply.isDone() && (this.writes || inTransaction)) {
-						this.session.router()
-							.primaryTracker()
-							.primaryConfirmed(connection.pool(), requestedAt, reply.position());
-					}
-					answered(connection, reply);
-				});
+		this.unansweredStatements++;
+		connection.sendStatement(this.statement, this.prepared, plan.onReplica() ? plan.required() : null, (reply) -> {
+			this.unansweredStatements--;
+			if (reply.isDone() && (this.writes || inTransaction)) {
+				this.session.router()
+					.primaryTracker()
+					.primaryConfirmed(connection.pool(), requestedAt, reply.position());
+			}
+			answered(connection, reply);
+		});
 	}
 
-	private void answered(PooledConnection connection, StatementReply reply) {
+	// The statement was not sent, so it may be tried elsewhere even if it writes.
+	private void alignmentFailed(PooledConnection connection, StatementReply reply) {
+		returnConnection(connection, reply);
+		if (this.finished) {
+			return;
+		}
+		this.lastError = reply.error();
+		this.session.statementLog()
+			.alignmentFailed(this.statement, this.session.route().database(), connection.pool().member().member(),
+					reply.error(), this.attempts);
+		if (reply.error() == StatementError.MALFORMED) {
+			finish(reply.withState(SessionState.IDLE));
+		}
+		else {
+			retry(connection.pool(), StatementReply.failed(StatementError.OVERLOADED, reply.detail(), reply.state()));
+		}
+	}
+
+	private void returnConnection(PooledConnection connection, StatementReply reply) {
 		this.pendingConnections.remove(connection);
 		if (reply.error() == StatementError.CONNECTION_LOST) {
 			connection.discard();
@@ -172,6 +205,10 @@
 		else {
 			this.session.router().endTransaction(connection, reply.state());
 		}
+	}
+
+	private void answered(PooledConnection connection, StatementReply reply) {
+		returnConnection(connection, reply);
 		if (this.finished) {
 			return;
 		}
@@ -298,7 +335,7 @@
 
 	@Override
 	public StatementStage stage() {
-		return StatementStage.ofSingle(this.writes, !this.pendingConnections.isEmpty());
+		return StatementStage.ofSingle(this.writes, this.unansweredStatements > 0);
 	}
 
 	@Override
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberTransaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberTransaction.java
@@ -97,11 +97,11 @@
 	private void begin(PooledConnection granted, ReadPlan plan) {
 		this.connectionRequest = null;
 		this.connection = granted;
-		granted.align(this.session.sessionVariables(), this.pendingStatement.prepared());
+		granted.startAlignment(this.session.sessionVariables(), this.pendingStatement.prepared());
 		MemberCommand command = plan.onReplica() ? MemberCommand.beginRead(plan.required())
 				: MemberCommand.internal(MemberCommand.Kind.BEGIN);
 		long requestedAt = this.session.context().now();
-		granted.begin(command, (reply) -> {
+		granted.sendUnqueued(command, (reply) -> {
 			if (this.connection == granted) {
 				begun(reply, plan, requestedAt);
 			}
@@ -137,18 +137,45 @@
 	private void send() {
 		PooledConnection used = this.connection;
 		PendingStatement statement = this.pendingStatement;
-		used.align(this.session.sessionVariables(), statement.prepared());
-		long now = this.session.context().now();
-		long untilDeadline = statement.deadline() - now;
+		long untilDeadline = statement.deadline() - this.session.context().now();
 		startTimer(statement.commit() ? untilDeadline : Math.min(STATEMENT_TIMEOUT_NANOSECONDS, untilDeadline));
+		used.whenAligned(this.session.sessionVariables(), statement.prepared(), () -> {
+			if (this.connection == used) {
+				sendAligned();
+			}
+		}, (reply) -> {
+			if (this.connection == used) {
+				alignmentFailed(reply);
+			}
+		});
+	}
+
+	private void sendAligned() {
+		PooledConnection used = this.connection;
+		long requestedAt = this.session.context().now();
 		this.sent = true;
-		used.send(MemberCommand.of(statement.statement(), statement.prepared(), null), (reply) -> {
+		used.sendStatement(this.pendingStatement.statement(), this.pendingStatement.prepared(), null, (reply) -> {
 			if (this.connection == used) {
-				answered(reply, now);
+				answered(reply, requestedAt);
 			}
 		});
 	}
 
+	// The statement was not sent. Until a statement has run, the transaction can be begun
+	// again on another connection.
+	private void alignmentFailed(StatementReply reply) {
+		stopTimer();
+		this.session.statementLog()
+			.alignmentFailed(this.pendingStatement.statement(), this.session.route().database(),
+					this.connection.pool().member().member(), reply.error(), this.attempts);
+		returnConnection(reply);
+		if (this.statementRan || this.attempts >= MAXIMUM_ATTEMPTS || reply.error() == StatementError.MALFORMED) {
+			fail(StatementError.ROLLED_BACK, reply.error() + ": " + reply.detail());
+			return;
+		}
+		this.timer = this.session.context().schedule(RETRY_DELAY_NANOSECONDS, this::attempt);
+	}
+
 	private void answered(StatementReply reply, long requestedAt) {
 		stopTimer();
 		this.sent = false;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -1,11 +1,15 @@
 package org.magnolialead.daemon.session;
 
+import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
+import org.magnolialead.api.LogPosition;
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.engine.session.ConnectionState;
+import org.magnolialead.engine.session.ConnectionState.AlignmentStep;
 import org.magnolialead.engine.session.PreparedStatement;
 
 /**
@@ -101,34 +105,72 @@
 	}
 
 	/**
-	 * Aligns the connection with a session: sets its session variables and prepares its
-	 * statement.
+	 * Returns the steps that are missing until this connection is known to be aligned
+	 * with a session.
 	 * @param sessionVariables variables of the session by name
 	 * @param statement prepared statement that runs next, or {@code null}
+	 * @return the steps in order; empty if the connection is aligned
 	 */
-	void align(Map<String, String> sessionVariables, PreparedStatement statement) {
-		ConnectionState.Alignment alignment = this.state.align(sessionVariables, statement);
-		if (alignment.reset()) {
-			sendAlignment(MemberCommand.internal(MemberCommand.Kind.RESET));
-		}
-		alignment.variables()
-			.forEach((name, value) -> sendAlignment(MemberCommand.internal(MemberCommand.Kind.SET, name, value)));
-		if (alignment.statement() != null) {
-			PreparedStatement prepared = alignment.statement();
-			MemberCommand.Kind kind = prepared.writes() ? MemberCommand.Kind.PREPARE_WRITE
-					: MemberCommand.Kind.PREPARE_READ;
-			sendAlignment(MemberCommand.internal(kind, prepared.sharedName(), prepared.text()));
-		}
+	List<AlignmentStep> alignmentSteps(Map<String, String> sessionVariables, PreparedStatement statement) {
+		return this.state.stepsTo(sessionVariables, statement);
 	}
 
-	// The statement is sent without waiting for the answer. If a step fails the
-	// connection is closed, so that no later statement runs with wrong session
-	// variables.
-	private void sendAlignment(MemberCommand command) {
-		send(command, (reply) -> {
-			if (!reply.isDone()) {
-				this.channel.close();
+	/**
+	 * Sends the missing steps of an alignment without waiting for their answers. No
+	 * statement of the session may be sent before {@link #whenAligned} permits it.
+	 * @param sessionVariables variables of the session by name
+	 * @param statement prepared statement that runs next, or {@code null}
+	 */
+	void startAlignment(Map<String, String> sessionVariables, PreparedStatement statement) {
+		alignmentSteps(sessionVariables, statement).forEach((step) -> sendStep(step, this::send, (reply) -> {
+		}));
+	}
+
+	/**
+	 * Aligns the connection with a session and waits until the member has confirmed this.
+	 * @param sessionVariables variables of the session by name
+	 * @param statement prepared statement that runs next, or {@code null}
+	 * @param aligned called when a statement of the session may be sent, immediately if
+	 * the connection is aligned
+	 * @param failed receives the answer due to which the connection is not aligned
+	 */
+	void whenAligned(Map<String, String> sessionVariables, PreparedStatement statement, Runnable aligned,
+			Consumer<StatementReply> failed) {
+		new ConnectionAlignment(this, sessionVariables, statement, aligned, failed).start();
+	}
+
+	/**
+	 * Sends a step of an alignment.
+	 * @param step the step
+	 * @param sender sends the command and its handler
+	 * @param handler receives the answer, after its effect was recorded
+	 */
+	void sendStep(AlignmentStep step, BiConsumer<MemberCommand, Consumer<StatementReply>> sender,
+			Consumer<StatementReply> handler) {
+		step.sentOn(this.state);
+		sender.accept(MemberCommand.of(step), (reply) -> {
+			if (reply.isDone()) {
+				step.confirmedOn(this.state);
+			}
+			handler.accept(reply);
+		});
+	}
+
+	/**
+	 * Sends a statement of the session with which this connection is aligned.
+	 * @param statement the statement
+	 * @param prepared the prepared statement that it executes, or {@code null}
+	 * @param after log position that the member must have applied, or {@code null} for
+	 * none
+	 * @param handler receives the answer
+	 */
+	void sendStatement(ClientStatement statement, PreparedStatement prepared, LogPosition after,
+			Consumer<StatementReply> handler) {
+		send(MemberCommand.of(statement, prepared, after), (reply) -> {
+			if (reply.error() == StatementError.NOT_PREPARED && prepared != null) {
+				this.state.notPrepared(prepared);
 			}
+			handler.accept(reply);
 		});
 	}
 
@@ -149,15 +191,16 @@
 	}
 
 	/**
-	 * Begins a transaction. A member answers this immediately even if all its slots are
-	 * occupied, so a timeout means that the member or the path to it has failed. The
-	 * connection is then closed, which rolls the transaction back, and the handler
-	 * receives {@link StatementReply#CONNECTION_LOST}.
-	 * @param command the command that begins the transaction
+	 * Sends a command that does not wait for a slot of the member: a begin of a
+	 * transaction or a step of an alignment. A member answers it immediately, so a
+	 * timeout means that the member or the path to it has failed. The connection is then
+	 * closed, which rolls a transaction back, and the handler receives
+	 * {@link StatementReply#CONNECTION_LOST}.
+	 * @param command the command
 	 * @param handler receives the answer
 	 */
-	void begin(MemberCommand command, Consumer<StatementReply> handler) {
-		BeginTimer timer = new BeginTimer(this, handler);
+	void sendUnqueued(MemberCommand command, Consumer<StatementReply> handler) {
+		UnqueuedCommandTimer timer = new UnqueuedCommandTimer(this, handler);
 		timer.start();
 		send(command, timer::answered);
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PrimaryTracker.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PrimaryTracker.java
@@ -178,7 +178,7 @@
 		this.probedAt.put(pool.member().member(), now);
 		PooledConnection connection = free.get();
 		connection.acquire(now);
-		connection.begin(MemberCommand.internal(MemberCommand.Kind.BEGIN),
+		connection.sendUnqueued(MemberCommand.internal(MemberCommand.Kind.BEGIN),
 				(reply) -> probeAnswered(connection, now, reply));
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionContext.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionContext.java
@@ -16,9 +16,10 @@
  * @param clock clock for all deadlines
  * @param dialer opens connections to members
  * @param forwarder knows the other daemons and forwards statements to them
+ * @param metrics counters and latencies
  */
 record SessionContext(ScheduledExecutorService loop, MonotonicClock clock, MemberDialer dialer,
-		StatementForwarder forwarder) {
+		StatementForwarder forwarder, SessionMetrics metrics) {
 
 	private static final System.Logger LOGGER = System.getLogger(SessionContext.class.getName());
 
@@ -27,6 +28,7 @@
 		Objects.requireNonNull(clock, "clock must not be null");
 		Objects.requireNonNull(dialer, "dialer must not be null");
 		Objects.requireNonNull(forwarder, "forwarder must not be null");
+		Objects.requireNonNull(metrics, "metrics must not be null");
 	}
 
 	long now() {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
@@ -65,6 +65,17 @@
 		this.registry.timer("latency." + suffix).update(nanoseconds, TimeUnit.NANOSECONDS);
 	}
 
+	/**
+	 * Counts the end of an alignment of a connection with a session whose answers were
+	 * awaited, and its round trips.
+	 * @param aligned whether the connection is aligned
+	 * @param roundTrips number of round trips to the member
+	 */
+	void alignmentFinished(boolean aligned, int roundTrips) {
+		this.registry.counter(aligned ? "alignments.done" : "alignments.failed").inc();
+		this.registry.counter("alignments.round-trips").inc(roundTrips);
+	}
+
 	void update(int openSessions, int openForwardedSessions, Iterable<GroupRouter> routers) {
 		int waitingCount = 0;
 		int connectionCount = 0;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -74,7 +74,8 @@
 	 */
 	public SessionService(String daemon, String zone, ScheduledExecutorService loop, MonotonicClock clock,
 			LongSupplier wallClock, MemberDialer dialer, ForwardingLink link) {
-		this.context = new SessionContext(loop, clock, dialer, new StatementForwarder(daemon, zone, clock, link));
+		this.context = new SessionContext(loop, clock, dialer, new StatementForwarder(daemon, zone, clock, link),
+				this.metrics);
 		this.wallClock = wallClock;
 		this.statementLog = new StatementLog(this.context);
 		this.suspensionDetector = new SuspensionDetector(clock.nanoseconds(), wallClock.getAsLong());
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementLog.java
@@ -47,6 +47,12 @@
 		}
 	}
 
+	void alignmentFailed(ClientStatement statement, String database, String member, StatementError error, int attempt) {
+		if (mayLogFailure()) {
+			LogEvent.SESSION_ALIGNMENT_FAILED.log(LOGGER, statement.identifier(), database, member, error, attempt);
+		}
+	}
+
 	void served(ClientStatement statement, String database, PooledConnection connection, int attempt) {
 		if (this.servedLimiter.tryAcquire(this.context.now())) {
 			LogEvent.SESSION_STATEMENT_SERVED.log(LOGGER, statement.identifier(), database,
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/BeginTimer.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/UnqueuedCommandTimer.java
@@ -8,10 +8,10 @@
 import org.magnolialead.api.session.StatementReply;
 
 /**
- * Waits for the answer to a command that begins a transaction, and closes the connection
- * if the answer times out.
+ * Waits for the answer to a command that does not wait for a slot of the member, and
+ * closes the connection if the answer times out.
  */
-final class BeginTimer {
+final class UnqueuedCommandTimer {
 
 	/**
 	 * Additional delay after the timeout, so that answers that have already arrived are
@@ -31,7 +31,7 @@
 
 	private boolean completed;
 
-	BeginTimer(PooledConnection connection, Consumer<StatementReply> handler) {
+	UnqueuedCommandTimer(PooledConnection connection, Consumer<StatementReply> handler) {
 		this.connection = connection;
 		this.pool = connection.pool();
 		this.handler = handler;
@@ -39,7 +39,7 @@
 	}
 
 	void start() {
-		this.timeout = this.pool.schedule(this.pool.beginTimeout(),
+		this.timeout = this.pool.schedule(this.pool.unqueuedCommandTimeout(),
 				() -> this.timeout = this.pool.schedule(READ_DELAY_NANOSECONDS, this::timedOut));
 	}
 
@@ -50,7 +50,7 @@
 		this.completed = true;
 		this.timeout.cancel(false);
 		if (reply.error() != StatementError.CONNECTION_LOST) {
-			this.pool.transactionBegun(this.pool.now() - this.sentAt);
+			this.pool.unqueuedCommandAnswered(this.pool.now() - this.sentAt);
 		}
 		this.handler.accept(reply);
 	}
@@ -60,7 +60,7 @@
 			return;
 		}
 		this.completed = true;
-		this.pool.beginTimedOut(this.connection);
+		this.pool.unqueuedCommandTimedOut(this.connection);
 		this.connection.discard();
 		this.handler.accept(StatementReply.CONNECTION_LOST);
 	}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/BeginTimeout.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/UnqueuedCommandTimeout.java
@@ -1,13 +1,13 @@
 package org.magnolialead.engine.session;
 
 /**
- * Calculates the timeout of the request that begins a transaction, after which the path
- * to the member counts as failed. A member answers this request without a slot, so the
- * response takes one round trip even under load. A primary that stops responding is
- * thereby detected earlier than by a statement timeout, which has to allow for a full
- * queue.
+ * Calculates the timeout of a command that does not wait for a slot of the member: the
+ * begin of a transaction, or a step that aligns a connection with a session. Its answer
+ * takes one round trip even under load, so a timeout means that the path to the member
+ * has failed. A primary that stops responding is thereby detected earlier than by a
+ * statement timeout, which has to allow for a full queue.
  */
-public final class BeginTimeout {
+public final class UnqueuedCommandTimeout {
 
 	/**
 	 * Minimum timeout in nanoseconds; several times the round trip between availability
@@ -21,13 +21,13 @@
 	/** Multiple of the smoothed response time, which allows for long network queues. */
 	private static final int RESPONSE_TIME_FACTOR = 8;
 
-	private BeginTimeout() {
+	private UnqueuedCommandTimeout() {
 	}
 
 	/**
-	 * Returns the timeout of the next begin request.
-	 * @param smoothedNanoseconds smoothed response time of earlier begin requests, in
-	 * nanoseconds
+	 * Returns the timeout of the next command.
+	 * @param smoothedNanoseconds smoothed response time of earlier commands of this kind,
+	 * in nanoseconds
 	 * @return the timeout in nanoseconds
 	 */
 	public static long nanoseconds(long smoothedNanoseconds) {
