Keep a control quorum through the losses that must be tolerated

Callers saw a fleet that did not return: after two of eight VMs with a disk came back empty and all lost power, no control leader was elected any more, the configuration was answered 503 for good and no request was served.

Cause: the deploy file started one control daemon per availability zone, four voters in all, while the loss of two disks must be tolerated; two of four are no majority. Besides, a leader removed unresponsive voters down to three, whatever must be tolerated.

Change: control.tolerated_losses states how many disks may be lost at once. FaultTolerance derives the voters that a change needs (2n) and the number down to which voters are removed (2n + 1). A leader logs event 4014 while it has too few voters, and ctl status shows how many losses the present ones tolerate.

Why it works: with 2n + 1 voters or more the remaining ones are a majority after n losses, and each majority has a member that is not lost.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -112,6 +112,13 @@
 	CONTROL_LOG_RECOVERY_FAILED(4012, Level.WARNING, "control log recovery failed: daemon=%s cause=%s"),
 	/** A snapshot of the control log could not be written and is written again later. */
 	CONTROL_SNAPSHOT_FAILED(4013, Level.ERROR, "control snapshot failed: daemon=%s"),
+	/** The control cluster has too few voters for the losses that it must tolerate. */
+	CONTROL_TOLERANCE_LOST(4014, Level.WARNING,
+			"control cluster has too few voters: voters=%s required=%s tolerated_losses=%s"),
+	/** The control cluster has enough voters again. */
+	CONTROL_TOLERANCE_REGAINED(4015, Level.INFO, "control cluster has enough voters: voters=%s tolerated_losses=%s"),
+	/** A control daemon without a data folder follows the log and does not vote. */
+	CONTROL_OBSERVER_STARTED(4016, Level.INFO, "control daemon does not vote, it has no data folder: daemon=%s"),
 	/** A peer connection was closed because of malformed input. */
 	PEER_CONNECTION_DAMAGED(6001, Level.WARNING, "peer connection closed after malformed input: peer=%s"),
 	/** A peer message handler failed with an exception that has no error code. */
--- a/magnolialead-api/src/main/java/org/magnolialead/api/message/ControlIdentity.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/ControlIdentity.java
@@ -9,8 +9,10 @@
  * @param name name of the control daemon in its settings
  * @param incarnation random identifier kept in the data folder
  * @param address peer address in the form {@code host:port}
+ * @param observer whether the member has no durable data folder; it then receives the log
+ * but never votes
  */
-public record ControlIdentity(String name, String incarnation, String address) {
+public record ControlIdentity(String name, String incarnation, String address, boolean observer) {
 
 	public ControlIdentity {
 		Objects.requireNonNull(name, "name must not be null");
@@ -18,6 +20,16 @@
 		Objects.requireNonNull(address, "address must not be null");
 	}
 
+	/**
+	 * Creates the identity of a member with a durable data folder.
+	 * @param name name of the control daemon in its settings
+	 * @param incarnation random identifier kept in the data folder
+	 * @param address peer address in the form {@code host:port}
+	 */
+	public ControlIdentity(String name, String incarnation, String address) {
+		this(name, incarnation, address, false);
+	}
+
 	/**
 	 * Returns whether both identities denote the same member with the same data folder.
 	 * @param other the other identity
--- a/magnolialead-ctl/src/main/java/org/magnolialead/ctl/StatusCommand.java
+++ b/magnolialead-ctl/src/main/java/org/magnolialead/ctl/StatusCommand.java
@@ -5,6 +5,7 @@
 import org.magnolialead.api.GroupView;
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.message.ViewAnswer;
+import org.magnolialead.engine.consensus.FaultTolerance;
 
 /**
  * Prints the state of each control daemon, of the groups and of the daemons.
@@ -36,9 +37,10 @@
 		try {
 			ViewAnswer answer = client.view(address);
 			context.output()
-				.printf("control %s %s %s term %d commit %d applied %d voters %s view %d%n", answer.daemon(), address,
-						answer.leader() ? "leader" : "follower", answer.term(), answer.commitIndex(),
-						answer.appliedIndex(), answer.voters(), answer.view().version());
+				.printf("control %s %s %s term %d commit %d applied %d voters %s tolerated_losses %d view %d%n",
+						answer.daemon(), address, answer.leader() ? "leader" : "follower", answer.term(),
+						answer.commitIndex(), answer.appliedIndex(), answer.voters(),
+						FaultTolerance.lossesTolerated(answer.voters().size()), answer.view().version());
 			return answer;
 		}
 		catch (MagnolialeadException ex) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -1,8 +1,10 @@
 package org.magnolialead.daemon;
 
+import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -28,9 +30,11 @@
 import org.magnolialead.daemon.control.ControlSettings;
 import org.magnolialead.daemon.control.ControlStateMachine;
 import org.magnolialead.daemon.control.DefaultCommandLog;
+import org.magnolialead.daemon.control.FaultToleranceMonitor;
 import org.magnolialead.daemon.control.LedgerKeys;
 import org.magnolialead.daemon.control.WallClock;
 import org.magnolialead.daemon.settings.DaemonSettings;
+import org.magnolialead.engine.consensus.FaultTolerance;
 import org.magnolialead.transport.http.HttpHandler;
 import org.magnolialead.transport.http.HttpServer;
 import org.magnolialead.transport.peer.PeerClient;
@@ -45,6 +49,11 @@
 
 	private static final System.Logger LOGGER = System.getLogger(ControlDaemon.class.getName());
 
+	/** Number of voters that a new cluster needs before it accepts changes. */
+	private static final int MINIMUM_VOTERS = 3;
+
+	private static final long TOLERANCE_CHECK_SECONDS = 1;
+
 	private static final long PEER_QUERY_TIMEOUT_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
 
 	private final DaemonSettings settings;
@@ -67,6 +76,10 @@
 
 	private final HttpHandler httpHandler;
 
+	private final FaultToleranceMonitor toleranceMonitor;
+
+	private final Optional<Path> temporaryFolder;
+
 	private PeerServer peerServer;
 
 	private HttpServer httpServer;
@@ -76,11 +89,17 @@
 		this.executor = Executors.newFixedThreadPool(settings.threads(), DaemonThreads.named("worker"));
 		this.peerClient = new PeerClient(this.clock);
 		ControlStateMachine machine = new ControlStateMachine();
+		FaultTolerance tolerance = settings.seeds()
+			.map(DaemonSettings.SeedSettings::faultTolerance)
+			.orElse(FaultTolerance.ONE_LOSS);
+		this.temporaryFolder = settings.dataFolder().isPresent() ? Optional.empty()
+				: Optional.of(TemporaryFolder.create(settings.name()));
 		CommandLogSettings logSettings = CommandLogSettings
-			.withDefaults(settings.name(), settings.peer().address(), settings.dataFolder().orElseThrow(),
-					settings.controlMembers())
+			.withDefaults(settings.name(), settings.peer().address(),
+					settings.dataFolder().or(() -> this.temporaryFolder).orElseThrow(), settings.controlMembers())
 			.withOverrides(Duration.ofMillis(settings.electionTimeoutMilliseconds()), settings.snapshotEntries(),
-					settings.seeds().isPresent() ? settings.controlAddresses() : List.of(), settings.diskBytes());
+					settings.seeds().isPresent() ? settings.controlAddresses() : List.of(), settings.diskBytes())
+			.withMembership(tolerance, this.temporaryFolder.isPresent());
 		this.log = new DefaultCommandLog(logSettings, machine, this.peerClient::send, this.clock, new SecureRandom(),
 				launchedAt);
 		this.ledgerKeys = new LedgerKeys(this.log, machine);
@@ -88,11 +107,18 @@
 				this.clock, WallClock.SYSTEM);
 		this.timer = Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("control-timer"));
 		ControlOperations operations = new ControlOperations(this.controller, this.log, machine, this.peerClient,
-				this.clock, this.timer, settings.controlAddresses().size());
+				this.clock, this.timer, requiredVoters(settings, tolerance));
+		this.toleranceMonitor = new FaultToleranceMonitor(tolerance);
 		this.httpHandler = extension.controlHandler(operations, settings,
 				new ControlHttpHandler(this.controller, this.log, this.metrics));
 	}
 
+	// Each change must be on more voters than may be lost before it is acknowledged.
+	private static int requiredVoters(DaemonSettings settings, FaultTolerance tolerance) {
+		int listed = Math.min(MINIMUM_VOTERS, settings.controlAddresses().size());
+		return settings.seeds().isPresent() ? Math.max(listed, tolerance.votersToCommit()) : listed;
+	}
+
 	@Override
 	public void open() {
 		this.peerServer = Listeners.peer(this.settings, new MessageHandler(), this.executor);
@@ -100,10 +126,19 @@
 		initializeIfFirst();
 		this.log.start();
 		this.controller.start();
+		this.timer.scheduleWithFixedDelay(this::checkTolerance, TOLERANCE_CHECK_SECONDS, TOLERANCE_CHECK_SECONDS,
+				TimeUnit.SECONDS);
+		if (this.temporaryFolder.isPresent()) {
+			LogEvent.CONTROL_OBSERVER_STARTED.log(LOGGER, this.settings.name());
+		}
 		LogEvent.DAEMON_STARTED.log(LOGGER, this.settings.name(), this.settings.role(), this.settings.peer().address(),
 				this.settings.http().host() + ":" + this.settings.http().port());
 	}
 
+	private void checkTolerance() {
+		this.toleranceMonitor.check(this.log.hasAuthority(), this.log.voters().size(), this.clock.nanoseconds());
+	}
+
 	// On the first start of a fleet every VM has the same list of seeds, so the first
 	// seed can be chosen to initialize the cluster without communication. The other
 	// daemons join it.
@@ -111,7 +146,7 @@
 		this.settings.seeds().ifPresent((seeds) -> {
 			String address = this.settings.http().host() + ":" + this.settings.http().port();
 			boolean first = seeds.firstStart() && seeds.addresses().get(0).equals(address);
-			if (first && this.log.cluster().isEmpty()) {
+			if (first && this.temporaryFolder.isEmpty() && this.log.cluster().isEmpty()) {
 				this.log.initialize();
 			}
 		});
@@ -191,6 +226,7 @@
 		this.peerClient.close();
 		this.timer.shutdownNow();
 		this.executor.shutdownNow();
+		this.temporaryFolder.ifPresent(TemporaryFolder::delete);
 	}
 
 	private final class MessageHandler implements PeerHandler {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlOperations.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlOperations.java
@@ -32,9 +32,6 @@
 
 	private static final long RETRY_DELAY_MILLISECONDS = 50;
 
-	/** Number of voters that a new cluster needs before it accepts changes. */
-	private static final int MINIMUM_VOTERS = 3;
-
 	private final ControlController controller;
 
 	private final CommandLog log;
@@ -50,14 +47,14 @@
 	private final int minimumVoters;
 
 	ControlOperations(ControlController controller, CommandLog log, ControlStateMachine machine, PeerClient client,
-			MonotonicClock clock, ScheduledExecutorService timer, int knownDaemons) {
+			MonotonicClock clock, ScheduledExecutorService timer, int minimumVoters) {
 		this.controller = controller;
 		this.log = log;
 		this.machine = machine;
 		this.client = client;
 		this.clock = clock;
 		this.timer = timer;
-		this.minimumVoters = Math.min(MINIMUM_VOTERS, knownDaemons);
+		this.minimumVoters = minimumVoters;
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 
+import org.magnolialead.engine.consensus.FaultTolerance;
 import org.magnolialead.engine.consensus.LogBudget;
 
 /**
@@ -22,10 +23,13 @@
  * @param seeds peer addresses at which other control daemons are contacted when the
  * settings list no peers
  * @param logBudget limits of the log in bytes
+ * @param faultTolerance number of voters that may be lost at once
+ * @param observer whether the data folder is temporary, so that the daemon must not vote
  */
 public record CommandLogSettings(String name, String peerAddress, Path dataFolder, Map<String, String> peers,
 		Duration heartbeatInterval, Duration minimumElectionTimeout, Duration maximumElectionTimeout,
-		int snapshotThreshold, List<String> seeds, LogBudget logBudget) {
+		int snapshotThreshold, List<String> seeds, LogBudget logBudget, FaultTolerance faultTolerance,
+		boolean observer) {
 
 	/** Default time between heartbeats of a leader. */
 	public static final Duration DEFAULT_HEARTBEAT_INTERVAL = Duration.ofMillis(100);
@@ -51,6 +55,7 @@
 		Objects.requireNonNull(heartbeatInterval, "heartbeatInterval must not be null");
 		Objects.requireNonNull(minimumElectionTimeout, "minimumElectionTimeout must not be null");
 		Objects.requireNonNull(logBudget, "logBudget must not be null");
+		Objects.requireNonNull(faultTolerance, "faultTolerance must not be null");
 		Objects.requireNonNull(maximumElectionTimeout, "maximumElectionTimeout must not be null");
 		peers = Map.copyOf(peers);
 		seeds = List.copyOf(seeds);
@@ -73,7 +78,19 @@
 			long diskBytes) {
 		return new CommandLogSettings(this.name, this.peerAddress, this.dataFolder, this.peers,
 				electionTimeout.dividedBy(HEARTBEATS_PER_TIMEOUT), electionTimeout, electionTimeout.multipliedBy(2),
-				entries, seedAddresses, logBudget(diskBytes));
+				entries, seedAddresses, logBudget(diskBytes), this.faultTolerance, this.observer);
+	}
+
+	/**
+	 * Returns settings for a cluster whose members join by themselves.
+	 * @param tolerance number of voters that may be lost at once
+	 * @param isObserver whether the data folder is temporary
+	 * @return the settings
+	 */
+	public CommandLogSettings withMembership(FaultTolerance tolerance, boolean isObserver) {
+		return new CommandLogSettings(this.name, this.peerAddress, this.dataFolder, this.peers, this.heartbeatInterval,
+				this.minimumElectionTimeout, this.maximumElectionTimeout, this.snapshotThreshold, this.seeds,
+				this.logBudget, tolerance, isObserver);
 	}
 
 	/**
@@ -91,7 +108,7 @@
 			Duration heartbeatInterval, Duration minimumElectionTimeout, Duration maximumElectionTimeout,
 			int snapshotThreshold) {
 		this(name, peerAddress, dataFolder, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout,
-				snapshotThreshold, List.of(), logBudget(DEFAULT_DISK_BYTES));
+				snapshotThreshold, List.of(), logBudget(DEFAULT_DISK_BYTES), FaultTolerance.ONE_LOSS, false);
 	}
 
 	private static LogBudget logBudget(long diskBytes) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -129,10 +129,11 @@
 		this.messages = new ConsensusMessageQueue(queueBytes);
 		this.commands = new PendingCommands(queueBytes);
 		this.folder = new DataFolder(settings.dataFolder(), disk);
-		ControlIdentity self = new ControlIdentity(settings.name(), this.folder.incarnation(), settings.peerAddress());
+		ControlIdentity self = new ControlIdentity(settings.name(), this.folder.incarnation(), settings.peerAddress(),
+				settings.observer());
 		this.consensusSettings = ConsensusSettings.of(self, settings.peers(), settings.heartbeatInterval().toNanos(),
 				settings.minimumElectionTimeout().toNanos(), settings.maximumElectionTimeout().toNanos(),
-				settings.seeds(), settings.logBudget());
+				settings.seeds(), settings.logBudget(), settings.faultTolerance());
 		this.snapshotWriter = new SnapshotWriter(settings.name(), this.folder, clock);
 		createNode(this.folder.storedState(), folderUnusedSince);
 		this.executor = Executors.newSingleThreadScheduledExecutor((task) -> {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 
 import org.magnolialead.daemon.control.CommandLogSettings;
+import org.magnolialead.engine.consensus.FaultTolerance;
 
 /**
  * Validated settings of one daemon.
@@ -86,11 +87,14 @@
 	 * the first one initializes the cluster on the first start of the fleet
 	 * @param peerPort port for the peer protocol, the same for all control daemons
 	 * @param firstStart whether the fleet starts for the first time, with empty disks
+	 * @param faultTolerance number of control daemons that may lose their disks at once
 	 */
-	public record SeedSettings(List<String> addresses, int peerPort, boolean firstStart) {
+	public record SeedSettings(List<String> addresses, int peerPort, boolean firstStart,
+			FaultTolerance faultTolerance) {
 
 		public SeedSettings {
 			addresses = List.copyOf(addresses);
+			Objects.requireNonNull(faultTolerance, "faultTolerance must not be null");
 			if (addresses.isEmpty()) {
 				throw new IllegalArgumentException("addresses must not be empty");
 			}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
@@ -16,6 +16,7 @@
 import org.magnolialead.api.MagnolialeadException;
 import org.magnolialead.api.Step;
 import org.magnolialead.daemon.control.CommandLogSettings;
+import org.magnolialead.engine.consensus.FaultTolerance;
 
 /**
  * Reads and validates the settings file of a daemon.
@@ -58,6 +59,8 @@
 
 	private static final int MINIMUM_ELECTION_TIMEOUT_MILLISECONDS = 100;
 
+	private static final int MAXIMUM_TOLERATED_LOSSES = 100;
+
 	private static final int MAXIMUM_GRACE_SECONDS = 3_600;
 
 	private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
@@ -108,7 +111,7 @@
 		session.rejectUnknownKeys();
 		Optional<DaemonSettings.SessionSettings> sessions = sessions(root.section("sessions"));
 		root.rejectUnknownKeys();
-		checkRole(role, dataFolder, control);
+		checkRole(role, dataFolder, seeds.isPresent(), control);
 		if (role == DaemonRole.CONTROL && seeds.isEmpty() && !peer.address().equals(members.get(name))) {
 			throw control.invalid("members", members.toString(),
 					"a table in which \"%s\" has the address of this daemon, %s".formatted(name, peer.address()));
@@ -178,7 +181,9 @@
 		addresses.forEach((address) -> checkAddress(control, "seeds", address));
 		int peerPort = control.integer("peer_port", 1, MAXIMUM_PORT);
 		boolean firstStart = control.booleanValue("first_start", false);
-		return Optional.of(new DaemonSettings.SeedSettings(addresses, peerPort, firstStart));
+		int losses = control.integer("tolerated_losses", 0, MAXIMUM_TOLERATED_LOSSES, 1);
+		FaultTolerance tolerance = new FaultTolerance(Math.max(1, losses));
+		return Optional.of(new DaemonSettings.SeedSettings(addresses, peerPort, firstStart, tolerance));
 	}
 
 	private static Optional<DaemonSettings.SessionSettings> sessions(SettingsSection sessions) {
@@ -211,9 +216,11 @@
 				&& Integer.parseInt(address.substring(colon + 1)) <= MAXIMUM_PORT;
 	}
 
-	private static void checkRole(DaemonRole role, Optional<Path> dataFolder, SettingsSection control) {
-		if (role == DaemonRole.CONTROL && dataFolder.isEmpty()) {
-			throw control.invalid("data_folder", "no value", "a folder on a disk because daemon.role is control");
+	private static void checkRole(DaemonRole role, Optional<Path> dataFolder, boolean hasSeeds,
+			SettingsSection control) {
+		if (role == DaemonRole.CONTROL && dataFolder.isEmpty() && !hasSeeds) {
+			throw control.invalid("data_folder", "no value",
+					"a folder on a disk because daemon.role is control and control.members lists the voters");
 		}
 		if (role == DaemonRole.ENTRY && dataFolder.isPresent()) {
 			throw control.invalid("data_folder", dataFolder.get().toString(), "no value because daemon.role is entry");
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/CommandLogCluster.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/CommandLogCluster.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
@@ -18,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -27,12 +29,14 @@
 import org.magnolialead.api.command.CommandResult;
 import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.message.ConsensusMessage;
+import org.magnolialead.api.message.ControlIdentity;
+import org.magnolialead.engine.consensus.FaultTolerance;
 import org.magnolialead.engine.consensus.LogBudget;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
- * Cluster of three control daemons in one process with real files. Messages are encoded
- * and decoded as on the wire.
+ * Cluster of control daemons in one process with real files, three unless stated.
+ * Messages are encoded and decoded as on the wire.
  */
 final class CommandLogCluster implements AutoCloseable {
 
@@ -54,6 +58,11 @@
 
 	private final Map<String, String> addresses = new LinkedHashMap<>();
 
+	/** Fault tolerance of a cluster whose members join through seeds. */
+	private final Optional<FaultTolerance> joining;
+
+	private final List<String> observers;
+
 	private final Map<String, DefaultCommandLog> logs = new ConcurrentHashMap<>();
 
 	private final Map<String, NumberStateMachine> states = new ConcurrentHashMap<>();
@@ -71,19 +80,41 @@
 	}
 
 	CommandLogCluster(Path folder, int snapshotThreshold, LogBudget logBudget) {
+		this(folder, snapshotThreshold, logBudget, Optional.empty(), List.of("a", "b", "c"), List.of());
+	}
+
+	/**
+	 * Creates a cluster whose members find each other through seeds.
+	 * @param folder folder for the data folders
+	 * @param snapshotThreshold number of entries between snapshots
+	 * @param tolerance number of voters that may be lost at once
+	 * @param voters names of the members with durable folders, one letter each
+	 * @param observers names of the members that do not vote, one letter each
+	 */
+	CommandLogCluster(Path folder, int snapshotThreshold, FaultTolerance tolerance, List<String> voters,
+			List<String> observers) {
+		this(folder, snapshotThreshold, LogBudget.of(CommandLogSettings.DEFAULT_DISK_BYTES, Integer.MAX_VALUE),
+				Optional.of(tolerance), voters, observers);
+	}
+
+	private CommandLogCluster(Path folder, int snapshotThreshold, LogBudget logBudget, Optional<FaultTolerance> joining,
+			List<String> voters, List<String> observers) {
 		this.folder = folder;
 		this.logBudget = logBudget;
 		this.snapshotThreshold = snapshotThreshold;
-		for (String name : List.of("a", "b", "c")) {
-			this.addresses.put(name, name + ":1");
-		}
+		this.joining = joining;
+		this.observers = List.copyOf(observers);
+		voters.forEach((name) -> this.addresses.put(name, name + ":1"));
+		observers.forEach((name) -> this.addresses.put(name, name + ":1"));
 		this.addresses.keySet().forEach(this::start);
 	}
 
 	void start(String name) {
 		CommandLogSettings settings = new CommandLogSettings(name, this.addresses.get(name), this.folder.resolve(name),
-				this.addresses, Duration.ofMillis(50), Duration.ofMillis(250), Duration.ofMillis(500),
-				this.snapshotThreshold, List.of(), this.logBudget);
+				this.joining.isPresent() ? Map.of() : this.addresses, Duration.ofMillis(50), Duration.ofMillis(250),
+				Duration.ofMillis(500), this.snapshotThreshold,
+				this.joining.isPresent() ? List.of("a:1", "b:1", "c:1") : List.of(), this.logBudget,
+				this.joining.orElse(FaultTolerance.ONE_LOSS), this.observers.contains(name));
 		NumberStateMachine state = new NumberStateMachine(this::awaitEncoding);
 		DefaultCommandLog log = new DefaultCommandLog(settings, state, this::send, MonotonicClock.SYSTEM,
 				new Random(++this.startCount), System.nanoTime(), disk(name));
@@ -134,18 +165,22 @@
 	}
 
 	/**
-	 * Returns whether the voters are the running members with their current incarnations.
+	 * Returns whether the voters are the running members with their current incarnations,
+	 * without observers.
 	 * @return {@code true} if all members know such voters
 	 */
 	boolean hasCurrentVoters() {
 		return this.logs.values()
 			.stream()
-			.allMatch((log) -> log.voterIdentities().size() == this.logs.size()
-					&& log.voterIdentities().containsAll(identities()));
+			.allMatch((log) -> Set.copyOf(log.voterIdentities()).equals(identitiesOfVoters()));
 	}
 
-	private List<Object> identities() {
-		return new ArrayList<>(this.logs.values().stream().map(DefaultCommandLog::identity).toList());
+	private Set<ControlIdentity> identitiesOfVoters() {
+		return this.logs.values()
+			.stream()
+			.map(DefaultCommandLog::identity)
+			.filter((identity) -> !identity.observer())
+			.collect(Collectors.toSet());
 	}
 
 	String leader() {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/ConsensusSettings.java
@@ -26,10 +26,12 @@
  * @param seeds addresses to which a member sends join requests while it knows no leader;
  * used only if the settings list no peers
  * @param logBudget limits of the log in bytes
+ * @param faultTolerance number of voters that may be lost at once
  */
 public record ConsensusSettings(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
 		long minimumElectionTimeout, long maximumElectionTimeout, int maximumEntries, int maximumBytes,
-		int maximumInFlight, int snapshotPartBytes, List<String> seeds, LogBudget logBudget) {
+		int maximumInFlight, int snapshotPartBytes, List<String> seeds, LogBudget logBudget,
+		FaultTolerance faultTolerance) {
 
 	/** Number of messages of the maximum size that are in flight per member. */
 	private static final int MAXIMUM_LARGE_MESSAGES_IN_FLIGHT = 4;
@@ -49,6 +51,7 @@
 	public ConsensusSettings {
 		Objects.requireNonNull(self, "self must not be null");
 		Objects.requireNonNull(logBudget, "logBudget must not be null");
+		Objects.requireNonNull(faultTolerance, "faultTolerance must not be null");
 		// Sorted so that a simulation is reproducible from its seed in every process.
 		peers = Collections.unmodifiableMap(new TreeMap<>(peers));
 		seeds = List.copyOf(seeds);
@@ -84,7 +87,7 @@
 			int maximumInFlight, int snapshotPartBytes) {
 		this(self, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout, maximumEntries,
 				maximumBytes, maximumInFlight, snapshotPartBytes, List.of(),
-				LogBudget.of(DEFAULT_RESOURCE_BYTES, DEFAULT_RESOURCE_BYTES));
+				LogBudget.of(DEFAULT_RESOURCE_BYTES, DEFAULT_RESOURCE_BYTES), FaultTolerance.ONE_LOSS);
 	}
 
 	/**
@@ -96,13 +99,15 @@
 	 * @param maximumElectionTimeout maximum election timeout in nanoseconds
 	 * @param seeds addresses to which a member sends join requests
 	 * @param logBudget limits of the log in bytes
+	 * @param faultTolerance number of voters that may be lost at once
 	 * @return the settings
 	 */
 	public static ConsensusSettings of(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
-			long minimumElectionTimeout, long maximumElectionTimeout, List<String> seeds, LogBudget logBudget) {
+			long minimumElectionTimeout, long maximumElectionTimeout, List<String> seeds, LogBudget logBudget,
+			FaultTolerance faultTolerance) {
 		return new ConsensusSettings(self, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout,
 				DEFAULT_MAXIMUM_ENTRIES, DEFAULT_MAXIMUM_BYTES, DEFAULT_MAXIMUM_IN_FLIGHT, DEFAULT_SNAPSHOT_PART_BYTES,
-				seeds, logBudget);
+				seeds, logBudget, faultTolerance);
 	}
 
 	/**
@@ -118,7 +123,7 @@
 	public static ConsensusSettings of(ControlIdentity self, Map<String, String> peers, long heartbeatInterval,
 			long minimumElectionTimeout, long maximumElectionTimeout, List<String> seeds) {
 		return of(self, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout, seeds,
-				LogBudget.of(DEFAULT_RESOURCE_BYTES, DEFAULT_RESOURCE_BYTES));
+				LogBudget.of(DEFAULT_RESOURCE_BYTES, DEFAULT_RESOURCE_BYTES), FaultTolerance.ONE_LOSS);
 	}
 
 	/**
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
@@ -33,9 +33,6 @@
 	 */
 	private static final long VOTER_REMOVAL_TIMEOUTS = 8;
 
-	/** Smallest number of voters that tolerates the failure of one. */
-	private static final int MINIMUM_VOTERS = 3;
-
 	private final ConsensusSettings settings;
 
 	private final ReplicaLog log;
@@ -359,10 +356,11 @@
 
 	// A VM that was replaced at another address never returns. If it stayed a voter, the
 	// majority would include it and the cluster would tolerate one failure less. A
-	// removed voter that returns joins again as a learner.
+	// removed voter that returns joins again as a learner. With fewer voters than the
+	// fault tolerance requires, a later loss of disks would end the cluster.
 	private Optional<List<ControlIdentity>> votersWithoutUnresponsive(long now) {
 		List<ControlIdentity> voters = this.log.voters();
-		if (!this.settings.hasOpenMembership() || voters.size() <= MINIMUM_VOTERS) {
+		if (!this.settings.hasOpenMembership() || voters.size() <= this.settings.faultTolerance().votersToElect()) {
 			return Optional.empty();
 		}
 		long limit = now - VOTER_REMOVAL_TIMEOUTS * this.settings.maximumElectionTimeout();
@@ -389,8 +387,8 @@
 	// A learner has caught up when it holds all entries committed before the previous
 	// heartbeat. Under constant load it always lacks the entries of the last round trip.
 	private boolean isPromotable(MemberProgress progress, long now) {
-		return !MemberKey.contains(this.log.voters(), progress.identity()) && progress.hasAnswered()
-				&& progress.transfer() == null
+		return !progress.identity().observer() && !MemberKey.contains(this.log.voters(), progress.identity())
+				&& progress.hasAnswered() && progress.transfer() == null
 				&& progress.matchIndex() >= Math.max(1, this.commitIndexAtPreviousHeartbeat)
 				&& !progress.hasNotAnsweredSince(now - 2 * this.settings.heartbeatInterval());
 	}
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
@@ -61,6 +61,26 @@
 		}
 	}
 
+	/**
+	 * Guards against the same failures if two members lose their disks at once, and
+	 * against voters that are removed until such a loss leaves no majority for good.
+	 * @param size number of members
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 5, 6, 8 })
+	void keepsGuaranteesWhileTwoDisksAreLostAtOnce(int size) {
+		int diskLosses = 0;
+		for (long seed = 1; seed <= SEEDS_PER_SIZE; seed++) {
+			ConsensusSimulation simulation = new ConsensusSimulation(seed, size, ConsensusSimulation.Fault.NONE)
+				.withOpenMembership()
+				.withFaultTolerance(new FaultTolerance(2));
+			simulation.run(SIMULATED_SECONDS);
+			diskLosses += simulation.diskLosses();
+		}
+		System.out.printf("%d members, seeds 1 to %d: %d disks lost in pairs%n", size, SEEDS_PER_SIZE, diskLosses);
+		ConsensusSimulation.require(diskLosses > SEEDS_PER_SIZE, "too few disks were lost");
+	}
+
 	/**
 	 * Guards against logs that grow without a limit when no snapshot is taken in time,
 	 * and against a full log from which a cluster never recovers.
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
@@ -59,6 +59,8 @@
 
 	private LogBudget logBudget = new LogBudget(Long.MAX_VALUE / 2, 0, Long.MAX_VALUE);
 
+	private FaultTolerance faultTolerance = FaultTolerance.ONE_LOSS;
+
 	private long refusedCommands;
 
 	private double lossRate = 0.02;
@@ -107,6 +109,20 @@
 		return this;
 	}
 
+	/**
+	 * Sets how many members lose their disks at once.
+	 * @param tolerance number of voters that may be lost at once
+	 * @return this simulation
+	 */
+	ConsensusSimulation withFaultTolerance(FaultTolerance tolerance) {
+		this.faultTolerance = tolerance;
+		return this;
+	}
+
+	FaultTolerance faultTolerance() {
+		return this.faultTolerance;
+	}
+
 	LogBudget logBudget() {
 		return this.logBudget;
 	}
@@ -309,7 +325,7 @@
 			case 13, 14, 15 -> member.pauseUntil(this.time + this.random.nextLong(2 * SECOND));
 			case 16, 17, 18 -> isolate(member);
 			case 19, 20, 21, 22, 23, 24 -> partition(member);
-			default -> loseDisk(member);
+			default -> loseDisks(member);
 		}
 		schedule(this.random.nextLong(600 * MILLISECOND), null, () -> injectFailure(end));
 	}
@@ -327,10 +343,15 @@
 		}
 	}
 
-	// A cluster of several members must survive the loss of one disk at a time.
-	private void loseDisk(SimulatedMember member) {
-		Set<String> current = identities();
-		if (this.members.size() > 1 && member.isRunning() && current.equals(committedVoters())) {
+	// A cluster of several members must survive as many losses of disks as it tolerates,
+	// while the other members crash and are partitioned as usual.
+	private void loseDisks(SimulatedMember first) {
+		if (this.members.size() == 1 || !first.isRunning() || !identities().equals(committedVoters())) {
+			return;
+		}
+		int firstIndex = this.members.indexOf(first);
+		for (int offset = 0; offset < this.faultTolerance.losses(); offset++) {
+			SimulatedMember member = this.members.get((firstIndex + offset) % this.members.size());
 			this.diskLosses++;
 			member.loseDisk();
 			schedule(this.random.nextLong(SECOND), null, () -> start(member));
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
@@ -101,7 +101,7 @@
 		this.snapshotInProgress = false;
 		ConsensusSettings settings = new ConsensusSettings(identity(), peers, 100 * MILLISECOND, 500 * MILLISECOND,
 				1_000 * MILLISECOND, 5, 64, 4, this.simulation.snapshotPartBytes(), this.simulation.seedAddresses(),
-				this.simulation.logBudget());
+				this.simulation.logBudget(), this.simulation.faultTolerance());
 		StoredState stored = this.disk.synced();
 		this.stateHash = (stored.snapshot() != null) ? decodeState(stored.snapshot().data()) : 0;
 		long lastPossibleLeaderContact = this.crashedAt;
