Send fewer reads to a member that fails them

Callers of a group with a member that fails a part of its requests get their reads late: a failed read is answered sooner than one that is run, so the smoothed service time of the member falls and it attracts more reads.

Ruled out: taking the member out of use, which could empty a group; the alignment alone, which concerns sessions whose variables differ only.

Refusals for load or role are no failures. No member is excluded.

Evidence: with the choice by service time alone (trial) the new test of SessionAlignmentTests fails; it passes with the change.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -242,7 +242,7 @@
 			.stream()
 			.filter((pool) -> pool.isUsable() && pool != primary && pool != request.avoided() && !pool.isBehind(now)
 					&& pool.permits(request))
-			.sorted(Comparator.comparingLong(MemberPool::serviceNanoseconds))
+			.sorted(Comparator.comparingLong(MemberPool::expectedReadNanoseconds))
 			.map((pool) -> pool.free(request.sessionVariables()))
 			.flatMap(Optional::stream)
 			.findFirst();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -16,6 +16,7 @@
 import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.engine.session.ConnectBackoff;
 import org.magnolialead.engine.session.ConnectionPurpose;
+import org.magnolialead.engine.session.FailureShare;
 import org.magnolialead.engine.session.MemberPath;
 import org.magnolialead.engine.session.OverloadBackoff;
 import org.magnolialead.engine.session.PrimaryHealth;
@@ -42,6 +43,8 @@
 
 	private final PrimaryHealth health = new PrimaryHealth();
 
+	private final FailureShare failureShare;
+
 	private final MemberPath path;
 
 	private final ConnectBackoff connectBackoff;
@@ -77,6 +80,7 @@
 		long now = context.now();
 		this.router = router;
 		this.context = context;
+		this.failureShare = new FailureShare(now);
 		this.path = new MemberPath(context.forwarder().firstRelayIndex());
 		this.member = member;
 		this.connectBackoff = new ConnectBackoff(now);
@@ -99,6 +103,23 @@
 		return this.serviceNanoseconds;
 	}
 
+	/**
+	 * Returns the time that a read at the member is expected to take, by which reads
+	 * choose among the members.
+	 * @return the time in nanoseconds, longer if the member fails a part of its work
+	 */
+	long expectedReadNanoseconds() {
+		return this.failureShare.expectedNanoseconds(this.serviceNanoseconds, now());
+	}
+
+	/**
+	 * Records whether the member has failed a read or the alignment ahead of it.
+	 * @param failed whether it failed
+	 */
+	void readFinished(boolean failed) {
+		this.failureShare.record(failed, now());
+	}
+
 	int relayedCount() {
 		return (int) this.connections.stream().filter(PooledConnection::isRelayed).count();
 	}
@@ -139,6 +160,7 @@
 
 	void requestGranted(ConnectionRequest request) {
 		this.overloadBackoff.sent(request.priority(), now());
+		this.failureShare.workSent(now());
 	}
 
 	void overloaded() {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
@@ -179,8 +179,18 @@
 		});
 	}
 
+	// Members are chosen by their results only for reads. Refusals because of load or of
+	// the role of the member are no failures.
+	private void recordResult(MemberPool pool, StatementReply reply) {
+		boolean failed = reply.error() == StatementError.FAILED || reply.error() == StatementError.TIMED_OUT;
+		if (!this.writes && (failed || reply.isDone())) {
+			pool.readFinished(failed);
+		}
+	}
+
 	// The statement was not sent, so it may be tried elsewhere even if it writes.
 	private void alignmentFailed(PooledConnection connection, StatementReply reply) {
+		recordResult(connection.pool(), reply);
 		returnConnection(connection, reply);
 		if (this.finished) {
 			return;
@@ -208,6 +218,7 @@
 	}
 
 	private void answered(PooledConnection connection, StatementReply reply) {
+		recordResult(connection.pool(), reply);
 		returnConnection(connection, reply);
 		if (this.finished) {
 			return;
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/SessionAlignmentTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/SessionAlignmentTests.java
@@ -165,6 +165,37 @@
 		assertThat(this.group.executions()).hasSize(1);
 	}
 
+	/**
+	 * Guards against a replica that fails a part of its work quickly and attracts reads
+	 * because of that, and against one that receives none any more once it has recovered.
+	 */
+	@Test
+	void replicaThatFailsReadsReceivesFewerUntilItHasRecovered() {
+		Random random = new Random(1);
+		TestClient client = client("bounded");
+		this.group.member("b").fail((kind) -> kind == MemberCommand.Kind.FORWARD && random.nextInt(100) < 40);
+		readRepeatedly(client, 1_000);
+		this.group.executions().clear();
+		readRepeatedly(client, 1_000);
+		assertThat(executionsAt("b")).isLessThan(executionsAt("c") / 4).isPositive();
+		this.group.member("b").fail((kind) -> false);
+		this.group.member("c").fail((kind) -> kind == MemberCommand.Kind.FORWARD);
+		readRepeatedly(client, 1_000);
+		this.group.executions().clear();
+		readRepeatedly(client, 1_000);
+		assertThat(executionsAt("b")).isGreaterThan(900);
+	}
+
+	private void readRepeatedly(TestClient client, int count) {
+		for (int number = 0; number < count; number++) {
+			client.send(Verb.READ, "item", "", 20);
+		}
+	}
+
+	private long executionsAt(String member) {
+		return this.group.executions().stream().filter((execution) -> execution.member().equals(member)).count();
+	}
+
 	/**
 	 * Guards against any order of failures, lost answers and promotions after which a
 	 * statement runs with other variables, or as another prepared statement, than its
