--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ReportOrder.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/control/ReportOrder.java
@@ -8,7 +8,8 @@
  * Order of the reports of members that one control daemon has received lately. Reports
  * may arrive out of order, and a member that starts again begins a new sequence. A report
  * is remembered for a limited time only, so that one with a wrong high number cannot
- * silence a member for ever. Thread-safe.
+ * silence a member for ever. That a process is leaving is final, so such a report is
+ * accepted whatever its number. Thread-safe.
  */
 public final class ReportOrder {
 
@@ -26,14 +27,16 @@
 	 * @param startedAtMilliseconds time at which its process started, in milliseconds
 	 * since the Unix epoch
 	 * @param sequence number of the report within the process
+	 * @param leaving whether the report states that the process is leaving
 	 * @param now present monotonic time in nanoseconds
 	 * @return {@code false} if the report is outdated
 	 */
-	public synchronized boolean record(String member, long startedAtMilliseconds, long sequence, long now) {
+	public synchronized boolean record(String member, long startedAtMilliseconds, long sequence, boolean leaving,
+			long now) {
 		Latest known = this.latestReports.get(member);
 		boolean forgotten = known == null || now - known.receivedAt() >= RETENTION_NANOSECONDS;
 		if (!forgotten && known.isLaterThan(startedAtMilliseconds, sequence)) {
-			return false;
+			return leaving && known.startedAtMilliseconds() == startedAtMilliseconds;
 		}
 		this.latestReports.remove(member);
 		this.latestReports.put(member, new Latest(startedAtMilliseconds, sequence, now));
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ReportOrderTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/control/ReportOrderTests.java
@@ -15,16 +15,16 @@
 
 	@Test
 	void earlierReportOfTheSameProcessIsOutdated() {
-		assertThat(this.order.record("m", 1, 5, 0)).isTrue();
-		assertThat(this.order.record("m", 1, 4, SECOND)).isFalse();
-		assertThat(this.order.record("m", 1, 6, SECOND)).isTrue();
+		assertThat(this.order.record("m", 1, 5, false, 0)).isTrue();
+		assertThat(this.order.record("m", 1, 4, false, SECOND)).isFalse();
+		assertThat(this.order.record("m", 1, 6, false, SECOND)).isTrue();
 	}
 
 	@Test
 	void restartedMemberBeginsANewSequence() {
-		this.order.record("m", 1, 500, 0);
-		assertThat(this.order.record("m", 2, 1, SECOND)).isTrue();
-		assertThat(this.order.record("m", 1, 501, SECOND)).isFalse();
+		this.order.record("m", 1, 500, false, 0);
+		assertThat(this.order.record("m", 2, 1, false, SECOND)).isTrue();
+		assertThat(this.order.record("m", 1, 501, false, SECOND)).isFalse();
 	}
 
 	/**
@@ -33,8 +33,8 @@
 	 */
 	@Test
 	void reportThatIsSentAgainIsHandledAgain() {
-		this.order.record("m", 1, 5, 0);
-		assertThat(this.order.record("m", 1, 5, SECOND)).isTrue();
+		this.order.record("m", 1, 5, false, 0);
+		assertThat(this.order.record("m", 1, 5, false, SECOND)).isTrue();
 	}
 
 	/**
@@ -43,10 +43,31 @@
 	 */
 	@Test
 	void enormousNumberSilencesAMemberForALimitedTime() {
-		this.order.record("m", 1, Long.MAX_VALUE, 0);
-		assertThat(this.order.record("m", 1, 5, SECOND)).isFalse();
-		assertThat(this.order.record("m", 1, 6, ReportOrder.RETENTION_NANOSECONDS)).isTrue();
-		assertThat(this.order.record("m", 1, 7, ReportOrder.RETENTION_NANOSECONDS + SECOND)).isTrue();
+		this.order.record("m", 1, Long.MAX_VALUE, false, 0);
+		assertThat(this.order.record("m", 1, 5, false, SECOND)).isFalse();
+		assertThat(this.order.record("m", 1, 6, false, ReportOrder.RETENTION_NANOSECONDS)).isTrue();
+		assertThat(this.order.record("m", 1, 7, false, ReportOrder.RETENTION_NANOSECONDS + SECOND)).isTrue();
+	}
+
+	/**
+	 * Guards against a member that says that it is leaving and still receives work,
+	 * because a report of another writer had a higher number.
+	 */
+	@Test
+	void leavingProcessIsNeverOutdatedByItsOwnReports() {
+		this.order.record("m", 1, 1_000_000, false, 0);
+		assertThat(this.order.record("m", 1, 6, true, SECOND)).isTrue();
+		assertThat(this.order.record("m", 1, 5, false, SECOND)).isFalse();
+	}
+
+	/**
+	 * Guards against a late report of an earlier process that takes the present one out
+	 * of use.
+	 */
+	@Test
+	void leavingEarlierProcessIsOutdated() {
+		this.order.record("m", 2, 1, false, 0);
+		assertThat(this.order.record("m", 1, 500, true, SECOND)).isFalse();
 	}
 
 	/**
@@ -54,11 +75,11 @@
 	 */
 	@Test
 	void memoryIsBounded() {
-		this.order.record("m", 1, 5, 0);
+		this.order.record("m", 1, 5, false, 0);
 		for (int number = 0; number < ReportOrder.MAXIMUM_MEMBERS; number++) {
-			this.order.record("invented-" + number, 1, 1, 0);
+			this.order.record("invented-" + number, 1, 1, false, 0);
 		}
-		assertThat(this.order.record("m", 1, 4, 0)).isTrue();
+		assertThat(this.order.record("m", 1, 4, false, 0)).isTrue();
 	}
 
 }
