Move the opening of member connections to a class of its own

MemberPool had 533 lines and several jobs: the connections, who receives them, and how they are opened over direct and relayed paths. MemberConnector now does the last; the pool has 437 lines.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -7,17 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import org.magnolialead.api.MemberDescription;
-import org.magnolialead.api.log.LogEvent;
-import org.magnolialead.engine.session.ConnectBackoff;
 import org.magnolialead.engine.session.ConnectionPurpose;
 import org.magnolialead.engine.session.FailureShare;
-import org.magnolialead.engine.session.MemberPath;
 import org.magnolialead.engine.session.OverloadBackoff;
 import org.magnolialead.engine.session.PrimaryHealth;
 import org.magnolialead.engine.session.UnqueuedCommandTimeout;
@@ -27,8 +23,6 @@
  */
 final class MemberPool {
 
-	private static final System.Logger LOGGER = System.getLogger(MemberPool.class.getName());
-
 	/** Reciprocal of the weight of the latest sample in exponentially smoothed times. */
 	private static final int SMOOTHING_DIVISOR = 8;
 
@@ -45,9 +39,7 @@
 
 	private final FailureShare failureShare;
 
-	private final MemberPath path;
-
-	private final ConnectBackoff connectBackoff;
+	private final MemberConnector connector;
 
 	private final List<PooledConnection> connections = new ArrayList<>();
 
@@ -60,10 +52,6 @@
 
 	private int maximumConnections = 1;
 
-	private int dialingDirect;
-
-	private int dialingRelayed;
-
 	private final OverloadBackoff overloadBackoff = new OverloadBackoff();
 
 	private long behindUntil;
@@ -81,9 +69,8 @@
 		this.router = router;
 		this.context = context;
 		this.failureShare = new FailureShare(now);
-		this.path = new MemberPath(context.forwarder().firstRelayIndex());
 		this.member = member;
-		this.connectBackoff = new ConnectBackoff(now);
+		this.connector = new MemberConnector(this, context);
 		this.behindUntil = now;
 	}
 
@@ -182,7 +169,7 @@
 	 * and the pool is usable
 	 */
 	boolean isDirectlyReachable() {
-		return isUsable() && !this.path.isDirectPathDown()
+		return isUsable() && !this.connector.isDirectPathDown()
 				&& this.connections.stream().anyMatch((connection) -> !connection.isRelayed() && connection.isOpen());
 	}
 
@@ -197,7 +184,7 @@
 	}
 
 	boolean hasOpenOrDialing() {
-		return !this.connections.isEmpty() || this.dialingDirect + this.dialingRelayed > 0;
+		return !this.connections.isEmpty() || this.connector.isDialing();
 	}
 
 	boolean hasConnection() {
@@ -270,24 +257,6 @@
 		}
 	}
 
-	/**
-	 * Tries the direct path again if connections are relayed and the retry interval has
-	 * passed.
-	 */
-	void tryDirectPath() {
-		boolean relaying = this.path.isDirectPathDown() && !relays().isEmpty();
-		if (relaying && this.path.isDirectAttemptDue(now()) && this.dialingDirect == 0 && isUsable()) {
-			dialDirect();
-		}
-	}
-
-	// While the direct path is down, a direct attempt may take until its timeout and
-	// must not delay relayed connections, so it is not counted.
-	private int openOrDialing() {
-		int dialing = this.path.isDirectPathDown() ? this.dialingRelayed : this.dialingDirect + this.dialingRelayed;
-		return this.connections.size() + dialing;
-	}
-
 	/**
 	 * Opens a connection because requests are waiting. The first connection does not
 	 * count as additional: if there are more daemons than permanent connections, each
@@ -307,120 +276,64 @@
 		return this.connections.isEmpty() ? ConnectionPurpose.FIRST : ConnectionPurpose.HELD;
 	}
 
-	private List<String> relays() {
-		return this.context.forwarder().relays(this.member.group());
-	}
-
-	private void dial(ConnectionPurpose purpose) {
-		if (this.closed || !this.connectBackoff.permits(purpose, now())) {
-			return;
-		}
-		List<String> relays = relays();
-		OptionalInt relay = this.path.nextRelay(relays.size(), this.dialingDirect > 0, now());
-		if (relay.isPresent()) {
-			this.dialingRelayed++;
-			open(relays.get(relay.getAsInt()));
-		}
-		else if (this.dialingDirect == 0 || !this.path.isDirectPathDown()) {
-			dialDirect();
+	/**
+	 * Tries the direct path again if connections are relayed and the retry interval has
+	 * passed.
+	 */
+	void tryDirectPath() {
+		if (isUsable()) {
+			this.connector.tryDirectPath();
 		}
 	}
 
-	private void dialDirect() {
-		this.dialingDirect++;
-		open(null);
+	private int openOrDialing() {
+		return this.connections.size() + this.connector.dialing();
 	}
 
-	private void open(String relay) {
-		requestSent();
-		PooledConnection connection = new PooledConnection(this, relay != null);
-		try {
-			this.context.dialer()
-				.dial(this.member, relay, (result) -> dialFinished(connection, result), () -> discarded(connection));
-		}
-		catch (RuntimeException ex) {
-			LogEvent.MEMBER_UNREACHABLE.log(LOGGER, ex, this.member.group(), this.member.member(), ex);
-			dialFinished(connection, new MemberDialer.DialResult(null,
-					(relay != null) ? DialError.RELAY_FAILED : DialError.UNREACHABLE));
+	private void dial(ConnectionPurpose purpose) {
+		if (!this.closed) {
+			this.connector.dial(purpose);
 		}
 	}
 
-	private void dialFinished(PooledConnection connection, MemberDialer.DialResult result) {
+	/**
+	 * Records that an attempt to connect has ended. Losses from now on count as a new
+	 * failure of the member.
+	 */
+	void dialFinished() {
 		this.lossRecorded = false;
-		boolean pathWorks = result.channel() != null || result.error().isPathWorking();
-		if (connection.isRelayed()) {
-			this.dialingRelayed--;
-			relayDialFinished(pathWorks);
-		}
-		else {
-			this.dialingDirect--;
-			directDialFinished(pathWorks);
-		}
-		if (result.channel() != null) {
-			connected(connection, result.channel());
-		}
-		else {
-			dialFailed(connection, result.error());
-		}
 	}
 
-	private void dialFailed(PooledConnection connection, DialError error) {
-		if (error.isPathWorking() && !error.isMemberDown()) {
-			this.health.responseReceived();
-			this.connectBackoff.refused(now());
-			return;
-		}
-		if (error.isMemberDown()) {
-			this.health.connectionFailed();
-		}
-		this.connectBackoff.failed(hasUntriedPath(connection), now());
+	/**
+	 * Records that an attempt to connect has failed.
+	 * @param error the error
+	 */
+	void dialFailed(DialError error) {
 		this.router.dialFailed(this, error);
 	}
 
-	private void directDialFinished(boolean pathWorks) {
-		if (!pathWorks) {
-			directFailed("connection failed");
-			return;
-		}
-		if (this.path.isDirectPathDown()) {
-			LogEvent.MEMBER_PATH_REGAINED.log(LOGGER, this.member.group(), this.member.member());
-		}
-		this.path.directOpened();
+	/**
+	 * Closes the free connections over one kind of path.
+	 * @param relayed whether the relayed or the direct ones are closed
+	 */
+	void discardFree(boolean relayed) {
 		List.copyOf(this.connections)
 			.stream()
-			.filter((connection) -> connection.isRelayed() && connection.isFree())
+			.filter((connection) -> connection.isFree() && connection.isRelayed() == relayed)
 			.forEach(PooledConnection::discard);
 	}
 
-	private void directFailed(String cause) {
-		if (!this.path.isDirectPathDown()) {
-			LogEvent.MEMBER_PATH_LOST.log(LOGGER, this.member.group(), this.member.member(), cause, relays().size());
-		}
-		this.path.directFailed(now());
-	}
-
-	private void relayDialFinished(boolean pathWorks) {
-		if (pathWorks) {
-			this.path.relayOpened();
-		}
-		else {
-			this.path.relayFailed();
-		}
-	}
-
-	// Relays are tried one after the other without a delay.
-	private boolean hasUntriedPath(PooledConnection failed) {
-		boolean firstRelay = !failed.isRelayed() && this.connectBackoff.hasNoFailure() && !relays().isEmpty();
-		return firstRelay || this.path.hasUntriedRelay();
-	}
-
-	private void connected(PooledConnection connection, MemberChannel channel) {
+	/**
+	 * Adds a connection that was opened.
+	 * @param connection the connection
+	 * @param channel its channel
+	 */
+	void connected(PooledConnection connection, MemberChannel channel) {
 		if (this.closed) {
 			channel.close();
 			return;
 		}
 		this.health.responseReceived();
-		this.connectBackoff.opened();
 		connection.opened(channel, now());
 		this.connections.add(connection);
 		grantToPrioritizedUsers();
@@ -509,17 +422,8 @@
 	 */
 	void unqueuedCommandTimedOut(PooledConnection connection) {
 		this.health.connectionFailed();
-		if (connection.isRelayed()) {
-			this.path.relayFailed();
-		}
-		else {
-			directFailed("command timed out");
-		}
-		this.connectBackoff.permitNow(now());
-		List.copyOf(this.connections)
-			.stream()
-			.filter((other) -> other.isFree() && other.isRelayed() == connection.isRelayed())
-			.forEach(PooledConnection::discard);
+		this.connector.pathTimedOut(connection.isRelayed());
+		discardFree(connection.isRelayed());
 	}
 
 	SessionMetrics metrics() {
