Let a failing member regain its reads by time alone

The share of failed reads halves each second and now counts as none below 0.01, so a member is tried again after some seconds. The additional read each 500 ms is removed: a fleet has up to a hundred daemons with a few reads a second each, of which such a read of each daemon would be a large part.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -147,7 +147,6 @@
 
 	void requestGranted(ConnectionRequest request) {
 		this.overloadBackoff.sent(request.priority(), now());
-		this.failureShare.workSent(now());
 	}
 
 	void overloaded() {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/FailureShare.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/FailureShare.java
@@ -5,8 +5,8 @@
 /**
  * Smoothed share of its work that a member fails, by which reads prefer other members. A
  * member that fails its work answers quickly and would otherwise attract more of it. The
- * share fades with time, and a member that others are preferred to still receives single
- * reads, so that it regains its work once it has recovered. Not thread-safe.
+ * share fades with time, so that a member to which others are preferred is tried again
+ * with a few reads and regains its work once it has recovered. Not thread-safe.
  */
 public final class FailureShare {
 
@@ -19,9 +19,6 @@
 	/** Share below which a member counts as one that does not fail. */
 	private static final double MINIMUM_SHARE = 0.01;
 
-	/** Time without work after which a failing member receives a single read. */
-	private static final long PROBE_INTERVAL_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(500);
-
 	/** Time that a failure costs a client: an attempt, a pause and another attempt. */
 	private static final long FAILURE_COST_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -29,23 +26,12 @@
 
 	private long updatedAt;
 
-	private long probeAt;
-
 	/**
 	 * Creates a share of a member that has not failed.
 	 * @param now present time in nanoseconds
 	 */
 	public FailureShare(long now) {
 		this.updatedAt = now;
-		this.probeAt = now;
-	}
-
-	/**
-	 * Records that the member receives work.
-	 * @param now present time in nanoseconds
-	 */
-	public void workSent(long now) {
-		this.probeAt = now + PROBE_INTERVAL_NANOSECONDS;
 	}
 
 	/**
@@ -74,12 +60,10 @@
 	 * follows if it fails.
 	 * @param serviceNanoseconds smoothed service time of the member in nanoseconds
 	 * @param now present time in nanoseconds
-	 * @return the time in nanoseconds; 0 if the member fails but is due for a single read
+	 * @return the time in nanoseconds
 	 */
 	public long expectedNanoseconds(long serviceNanoseconds, long now) {
-		double failing = value(now);
-		boolean probeDue = failing > 0 && now - this.probeAt >= 0;
-		return probeDue ? 0 : serviceNanoseconds + (long) (failing * FAILURE_COST_NANOSECONDS);
+		return serviceNanoseconds + (long) (value(now) * FAILURE_COST_NANOSECONDS);
 	}
 
 }
