Await an answer while its bytes arrive

Callers had requests handled by a configuration that was up to 14 s old, on daemons behind links of 2 Mbit/s, after the configuration had grown to some 1,400 routes.

Cause: the heartbeat that carries a change of the view was given up after 350 ms, whatever was arriving; the next one brought the same change again while the link was still filled with the first. A connection was also closed after 1.5 s without a complete frame. The daemon fell behind without end and lost its lease.

Ruled out: an unreachable leader and storms of small changes; heartbeats without a change were answered on the same connections.

Change: while bytes arrive, a heartbeat is awaited for up to 5 s and a connection counts as alive. A peer that sends nothing is given up as before.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -43,6 +43,11 @@
 	 */
 	private static final long HEARTBEAT_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(350);
 
+	/**
+	 * Time in which a large change of the view arrives over a slow link.
+	 */
+	private static final long VIEW_TIMEOUT_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
+
 	private final Identity identity;
 
 	private volatile List<String> controlAddresses;
@@ -155,7 +160,7 @@
 				this.identity.peerAddress(), this.identity.availabilityZone(), this.draining, this.view.get().version(),
 				this.removalsVersion, this.reports.get(), this.announcements.pendingAnnouncements());
 		long sentAt = this.clock.nanoseconds();
-		this.client.request(address, request, sentAt + HEARTBEAT_TIMEOUT_NANOSECONDS)
+		this.client.request(address, request, sentAt + HEARTBEAT_TIMEOUT_NANOSECONDS, sentAt + VIEW_TIMEOUT_NANOSECONDS)
 			.whenCompleteAsync((answer, failure) -> heartbeatAnswered(address, sentAt, answer, failure),
 					this.scheduler);
 	}
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerClient.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerClient.java
@@ -91,12 +91,29 @@
 	 * @throws IllegalArgumentException if the message cannot be encoded
 	 */
 	public CompletableFuture<Object> request(String address, Object message, long deadline) {
+		return request(address, message, deadline, deadline);
+	}
+
+	/**
+	 * Sends a request whose answer may be large. A slow link may need longer for it than
+	 * a peer that does not respond may be waited for.
+	 * @param address peer address in the form {@code host:port}
+	 * @param message the request
+	 * @param deadline deadline of the request in nanoseconds of the clock, unless the
+	 * peer is sending at that time
+	 * @param receiveDeadline deadline in nanoseconds of the clock while the peer is
+	 * sending
+	 * @return a future of the answer, which fails as that of
+	 * {@link #request(String, Object, long)}
+	 * @throws IllegalArgumentException if the message cannot be encoded
+	 */
+	public CompletableFuture<Object> request(String address, Object message, long deadline, long receiveDeadline) {
 		long correlationId = this.lastCorrelationId.incrementAndGet();
 		ByteBuf frame = this.codec.encode(correlationId, message);
 		if (this.closed) {
 			return CompletableFuture.failedFuture(closedFailure(address));
 		}
-		return connection(address).request(correlationId, frame, deadline);
+		return connection(address).request(correlationId, frame, deadline, receiveDeadline);
 	}
 
 	/**
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -43,6 +44,11 @@
 	 */
 	static final long MAXIMUM_QUEUED_BYTES = 8L * PeerCodec.MAXIMUM_FRAME_BYTES;
 
+	/**
+	 * Time without a byte after which the peer no longer counts as sending.
+	 */
+	private static final long MAXIMUM_READ_PAUSE_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(200);
+
 	private static final long MINIMUM_BACKOFF_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(25);
 
 	/**
@@ -81,6 +87,8 @@
 
 	private boolean receivedSinceWrite;
 
+	private long lastReadTime;
+
 	private boolean probeScheduled;
 
 	PeerConnection(String address, EventLoop eventLoop, PeerCodec codec, MonotonicClock clock,
@@ -93,9 +101,9 @@
 		this.settings = settings;
 	}
 
-	CompletableFuture<Object> request(long correlationId, ByteBuf frame, long deadline) {
+	CompletableFuture<Object> request(long correlationId, ByteBuf frame, long deadline, long receiveDeadline) {
 		CompletableFuture<Object> answer = new CompletableFuture<>();
-		PendingRequest request = new PendingRequest(correlationId, answer, deadline);
+		PendingRequest request = new PendingRequest(correlationId, answer, deadline, receiveDeadline);
 		if (!reserveBytes(frame.readableBytes())) {
 			return CompletableFuture
 				.failedFuture(failure(ErrorCode.OVERLOADED, "too many bytes are queued for the connection", null));
@@ -180,11 +188,20 @@
 			drop(frame, "the connection was not open before the deadline", null);
 			return;
 		}
+		if (isReceiving() && this.clock.nanoseconds() - frame.request.receiveDeadline < 0) {
+			frame.request.timer = this.eventLoop.schedule(() -> expire(frame), MAXIMUM_READ_PAUSE_NANOSECONDS,
+					TimeUnit.NANOSECONDS);
+			return;
+		}
 		if (this.pendingRequests.remove(frame.request.correlationId) != null) {
 			complete(frame.request, failure(ErrorCode.NO_ANSWER, "no answer was received before the deadline", null));
 		}
 	}
 
+	private boolean isReceiving() {
+		return this.channel != null && this.clock.nanoseconds() - this.lastReadTime < MAXIMUM_READ_PAUSE_NANOSECONDS;
+	}
+
 	private void connect() {
 		this.connecting = true;
 		try {
@@ -338,12 +355,15 @@
 
 		private final long deadline;
 
+		private final long receiveDeadline;
+
 		private Future<?> timer;
 
-		PendingRequest(long correlationId, CompletableFuture<Object> answer, long deadline) {
+		PendingRequest(long correlationId, CompletableFuture<Object> answer, long deadline, long receiveDeadline) {
 			this.correlationId = correlationId;
 			this.answer = answer;
 			this.deadline = deadline;
+			this.receiveDeadline = receiveDeadline;
 		}
 
 		void complete(Object result) {
@@ -380,6 +400,7 @@
 			target.pipeline()
 				.addLast(new FlushConsolidationHandler(FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES,
 						true))
+				.addLast(new ReadMonitor())
 				.addLast(new LengthFieldBasedFrameDecoder(PeerCodec.MAXIMUM_FRAME_BYTES, 0, PeerCodec.LENGTH_BYTES, 0,
 						PeerCodec.LENGTH_BYTES))
 				.addLast(new AnswerHandler());
@@ -387,11 +408,25 @@
 
 	}
 
+	/**
+	 * Notes that bytes arrive. A large frame takes longer to arrive over a slow link than
+	 * a peer is given to answer a probe.
+	 */
+	private final class ReadMonitor extends ChannelInboundHandlerAdapter {
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object bytes) {
+			PeerConnection.this.receivedSinceWrite = true;
+			PeerConnection.this.lastReadTime = PeerConnection.this.clock.nanoseconds();
+			context.fireChannelRead(bytes);
+		}
+
+	}
+
 	private final class AnswerHandler extends SimpleChannelInboundHandler<ByteBuf> {
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
-			PeerConnection.this.receivedSinceWrite = true;
 			PeerConnection.this.backoffNanoseconds = 0;
 			if (!PeerCodec.isProbe(frame)) {
 				receive(PeerConnection.this.codec.decode(frame));
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnectionSettings.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerConnectionSettings.java
@@ -5,7 +5,7 @@
  *
  * @param connectTimeoutMilliseconds time in milliseconds after which an attempt to
  * connect fails
- * @param probeIntervalMilliseconds time in milliseconds without a received frame after a
+ * @param probeIntervalMilliseconds time in milliseconds without a received byte after a
  * write until a probe is sent, and after the probe until the connection is closed. TCP
  * alone would keep a connection that was lost without being closed for minutes after the
  * network has recovered
