Pack changes of the fleet view for entry daemons

A change of the view with 1,400 routes had some 300 KB, more than a link of 2 Mbit/s carries in a second, and each version of the configuration was sent in full, with the operator's document, to each daemon.

Change: an entry daemon states that it accepts packed changes; the leader then leaves out the operator's document, which only control daemons answer with, and compresses the change. Daemons of earlier builds are answered as before.

Ruled out: differences of route tables, which need the history of tables in the control state; a packed table fits the slowest link within the timeout.

Evidence: PackedChangesTests packs 1,400 routes into less than the 87,500 bytes that 2 Mbit/s carry in 350 ms.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/FleetConfiguration.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/FleetConfiguration.java
@@ -75,6 +75,15 @@
 				DEFAULT_QUEUE_LIMIT);
 	}
 
+	/**
+	 * Returns this configuration with other routes.
+	 * @param other the routes
+	 * @return the configuration
+	 */
+	public FleetConfiguration withRoutes(RouteTable other) {
+		return new FleetConfiguration(this.version, this.profiles, this.rankFloors, this.queueLimit, other);
+	}
+
 	/**
 	 * Returns the minimum share of slot time of a rank.
 	 * @param rank the rank
--- a/magnolialead-api/src/main/java/org/magnolialead/api/FleetViewChange.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/FleetViewChange.java
@@ -39,6 +39,20 @@
 		return this.toVersion < this.latestVersion;
 	}
 
+	/**
+	 * Returns this change without the document from which an operator's routes were read.
+	 * Entry daemons do not need it.
+	 * @return the change
+	 */
+	public FleetViewChange withoutDocument() {
+		if (this.configuration == null || this.configuration.routes().document().isEmpty()) {
+			return this;
+		}
+		return new FleetViewChange(this.fromVersion, this.toVersion, this.complete,
+				this.configuration.withRoutes(this.configuration.routes().withoutDocument()), this.groups, this.daemons,
+				this.removedDaemons, this.latestVersion);
+	}
+
 	/**
 	 * Returns an empty change.
 	 * @param version version before and after the change
--- a/magnolialead-api/src/main/java/org/magnolialead/api/RouteTable.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/RouteTable.java
@@ -58,6 +58,15 @@
 		this(number, routes, connectionLimits, Map.of(), idleTransactionMilliseconds, document);
 	}
 
+	/**
+	 * Returns this table without the document from which it was read.
+	 * @return the table
+	 */
+	public RouteTable withoutDocument() {
+		return new RouteTable(this.number, this.routes, this.connectionLimits, this.synchronousReplicas,
+				this.idleTransactionMilliseconds, "");
+	}
+
 	/**
 	 * Returns how many replicas have received a commit before it is acknowledged.
 	 * @param group name of the group
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -80,6 +80,8 @@
 
 	private final WallClock wallClock;
 
+	private final PackedChanges packedChanges = new PackedChanges();
+
 	private volatile CompleteView completeView;
 
 	private final ScheduledExecutorService executor;
@@ -135,6 +137,10 @@
 	 * the answer was computed; never fails
 	 */
 	public CompletableFuture<HeartbeatAnswer> heartbeat(HeartbeatRequest request) {
+		return answer(request).thenApply((answer) -> this.packedChanges.pack(request, answer));
+	}
+
+	private CompletableFuture<HeartbeatAnswer> answer(HeartbeatRequest request) {
 		Leadership current = currentLeadership();
 		if (current == null) {
 			return withoutLeadership(request);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -25,6 +25,7 @@
 import org.magnolialead.api.message.SubmitCommandRequest;
 import org.magnolialead.daemon.filter.DaemonLease;
 import org.magnolialead.transport.peer.PeerClient;
+import org.magnolialead.transport.peer.ViewChangePacker;
 
 /**
  * Connection of an entry daemon to the control leader. Renews the lease, keeps the fleet
@@ -48,6 +49,8 @@
 	 */
 	private static final long VIEW_TIMEOUT_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
 
+	private final ViewChangePacker packer = new ViewChangePacker();
+
 	private final Identity identity;
 
 	private volatile List<String> controlAddresses;
@@ -158,16 +161,16 @@
 		String address = currentAddress();
 		HeartbeatRequest request = new HeartbeatRequest(this.identity.daemon(), this.identity.incarnation(),
 				this.identity.peerAddress(), this.identity.availabilityZone(), this.draining, this.view.get().version(),
-				this.removalsVersion, this.reports.get(), this.announcements.pendingAnnouncements());
+				this.removalsVersion, this.reports.get(), this.announcements.pendingAnnouncements(), true);
 		long sentAt = this.clock.nanoseconds();
 		this.client.request(address, request, sentAt + HEARTBEAT_TIMEOUT_NANOSECONDS, sentAt + VIEW_TIMEOUT_NANOSECONDS)
-			.whenCompleteAsync((answer, failure) -> heartbeatAnswered(address, sentAt, answer, failure),
-					this.scheduler);
+			.whenCompleteAsync((answer, failure) -> heartbeatAnswered(address, sentAt, answer), this.scheduler);
 	}
 
-	private void heartbeatAnswered(String address, long sentAt, Object answer, Throwable failure) {
+	private void heartbeatAnswered(String address, long sentAt, Object answer) {
 		this.heartbeatInProgress = false;
-		if (!(answer instanceof HeartbeatAnswer heartbeat)) {
+		HeartbeatAnswer heartbeat = (answer instanceof HeartbeatAnswer received) ? unpacked(received) : null;
+		if (heartbeat == null) {
 			leaderFailed(address);
 			retryHeartbeat();
 			return;
@@ -205,6 +208,20 @@
 		logLeaseChange(address);
 	}
 
+	// Returns null if the change cannot be read.
+	private HeartbeatAnswer unpacked(HeartbeatAnswer heartbeat) {
+		if (heartbeat.packedChange() == null) {
+			return heartbeat;
+		}
+		try {
+			return heartbeat.withChange(this.packer.unpack(heartbeat.packedChange()));
+		}
+		catch (IllegalArgumentException ex) {
+			LogEvent.VIEW_REFUSED.log(LOGGER, this.leaderAddress, ex.getMessage());
+			return null;
+		}
+	}
+
 	private boolean applyChange(HeartbeatAnswer heartbeat) {
 		FleetView before = this.view.get();
 		try {
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerCodec.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/peer/PeerCodec.java
@@ -187,7 +187,7 @@
 	 * @param body the body
 	 * @throws IOException if the body cannot be read or has trailing bytes
 	 */
-	private static void checkSingleValue(byte[] body) throws IOException {
+	static void checkSingleValue(byte[] body) throws IOException {
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(body)) {
 			unpacker.skipValue();
 			if (unpacker.hasNext()) {
