Name the steps of alignments, settings and answers

Read as a newcomer: ConnectionAlignment.start was also the name of each further round, ControlDaemon built the settings of its log within its constructor, and ControlController had two methods named answer with different results.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -94,14 +94,8 @@
 			.orElse(FaultTolerance.ONE_LOSS);
 		this.temporaryFolder = settings.dataFolder().isPresent() ? Optional.empty()
 				: Optional.of(TemporaryFolder.create(settings.name()));
-		CommandLogSettings logSettings = CommandLogSettings
-			.withDefaults(settings.name(), settings.peer().address(),
-					settings.dataFolder().or(() -> this.temporaryFolder).orElseThrow(), settings.controlMembers())
-			.withOverrides(Duration.ofMillis(settings.electionTimeoutMilliseconds()), settings.snapshotEntries(),
-					settings.seeds().isPresent() ? settings.controlAddresses() : List.of(), settings.diskBytes())
-			.withMembership(tolerance, this.temporaryFolder.isPresent());
-		this.log = new DefaultCommandLog(logSettings, machine, this.peerClient::send, this.clock, new SecureRandom(),
-				launchedAt);
+		this.log = new DefaultCommandLog(logSettings(tolerance), machine, this.peerClient::send, this.clock,
+				new SecureRandom(), launchedAt);
 		this.ledgerKeys = new LedgerKeys(this.log, machine);
 		this.controller = new ControlController(ControlSettings.defaults(settings.name()), this.log, machine,
 				this.clock, WallClock.SYSTEM);
@@ -113,6 +107,17 @@
 				new ControlHttpHandler(this.controller, this.log, this.metrics));
 	}
 
+	private CommandLogSettings logSettings(FaultTolerance tolerance) {
+		Path dataFolder = this.settings.dataFolder().or(() -> this.temporaryFolder).orElseThrow();
+		List<String> seeds = this.settings.seeds().isPresent() ? this.settings.controlAddresses() : List.of();
+		return CommandLogSettings
+			.withDefaults(this.settings.name(), this.settings.peer().address(), dataFolder,
+					this.settings.controlMembers())
+			.withOverrides(Duration.ofMillis(this.settings.electionTimeoutMilliseconds()),
+					this.settings.snapshotEntries(), seeds, this.settings.diskBytes())
+			.withMembership(tolerance, this.temporaryFolder.isPresent());
+	}
+
 	// Each change must be on more voters than may be lost before it is acknowledged.
 	private static int requiredVoters(DaemonSettings settings, FaultTolerance tolerance) {
 		int listed = Math.min(MINIMUM_VOTERS, settings.controlAddresses().size());
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -137,10 +137,10 @@
 	 * the answer was computed; never fails
 	 */
 	public CompletableFuture<HeartbeatAnswer> heartbeat(HeartbeatRequest request) {
-		return answer(request).thenApply((answer) -> this.packedChanges.pack(request, answer));
+		return answerWithUnpackedChange(request).thenApply((answer) -> this.packedChanges.pack(request, answer));
 	}
 
-	private CompletableFuture<HeartbeatAnswer> answer(HeartbeatRequest request) {
+	private CompletableFuture<HeartbeatAnswer> answerWithUnpackedChange(HeartbeatRequest request) {
 		Leadership current = currentLeadership();
 		if (current == null) {
 			return withoutLeadership(request);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ConnectionAlignment.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ConnectionAlignment.java
@@ -47,6 +47,10 @@
 	}
 
 	void start() {
+		sendMissingSteps();
+	}
+
+	private void sendMissingSteps() {
 		List<AlignmentStep> steps = this.connection.alignmentSteps(this.sessionVariables, this.statement);
 		if (steps.isEmpty()) {
 			finished(true);
@@ -71,7 +75,7 @@
 			return;
 		}
 		if (this.firstFailure == null || isRepeatable(this.firstFailure, reply.state())) {
-			start();
+			sendMissingSteps();
 		}
 		else {
 			finished(false);
