Store the log of an observer without renaming or syncing files

Operators would have seen control daemons on VMs without a disk end at their start: the platform's file system for temporary files refuses to rename files, and the storage replaces each file by a rename.

Ruled out: syncs, which were left out first without effect; the message of the storage error now names its cause, which was EROFS for the rename.

Change: Disk states how files are replaced and directories synced. An observer uses Disk.VOLATILE, which replaces files in place and syncs nothing, since its folder does not outlive the process.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -115,7 +115,8 @@
 	 */
 	public DefaultCommandLog(CommandLogSettings settings, ReplicatedStateMachine stateMachine,
 			ConsensusTransport transport, MonotonicClock clock, RandomGenerator random, long folderUnusedSince) {
-		this(settings, stateMachine, transport, clock, random, folderUnusedSince, Disk.SYSTEM);
+		this(settings, stateMachine, transport, clock, random, folderUnusedSince,
+				settings.observer() ? Disk.VOLATILE : Disk.SYSTEM);
 	}
 
 	DefaultCommandLog(CommandLogSettings settings, ReplicatedStateMachine stateMachine, ConsensusTransport transport,
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/DurableFiles.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/DurableFiles.java
@@ -5,7 +5,6 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.Iterator;
 import java.util.List;
@@ -63,7 +62,7 @@
 	 */
 	void move(Path source, Path path) {
 		try {
-			Files.move(source, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+			this.disk.move(source, path);
 			syncDirectory(path.getParent());
 		}
 		catch (IOException ex) {
@@ -116,9 +115,7 @@
 	}
 
 	void syncDirectory(Path directory) throws IOException {
-		try (FileChannel channel = FileChannel.open(directory, StandardOpenOption.READ)) {
-			this.disk.sync(channel);
-		}
+		this.disk.syncDirectory(directory);
 	}
 
 	/**
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/StorageErrors.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/StorageErrors.java
@@ -19,7 +19,9 @@
 	}
 
 	static MagnolialeadException failure(Path path, String problem, Throwable cause) {
-		return new MagnolialeadException(ErrorCode.STORAGE_FAILURE, Step.STORAGE, "", path + ": " + problem, cause);
+		String reason = (cause != null) ? ": " + cause : "";
+		return new MagnolialeadException(ErrorCode.STORAGE_FAILURE, Step.STORAGE, "", path + ": " + problem + reason,
+				cause);
 	}
 
 }
