Show daemons that lose their connections with each lost answer

Cause: the rollback that ends a transaction is sent without a timeout, and the connection stays in use until it is answered.

--- a/review/loopback/src/review/Case.java
+++ b/review/loopback/src/review/Case.java
@@ -23,6 +23,8 @@
 
 	static final int MACHINES = 3;
 
+	static final int FIRST_VERSION = 7;
+
 	/** Time for the daemons to find each other before the traffic starts. */
 	private static final long LEAD_MILLISECONDS = 5_000;
 
@@ -46,6 +48,10 @@
 		return 0;
 	}
 
+	int machines() {
+		return MACHINES;
+	}
+
 	/** Runs the case and returns whether the rule held. */
 	abstract boolean holds() throws Exception;
 
@@ -56,7 +62,7 @@
 			this.platform = new Platform(this.record);
 			this.database = new Database(this.record, SERVICE, synchronousReplicas());
 			this.platform.serve(this.database);
-			this.fleet = new Fleet(this.record, repository, MACHINES, this.platform.address());
+			this.fleet = new Fleet(this.record, repository, machines(), this.platform.address());
 			Thread ender = new Thread(this::closeFleet);
 			Runtime.getRuntime().addShutdownHook(ender);
 			try {
@@ -86,21 +92,14 @@
 		}
 	}
 
-	private void prepare() throws Exception {
+	/** Starts everything and waits until all machines serve. */
+	void prepare() throws Exception {
 		this.fleet.start();
-		String configuration = """
-				{"version":7,"routes":[{"name":"r-1","host":"%s","pathPrefix":"/","type":"primary","timeoutMs":800,\
-				"sloMs":100,"priority":0,"service":"%s","attempts":2}],"services":[{"name":"%s",\
-				"healthPath":"/healthz","maxConns":18,"protocol":"h1","tls":false,"syncReplicas":%d}],\
-				"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,\
-				"idleTimeoutMs":15000,"txIdleMs":3000}}""".formatted(DATABASE, SERVICE, SERVICE, synchronousReplicas());
-		if (!this.fleet.control("/Config.Put", configuration, 25)) {
+		if (!this.fleet.control("/Config.Put", configuration(FIRST_VERSION), 25)) {
 			throw new Fleet.CannotRun("no control daemon has accepted the configuration");
 		}
 		this.record.add("configuration 7 acknowledged");
-		for (int member = 1; member <= 3; member++) {
-			this.database.add("m-" + member, this.fleet, member == 1, List.of());
-		}
+		addMembers();
 		for (int machine = 0; machine < MACHINES; machine++) {
 			this.fleet.awaitReady(machine, 15);
 			awaitService(machine);
@@ -109,6 +108,22 @@
 		this.record.add("all machines serve");
 	}
 
+	final void addMembers() throws IOException {
+		for (int member = 1; member <= 3; member++) {
+			this.database.add("m-" + member, this.fleet, member == 1, List.of());
+		}
+	}
+
+	final String configuration(int version) {
+		return """
+				{"version":%d,"routes":[{"name":"r-1","host":"%s","pathPrefix":"/","type":"primary","timeoutMs":800,\
+				"sloMs":100,"priority":0,"service":"%s","attempts":2}],"services":[{"name":"%s",\
+				"healthPath":"/healthz","maxConns":18,"protocol":"h1","tls":false,"syncReplicas":%d}],\
+				"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,\
+				"idleTimeoutMs":15000,"txIdleMs":3000}}""".formatted(version, DATABASE, SERVICE,
+				SERVICE, synchronousReplicas());
+	}
+
 	final void awaitService(int machine) throws Exception {
 		long deadline = System.nanoTime() + 15_000_000_000L;
 		while (System.nanoTime() - deadline < 0) {
@@ -139,6 +154,8 @@
 			case "line-feed" -> new LineFeedCase();
 			case "large-result" -> new LargeResultCase();
 			case "prepared-shapes" -> new PreparedShapesCase();
+			case "lost-answers" -> new LostAnswersCase();
+			case "first-start" -> new FirstStartCase();
 			case "second-release" -> new SecondReleaseCase();
 			default -> throw new IllegalArgumentException(arguments[0]);
 		};
--- a/review/loopback/src/review/Database.java
+++ b/review/loopback/src/review/Database.java
@@ -51,6 +51,8 @@
 
 	private long term = 1;
 
+	private volatile double lostShare;
+
 	/** Answers a read with rows in place of the default one. */
 	private volatile BiFunction<String, String, List<String>> rows = (identifier, text) -> List.of("row-" + text);
 
@@ -60,6 +62,15 @@
 		this.synchronousReplicas = synchronousReplicas;
 	}
 
+	/** Sets the share of the answers of the primary that are lost on their way. */
+	void loseAnswersOfPrimary(double share) {
+		this.lostShare = share;
+	}
+
+	private boolean losesAnswer(Member member) {
+		return this.lostShare > 0 && member == primary() && this.random.nextDouble() < this.lostShare;
+	}
+
 	void answerReadsWith(BiFunction<String, String, List<String>> function) {
 		this.rows = function;
 	}
@@ -388,6 +399,8 @@
 
 		private boolean readOnly;
 
+		private String received = "";
+
 		Session(Member member, Wire wire) {
 			this.member = member;
 			this.wire = wire;
@@ -416,6 +429,10 @@
 		}
 
 		private void ready(String before) throws IOException {
+			if (!before.isEmpty() && losesAnswer(this.member)) {
+				Database.this.record.add("member %s: answer to \"%s\" is lost", this.member.identifier, this.received);
+				return;
+			}
 			this.wire.write(before + "READY " + this.state + " " + this.member.position() + "\r\n");
 		}
 
@@ -443,6 +460,7 @@
 		}
 
 		private void query(String identifier, String received) throws IOException, InterruptedException {
+			this.received = received;
 			String text = received;
 			if (text.startsWith("AFTER ")) {
 				String[] parts = text.split(" ", 3);
--- a/review/loopback/src/review/Fleet.java
+++ b/review/loopback/src/review/Fleet.java
@@ -116,13 +116,25 @@
 	}
 
 	void startControl(int machine) throws IOException {
-		String settings = settings(machine, "control", this.controlPeerPort, this.controlPort)
+		startControl(machine, true);
+	}
+
+	/**
+	 * Starts a control daemon.
+	 * @param firstStart whether the whole system starts for the first time
+	 */
+	void startControl(int machine, boolean firstStart) throws IOException {
+		String settings = settings(machine, "control", this.controlPeerPort, this.controlPort, firstStart)
 				+ "data_folder = \"data-%d\"\ndisk_megabytes = 64\n".formatted(machine);
 		this.controls.set(machine, launch("control", machine, settings));
 	}
 
 	void startEntry(int machine) throws IOException {
-		String settings = settings(machine, "entry", this.entryPeerPort, this.readyPort) + """
+		startEntry(machine, true);
+	}
+
+	void startEntry(int machine, boolean firstStart) throws IOException {
+		String settings = settings(machine, "entry", this.entryPeerPort, this.readyPort, firstStart) + """
 
 				[sessions]
 				address = "%s:%d"
@@ -134,7 +146,7 @@
 		this.entries.set(machine, launch("entry", machine, settings));
 	}
 
-	private String settings(int machine, String role, int peerPort, int httpPort) {
+	private String settings(int machine, String role, int peerPort, int httpPort, boolean firstStart) {
 		List<String> seeds = new ArrayList<>();
 		for (int seed = 0; seed < Math.min(3, this.machines); seed++) {
 			seeds.add(host(seed) + ":" + this.controlPort);
@@ -157,11 +169,11 @@
 				[control]
 				seeds = "%s"
 				peer_port = %d
-				first_start = true
+				first_start = %s
 				election_timeout_milliseconds = 250
 				tolerated_losses = 1
 				""".formatted(machine + 1, role, machine + 1, host(machine), peerPort, host(machine), httpPort,
-				String.join(",", seeds), this.controlPeerPort);
+				String.join(",", seeds), this.controlPeerPort, firstStart);
 	}
 
 	private Process launch(String role, int machine, String settings) throws IOException {
@@ -187,6 +199,25 @@
 		return matcher.group(1);
 	}
 
+	/** Kills a control daemon and starts it again with an empty disk. */
+	void loseDisk(int machine) throws IOException, InterruptedException {
+		this.controls.get(machine).destroyForcibly().waitFor();
+		try (Stream<Path> files = Files.walk(this.folder.resolve("data-" + machine))) {
+			files.sorted(Comparator.reverseOrder()).forEach((path) -> path.toFile().delete());
+		}
+		this.record.add("machine %d: the control daemon is killed and its disk is lost", machine + 1);
+		Thread.sleep(1_000);
+		startControl(machine, false);
+	}
+
+	/** Kills the processes of a machine, which loses its disk. */
+	void lose(int machine) throws InterruptedException {
+		for (Process process : List.of(this.controls.get(machine), this.entries.get(machine))) {
+			process.destroyForcibly().waitFor();
+		}
+		this.record.add("machine %d is lost for good", machine + 1);
+	}
+
 	boolean isReady(int machine) {
 		try {
 			return status("GET", "http://" + host(machine) + ":" + this.readyPort + "/readyz", null) == 200;
