Show commits that a late order to the platform loses

Cause: all orders of an owner carry the same fencing token, and an order without an answer is forgotten once a second one for the same member succeeds. Carried out late, it makes a leaving member the primary again.

--- a/review/loopback/src/review/Platform.java
+++ b/review/loopback/src/review/Platform.java
@@ -37,6 +37,8 @@
 	private volatile Consumer<String> onOrder = (member) -> {
 	};
 
+	private volatile long lateMilliseconds;
+
 	private long highestToken;
 
 	Platform(Record record) throws IOException {
@@ -59,6 +61,11 @@
 		this.database = served;
 	}
 
+	/** Leaves the next order without an answer and carries it out late. */
+	void carryOutNextOrderAfter(long milliseconds) {
+		this.lateMilliseconds = milliseconds;
+	}
+
 	/** Sets what is called when an order to promote a member arrives. */
 	void whenOrdered(Consumer<String> listener) {
 		this.onOrder = listener;
@@ -71,6 +78,15 @@
 		int status = 400;
 		if (matcher.find()) {
 			String member = matcher.group(1);
+			long late = this.lateMilliseconds;
+			if (late > 0) {
+				this.lateMilliseconds = 0;
+				this.record.add("platform: order to promote %s from %s with token %d, no answer", member,
+						exchange.getRequestHeaders().getFirst("X-Lease-Holder"), token);
+				this.timer.schedule(() -> this.record.add("platform: late order to promote %s with token %d, result %d",
+						member, token, order(member, token)), late, TimeUnit.MILLISECONDS);
+				return;
+			}
 			status = order(member, token);
 			this.record.add("platform: order to promote %s from %s with token %d, answer %d", member,
 					exchange.getRequestHeaders().getFirst("X-Lease-Holder"), token, status);
