--- a/review/loopback/src/review/Case.java
+++ b/review/loopback/src/review/Case.java
@@ -155,7 +155,6 @@
 			case "large-result" -> new LargeResultCase();
 			case "prepared-shapes" -> new PreparedShapesCase();
 			case "lost-answers" -> new LostAnswersCase();
-			case "frozen-daemon" -> new FrozenDaemonCase();
 			case "late-order" -> new LateOrderCase();
 			case "first-start" -> new FirstStartCase();
 			case "second-release" -> new SecondReleaseCase();
--- a/review/loopback/src/review/Database.java
+++ b/review/loopback/src/review/Database.java
@@ -53,10 +53,6 @@
 
 	private volatile double lostShare;
 
-	private final Map<String, String> requiredCommits = new java.util.concurrent.ConcurrentHashMap<>();
-
-	private final List<String> staleReads = new ArrayList<>();
-
 	/** Answers a read with rows in place of the default one. */
 	private volatile BiFunction<String, String, List<String>> rows = (identifier, text) -> List.of("row-" + text);
 
@@ -66,15 +62,6 @@
 		this.synchronousReplicas = synchronousReplicas;
 	}
 
-	/** Notes the commit that a read must see, before the read is sent. */
-	void require(String readIdentifier, String commitIdentifier) {
-		this.requiredCommits.put(readIdentifier, commitIdentifier);
-	}
-
-	synchronized List<String> staleReads() {
-		return List.copyOf(this.staleReads);
-	}
-
 	/** Sets the share of the answers of the primary that are lost on their way. */
 	void loseAnswersOfPrimary(double share) {
 		this.lostShare = share;
@@ -601,13 +588,6 @@
 			Thread.sleep(WORK_MILLISECONDS);
 			synchronized (Database.this) {
 				Database.this.runs.add(new Run(this.member.identifier, identifier, text));
-				String required = Database.this.requiredCommits.get(identifier);
-				if (required != null
-						&& this.member.log.stream().noneMatch((entry) -> entry.identifier().equals(required))) {
-					Database.this.staleReads.add(identifier);
-					Database.this.record.add("STALE: %s reads at %s without the commit of %s", identifier,
-							this.member.identifier, required);
-				}
 			}
 		}
 
