Log and count answers of members that are repeated or of another form

The reports of the incident do not tell whether a member's answer was given to another statement because the member had sent one twice, or because two statements were mixed up above the connection. Nothing logged or counted that tells the two apart: event 3203 names an answer that was refused, and an answer that is accepted leaves no trace.

Each member connection keeps fingerprints of its latest answers. An answer with a proof of execution that the connection has received before is counted as replies.repeated and logged once a member (3205); one whose form is not that of the command to which it was matched is counted as replies.mismatched. The form of the answer to each command is a typed table, ReplyForm. No answer is handled in another way than before.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -56,6 +56,8 @@
 	/** A member answered a command without carrying it out. */
 	MEMBER_COMMAND_WITHOUT_EFFECT(3204, Level.WARNING,
 			"command without effect: group=%s member=%s command=%s status=%s"),
+	/** A member has sent an answer twice on one connection. */
+	MEMBER_REPEATS_ANSWERS(3205, Level.WARNING, "database member repeats answers: group=%s member=%s"),
 	/** This daemon found the primary of a group. */
 	SESSION_PRIMARY_FOUND(3301, Level.INFO, "primary found: group=%s member=%s term=%s index=%s"),
 	/** This daemon no longer sends writes to a member. */
--- a/magnolialead-api/src/main/java/org/magnolialead/api/session/StatementReply.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/session/StatementReply.java
@@ -61,6 +61,14 @@
 		return this.error == null;
 	}
 
+	/**
+	 * Tells whether a member has proved that it executed the statement.
+	 * @return {@code false} for errors and for commands that members do not prove
+	 */
+	public boolean hasProof() {
+		return this.proof != null && !this.proof.equals(NO_PROOF);
+	}
+
 	/**
 	 * Returns this answer with another state of the session.
 	 * @param other state of the session afterwards
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberCommand.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberCommand.java
@@ -6,6 +6,7 @@
 import org.magnolialead.api.LogPosition;
 import org.magnolialead.engine.session.ConnectionState.AlignmentStep;
 import org.magnolialead.engine.session.PreparedStatement;
+import org.magnolialead.engine.session.ReplyForm;
 
 /**
  * Command to a database member.
@@ -105,34 +106,48 @@
 	public enum Kind {
 
 		/** Forwards a client's statement; the argument is its text. */
-		FORWARD,
+		FORWARD(ReplyForm.STATEMENT),
 		/**
 		 * Executes a prepared statement; arguments are its shared name and its
 		 * parameters.
 		 */
-		EXECUTE,
+		EXECUTE(ReplyForm.STATEMENT),
 		/** Begins a transaction that may write; only the primary accepts it. */
-		BEGIN,
+		BEGIN(ReplyForm.BEGIN),
 		/** Begins a transaction that only reads. */
-		BEGIN_READ,
+		BEGIN_READ(ReplyForm.BEGIN),
 		/** Rolls a transaction back. */
-		ROLLBACK,
+		ROLLBACK(ReplyForm.ROLLBACK),
 		/** Sets a session variable; arguments are its name and value. */
-		SET,
+		SET(ReplyForm.SETTING),
 		/** Prepares a read; arguments are the shared name and the statement text. */
-		PREPARE_READ,
+		PREPARE_READ(ReplyForm.SETTING),
 		/** Prepares a write; arguments are the shared name and the statement text. */
-		PREPARE_WRITE,
+		PREPARE_WRITE(ReplyForm.SETTING),
 		/** Drops all session variables and prepared statements. */
-		RESET,
+		RESET(ReplyForm.SETTING),
 		/** Requests the role, term and log positions. */
-		STATUS,
+		STATUS(ReplyForm.STATUS),
 		/** Demotes a primary of a lower term to a replica; the argument is the term. */
-		DEMOTE,
+		DEMOTE(ReplyForm.STATUS),
 		/** Stops a replica from receiving commits; the argument is a new term. */
-		PAUSE,
+		PAUSE(ReplyForm.STATUS),
 		/** Lets a paused replica receive commits again. */
-		RESUME
+		RESUME(ReplyForm.STATUS);
+
+		private final ReplyForm replyForm;
+
+		Kind(ReplyForm replyForm) {
+			this.replyForm = replyForm;
+		}
+
+		/**
+		 * Returns the form of the reply to a command of this kind.
+		 * @return the form
+		 */
+		public ReplyForm replyForm() {
+			return this.replyForm;
+		}
 
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberConnector.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberConnector.java
@@ -113,9 +113,7 @@
 		PooledConnection connection = new PooledConnection(this.pool, relay != null);
 		MemberDescription member = this.pool.member();
 		try {
-			this.context.dialer()
-				.dial(member, relay, (result) -> dialFinished(connection, result),
-						() -> this.pool.discarded(connection));
+			this.context.dialer().dial(member, relay, (result) -> dialFinished(connection, result), connection);
 		}
 		catch (RuntimeException ex) {
 			LogEvent.MEMBER_UNREACHABLE.log(LOGGER, ex, member.group(), member.member(), ex);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberDialer.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberDialer.java
@@ -17,9 +17,9 @@
 	 * @param relay peer address of the daemon that relays the connection, or {@code null}
 	 * for a direct connection
 	 * @param handler receives the result on the serial executor of the sessions
-	 * @param closed called on the same executor when an opened connection is closed
+	 * @param listener receives the events of the opened connection on the same executor
 	 */
-	void dial(MemberDescription member, String relay, Consumer<DialResult> handler, Runnable closed);
+	void dial(MemberDescription member, String relay, Consumer<DialResult> handler, MemberChannelListener listener);
 
 	/**
 	 * Parses the answer to a status command.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 
 import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.log.LogEvent;
 import org.magnolialead.engine.session.ConnectionPurpose;
 import org.magnolialead.engine.session.FailureShare;
 import org.magnolialead.engine.session.OverloadBackoff;
@@ -23,6 +24,8 @@
  */
 final class MemberPool {
 
+	private static final System.Logger LOGGER = System.getLogger(MemberPool.class.getName());
+
 	/** Reciprocal of the weight of the latest sample in exponentially smoothed times. */
 	private static final int SMOOTHING_DIVISOR = 8;
 
@@ -31,6 +34,9 @@
 	/** Time after which an idle additional connection is closed. */
 	private static final long ADDITIONAL_IDLE_TIMEOUT_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(300);
 
+	/** Time for which a member that has repeated a reply is expected to repeat others. */
+	private static final long REPETITION_MEMORY_NANOSECONDS = TimeUnit.MINUTES.toNanos(5);
+
 	private final GroupRouter router;
 
 	private final SessionContext context;
@@ -62,6 +68,9 @@
 
 	private boolean lossRecorded;
 
+	/** Time until which the member is expected to repeat replies. */
+	private long repetitionsExpectedUntil;
+
 	private boolean closed;
 
 	MemberPool(GroupRouter router, SessionContext context, MemberDescription member) {
@@ -72,6 +81,7 @@
 		this.member = member;
 		this.connector = new MemberConnector(this, context);
 		this.behindUntil = now;
+		this.repetitionsExpectedUntil = now;
 	}
 
 	MemberDescription member() {
@@ -400,6 +410,26 @@
 		}
 	}
 
+	/**
+	 * Records that the member has sent a reply twice.
+	 */
+	void replyRepeated() {
+		long now = now();
+		if (!repeatsReplies()) {
+			LogEvent.MEMBER_REPEATS_ANSWERS.log(LOGGER, this.member.group(), this.member.member());
+		}
+		this.repetitionsExpectedUntil = now + REPETITION_MEMORY_NANOSECONDS;
+		metrics().replyRepeated();
+	}
+
+	/**
+	 * Tells whether the member is expected to repeat replies.
+	 * @return {@code true} for some time after it has repeated one
+	 */
+	boolean repeatsReplies() {
+		return now() - this.repetitionsExpectedUntil < 0;
+	}
+
 	/**
 	 * Returns the timeout of a command that does not wait for a slot of the member.
 	 * @return the timeout in nanoseconds
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -16,7 +16,7 @@
  * Member connection that the sessions of this daemon share. It is used exclusively
  * between {@link #acquire(long)} and {@link #release()}.
  */
-final class PooledConnection {
+final class PooledConnection implements MemberChannelListener {
 
 	private final MemberPool pool;
 
@@ -104,6 +104,21 @@
 		this.pool.discarded(this);
 	}
 
+	@Override
+	public void closed() {
+		this.pool.discarded(this);
+	}
+
+	@Override
+	public void replyRepeated() {
+		this.pool.replyRepeated();
+	}
+
+	@Override
+	public void replyMismatched() {
+		this.pool.metrics().replyMismatched();
+	}
+
 	/**
 	 * Returns the steps that are missing until this connection is known to be aligned
 	 * with a session.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
@@ -76,6 +76,20 @@
 		this.registry.counter("alignments.round-trips").inc(roundTrips);
 	}
 
+	/**
+	 * Counts a reply that a member has sent before on the same connection.
+	 */
+	void replyRepeated() {
+		this.registry.counter("replies.repeated").inc();
+	}
+
+	/**
+	 * Counts a reply whose form is not that of the command to which it was matched.
+	 */
+	void replyMismatched() {
+		this.registry.counter("replies.mismatched").inc();
+	}
+
 	void update(int openSessions, int openForwardedSessions, Iterable<GroupRouter> routers) {
 		int waitingCount = 0;
 		int connectionCount = 0;
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -103,7 +103,8 @@
 	}
 
 	@Override
-	public void dial(MemberDescription description, String relay, Consumer<DialResult> handler, Runnable closed) {
+	public void dial(MemberDescription description, String relay, Consumer<DialResult> handler,
+			MemberChannelListener listener) {
 		if (this.dialsThrow) {
 			throw new IllegalStateException("dial");
 		}
@@ -131,7 +132,7 @@
 				return;
 			}
 			this.connections++;
-			Connection connection = new Connection(member, this.connections, relay != null, closed);
+			Connection connection = new Connection(member, this.connections, relay != null, listener);
 			member.open.add(connection);
 			handler.accept(new DialResult(connection, null));
 		});
@@ -331,7 +332,7 @@
 
 		private final boolean relayed;
 
-		private final Runnable closed;
+		private final MemberChannelListener listener;
 
 		private final List<Consumer<StatementReply>> waitingHandlers = new ArrayList<>();
 
@@ -349,11 +350,11 @@
 
 		private boolean silent;
 
-		private Connection(Member member, int number, boolean relayed, Runnable closed) {
+		private Connection(Member member, int number, boolean relayed, MemberChannelListener listener) {
 			this.member = member;
 			this.number = number;
 			this.relayed = relayed;
-			this.closed = closed;
+			this.listener = listener;
 		}
 
 		@Override
@@ -539,7 +540,7 @@
 			List<Consumer<StatementReply>> lost = List.copyOf(this.waitingHandlers);
 			this.waitingHandlers.clear();
 			runAfterLatency(() -> {
-				this.closed.run();
+				this.listener.closed();
 				lost.forEach((handler) -> handler.accept(StatementReply.CONNECTION_LOST));
 			});
 		}
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/SimulatedReplication.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/SimulatedReplication.java
@@ -179,7 +179,8 @@
 	}
 
 	@Override
-	public void dial(MemberDescription description, String relay, Consumer<DialResult> handler, Runnable closed) {
+	public void dial(MemberDescription description, String relay, Consumer<DialResult> handler,
+			MemberChannelListener listener) {
 		afterLatency(() -> {
 			Member member = this.members.get(description.member());
 			if (member == null || !member.running) {
@@ -190,7 +191,7 @@
 						TimeUnit.MILLISECONDS);
 			}
 			else {
-				Connection connection = new Connection(member, closed);
+				Connection connection = new Connection(member, listener);
 				member.connections.add(connection);
 				handler.accept(new DialResult(connection, null));
 			}
@@ -307,7 +308,7 @@
 
 		private final Member member;
 
-		private final Runnable closed;
+		private final MemberChannelListener listener;
 
 		private final List<Consumer<StatementReply>> pending = new ArrayList<>();
 
@@ -317,9 +318,9 @@
 
 		private boolean transaction;
 
-		private Connection(Member member, Runnable closed) {
+		private Connection(Member member, MemberChannelListener listener) {
 			this.member = member;
-			this.closed = closed;
+			this.listener = listener;
 		}
 
 		@Override
@@ -424,7 +425,7 @@
 			List<Consumer<StatementReply>> lost = List.copyOf(this.pending);
 			this.pending.clear();
 			afterLatency(() -> {
-				this.closed.run();
+				this.listener.closed();
 				lost.forEach((handler) -> handler.accept(StatementReply.CONNECTION_LOST));
 			});
 		}
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyHistory.java
@@ -0,0 +1,138 @@
+package org.magnolialead.engine.session;
+
+import java.util.concurrent.TimeUnit;
+
+import org.magnolialead.api.session.StatementReply;
+
+/**
+ * Latest replies that a member connection has received, to tell a repeated reply from a
+ * new one. Replies are kept as fingerprints: that of a reply with a proof of execution
+ * covers the proof, which is unique to one execution; that of another reply covers its
+ * whole content. Not thread-safe.
+ */
+public final class ReplyHistory {
+
+	/** Number of latest replies that are kept. */
+	static final int CAPACITY = 512;
+
+	/**
+	 * Maximum delay after which a reply without a proof is expected to be repeated. Later
+	 * replies with the same content are taken for new ones, because such content is
+	 * common.
+	 */
+	static final long MAXIMUM_REPETITION_DELAY_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+
+	private static final long HASH_OFFSET = 0xcbf29ce484222325L;
+
+	private static final long HASH_PRIME = 0x100000001b3L;
+
+	private final long[] fingerprints = new long[CAPACITY];
+
+	private final long[] receivedAt = new long[CAPACITY];
+
+	private final boolean[] repetitions = new boolean[CAPACITY];
+
+	private long count;
+
+	/**
+	 * Returns the fingerprint of a reply.
+	 * @param reply the reply
+	 * @return the fingerprint, equal for repetitions of the reply
+	 */
+	public static long fingerprint(StatementReply reply) {
+		if (reply.hasProof()) {
+			return hash(HASH_OFFSET, reply.proof());
+		}
+		long hash = HASH_OFFSET;
+		for (String row : reply.rows()) {
+			hash = hash(hash, row);
+		}
+		hash = hash(hash, (reply.error() != null) ? reply.error().name() : "");
+		hash = hash(hash, reply.detail());
+		hash = hash(hash, reply.state().name());
+		return hash(hash, String.valueOf(reply.position()));
+	}
+
+	private static long hash(long start, String text) {
+		long hash = start;
+		for (int index = 0; index < text.length(); index++) {
+			hash = (hash ^ text.charAt(index)) * HASH_PRIME;
+		}
+		// Separates the texts, so that moving a character to the next one changes the
+		// result.
+		return (hash ^ Character.MAX_VALUE) * HASH_PRIME;
+	}
+
+	/**
+	 * Adds a reply.
+	 * @param fingerprint its fingerprint
+	 * @param now monotonic time in nanoseconds
+	 */
+	public void add(long fingerprint, long now) {
+		int slot = slot(this.count);
+		this.fingerprints[slot] = fingerprint;
+		this.receivedAt[slot] = now;
+		this.repetitions[slot] = false;
+		this.count++;
+	}
+
+	/**
+	 * Tells whether a reply was received before.
+	 * @param fingerprint its fingerprint
+	 * @return {@code true} if it is one of the kept replies
+	 */
+	public boolean contains(long fingerprint) {
+		for (long number = oldest(); number < this.count; number++) {
+			if (this.fingerprints[slot(number)] == fingerprint) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	/**
+	 * Returns how often a reply may still be repeated if each reply is repeated once at
+	 * most.
+	 * @param fingerprint its fingerprint
+	 * @param now monotonic time in nanoseconds
+	 * @return the number of recent replies whose repetition was not received
+	 */
+	int possibleRepetitions(long fingerprint, long now) {
+		int open = 0;
+		for (long number = this.count - 1; number >= oldest(); number--) {
+			int slot = slot(number);
+			if (now - this.receivedAt[slot] > MAXIMUM_REPETITION_DELAY_NANOSECONDS) {
+				break;
+			}
+			if (this.fingerprints[slot] == fingerprint) {
+				open += (this.repetitions[slot]) ? -1 : 1;
+			}
+		}
+		return Math.max(0, open);
+	}
+
+	/**
+	 * Records that the latest replies with a fingerprint were repetitions.
+	 * @param fingerprint the fingerprint
+	 * @param number number of repetitions
+	 */
+	void markRepetitions(long fingerprint, int number) {
+		int remaining = number;
+		for (long candidate = this.count - 1; candidate >= oldest() && remaining > 0; candidate--) {
+			int slot = slot(candidate);
+			if (this.fingerprints[slot] == fingerprint && !this.repetitions[slot]) {
+				this.repetitions[slot] = true;
+				remaining--;
+			}
+		}
+	}
+
+	private long oldest() {
+		return Math.max(0, this.count - CAPACITY);
+	}
+
+	private static int slot(long number) {
+		return (int) (number % CAPACITY);
+	}
+
+}
