Match a member's replies to commands by more than their order

Callers received the rows and the proof of another statement, a DONE for writes that had not run yet, and promises that were not true; a write could run twice. The members sent some answers twice, the second copy late, and the daemon gave each answer to the oldest command without one. A copy shifted all later answers of its connection by one until no command waited.

ReplyMatcher keeps every interpretation of the received replies that is still possible: the next true reply, or a repetition of one that the connection has received before. The form of the reply (ReplyForm), the proof, which is issued once, the log position and the moment at which the reply began to arrive rule interpretations out. A command is complete once all that are left agree on its reply. If they do not, the connection sends probes, a PREPARE that is never executed: one more than their replies could be repetitions, so that one of the interpretations ends for certain. A reply that has no interpretation closes the connection, and nothing after it is used.

Ruled out: a mix-up above the connection.

--- a/magnolialead-api/src/main/java/org/magnolialead/api/session/StatementReply.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/session/StatementReply.java
@@ -20,7 +20,7 @@
 		LogPosition position) {
 
 	/** Placeholder for the proof in answers that no member gave. */
-	private static final String NO_PROOF = "-";
+	public static final String NO_PROOF = "-";
 
 	/**
 	 * Reply that stands for the missing answer of a member whose connection was lost.
@@ -69,6 +69,14 @@
 		return this.proof != null && !this.proof.equals(NO_PROOF);
 	}
 
+	/**
+	 * Returns this answer without a log position.
+	 * @return the answer
+	 */
+	public StatementReply withoutPosition() {
+		return new StatementReply(this.rows, this.proof, this.error, this.detail, this.state, null);
+	}
+
 	/**
 	 * Returns this answer with another state of the session.
 	 * @param other state of the session afterwards
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberChannelListener.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberChannelListener.java
@@ -17,8 +17,19 @@
 	void replyRepeated();
 
 	/**
-	 * A reply was received whose form is not that of the command to which it was matched.
+	 * Tells whether the member is expected to repeat replies, on any connection.
+	 * @return {@code true} for some time after it has repeated one
 	 */
-	void replyMismatched();
+	boolean repeatsReplies();
+
+	/**
+	 * A reply was received that belongs to no command, so the connection is closed.
+	 */
+	void replyRefused();
+
+	/**
+	 * A command was sent only to find out to which command a reply belongs.
+	 */
+	void probeSent();
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -115,8 +115,18 @@
 	}
 
 	@Override
-	public void replyMismatched() {
-		this.pool.metrics().replyMismatched();
+	public boolean repeatsReplies() {
+		return this.pool.repeatsReplies();
+	}
+
+	@Override
+	public void replyRefused() {
+		this.pool.metrics().replyRefused();
+	}
+
+	@Override
+	public void probeSent() {
+		this.pool.metrics().probeSent();
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
@@ -84,10 +84,17 @@
 	}
 
 	/**
-	 * Counts a reply whose form is not that of the command to which it was matched.
+	 * Counts a reply that belongs to no command, whose connection is closed.
 	 */
-	void replyMismatched() {
-		this.registry.counter("replies.mismatched").inc();
+	void replyRefused() {
+		this.registry.counter("replies.refused").inc();
+	}
+
+	/**
+	 * Counts a command that is sent only to find out to which command a reply belongs.
+	 */
+	void probeSent() {
+		this.registry.counter("replies.probes").inc();
 	}
 
 	void update(int openSessions, int openForwardedSessions, Iterable<GroupRouter> routers) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyForm.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyForm.java
@@ -77,6 +77,15 @@
 		return !reply.isDone() || isSuccess(reply, before);
 	}
 
+	/**
+	 * Tells whether the content of the reply matters, so that the reply must not be a
+	 * repetition of an earlier one in any case.
+	 * @return {@code false} if only success or failure matters
+	 */
+	boolean needsCertainty() {
+		return this == STATEMENT || this == STATUS;
+	}
+
 	private static boolean isEmpty(StatementReply reply) {
 		return !reply.hasProof() && reply.rows().isEmpty();
 	}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyHistory.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyHistory.java
@@ -10,7 +10,7 @@
  * covers the proof, which is unique to one execution; that of another reply covers its
  * whole content. Not thread-safe.
  */
-public final class ReplyHistory {
+final class ReplyHistory {
 
 	/** Number of latest replies that are kept. */
 	static final int CAPACITY = 512;
@@ -39,7 +39,7 @@
 	 * @param reply the reply
 	 * @return the fingerprint, equal for repetitions of the reply
 	 */
-	public static long fingerprint(StatementReply reply) {
+	static long fingerprint(StatementReply reply) {
 		if (reply.hasProof()) {
 			return hash(HASH_OFFSET, reply.proof());
 		}
@@ -68,7 +68,7 @@
 	 * @param fingerprint its fingerprint
 	 * @param now monotonic time in nanoseconds
 	 */
-	public void add(long fingerprint, long now) {
+	void add(long fingerprint, long now) {
 		int slot = slot(this.count);
 		this.fingerprints[slot] = fingerprint;
 		this.receivedAt[slot] = now;
@@ -81,7 +81,7 @@
 	 * @param fingerprint its fingerprint
 	 * @return {@code true} if it is one of the kept replies
 	 */
-	public boolean contains(long fingerprint) {
+	boolean contains(long fingerprint) {
 		for (long number = oldest(); number < this.count; number++) {
 			if (this.fingerprints[slot(number)] == fingerprint) {
 				return true;
--- /dev/null
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/RepeatingMember.java
@@ -0,0 +1,196 @@
+package org.magnolialead.engine.session;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.session.SessionState;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
+
+/**
+ * Simulated connection to a member that sends replies twice. A client sends statements,
+ * transactions and probes one after the other, and compares each reply with the true one.
+ */
+final class RepeatingMember {
+
+	private static final int OPERATIONS = 200;
+
+	private static final long STEP_NANOSECONDS = 1_000_000;
+
+	private static final int MAXIMUM_DELAY_STEPS = 80;
+
+	private static final double COMMIT_SHARE = 0.2;
+
+	private final Random random;
+
+	private final double repeatedShare;
+
+	private final double refusedShare;
+
+	private final ReplyMatcher matcher = new ReplyMatcher();
+
+	/** Replies that arrive, by step and then in the order in which they were sent. */
+	private final TreeMap<Long, List<StatementReply>> arriving = new TreeMap<>();
+
+	private final Deque<StatementReply> trueReplies = new ArrayDeque<>();
+
+	private final List<String> wrongReplies = new ArrayList<>();
+
+	private SessionState state = SessionState.IDLE;
+
+	private StatementReply lastCompleted;
+
+	private long step;
+
+	private long lastArrival;
+
+	private long index = 1;
+
+	private int proofs;
+
+	private int commandsSent;
+
+	private boolean connectionRefused;
+
+	RepeatingMember(long seed, double repeatedShare, double refusedShare) {
+		this.random = new Random(seed);
+		this.repeatedShare = repeatedShare;
+		this.refusedShare = refusedShare;
+	}
+
+	List<String> wrongReplies() {
+		return this.wrongReplies;
+	}
+
+	int commandsSent() {
+		return this.commandsSent;
+	}
+
+	boolean isConnectionRefused() {
+		return this.connectionRefused;
+	}
+
+	void run() {
+		for (int operation = 0; operation < OPERATIONS && !this.connectionRefused; operation++) {
+			if (this.random.nextBoolean()) {
+				executeSingle();
+			}
+			else {
+				executeTransaction();
+			}
+			this.step += this.random.nextInt(MAXIMUM_DELAY_STEPS / 4);
+			deliverUntil(this.step);
+		}
+	}
+
+	private void executeSingle() {
+		if (this.random.nextInt(4) == 0) {
+			await(ReplyForm.SETTING);
+		}
+		await(ReplyForm.STATEMENT);
+	}
+
+	private void executeTransaction() {
+		await(ReplyForm.BEGIN);
+		if (this.connectionRefused || !this.lastCompleted.isDone()) {
+			return;
+		}
+		for (int statement = this.random.nextInt(3); statement >= 0 && !this.connectionRefused; statement--) {
+			await(ReplyForm.STATEMENT);
+		}
+		if (!this.connectionRefused) {
+			await(ReplyForm.ROLLBACK);
+		}
+	}
+
+	private void await(ReplyForm form) {
+		if (this.connectionRefused) {
+			return;
+		}
+		send(form);
+		while (!this.trueReplies.isEmpty() && !this.connectionRefused) {
+			if (this.arriving.isEmpty()) {
+				this.wrongReplies.add("no reply completes the command " + form);
+				this.connectionRefused = true;
+				return;
+			}
+			this.step = Math.max(this.step, this.arriving.firstKey());
+			deliverUntil(this.step);
+		}
+	}
+
+	private void send(ReplyForm form) {
+		this.commandsSent++;
+		this.matcher.sent(form);
+		StatementReply reply = reply(form);
+		this.state = reply.state();
+		this.trueReplies.add(reply);
+		this.lastArrival = Math.max(this.lastArrival, this.step + 1 + this.random.nextInt(3));
+		arrives(this.lastArrival, reply);
+		if (this.random.nextDouble() < this.repeatedShare) {
+			arrives(this.lastArrival + this.random.nextInt(MAXIMUM_DELAY_STEPS), reply);
+		}
+	}
+
+	private void arrives(long at, StatementReply reply) {
+		this.arriving.computeIfAbsent(at, (unused) -> new ArrayList<>()).add(reply);
+	}
+
+	private StatementReply reply(ReplyForm form) {
+		LogPosition position = new LogPosition(1, this.index);
+		boolean refusable = form == ReplyForm.STATEMENT || form == ReplyForm.BEGIN;
+		if (refusable && this.random.nextDouble() < this.refusedShare) {
+			StatementError error = (form == ReplyForm.BEGIN) ? StatementError.NOT_PRIMARY : StatementError.OVERLOADED;
+			return new StatementReply(List.of(), null, error, "", this.state, position);
+		}
+		if (form == ReplyForm.STATEMENT) {
+			this.proofs++;
+			boolean commits = this.state == SessionState.IDLE && this.random.nextDouble() < COMMIT_SHARE;
+			this.index += commits ? 1 : 0;
+			return new StatementReply(List.of("row"), "proof-" + this.proofs, null, "", this.state,
+					new LogPosition(1, this.index));
+		}
+		SessionState after = switch (form) {
+			case BEGIN -> SessionState.TRANSACTION;
+			case ROLLBACK -> SessionState.IDLE;
+			default -> this.state;
+		};
+		return new StatementReply(List.of(), "-", null, "", after, position);
+	}
+
+	private void deliverUntil(long end) {
+		while (!this.arriving.isEmpty() && this.arriving.firstKey() <= end && !this.connectionRefused) {
+			long at = this.arriving.firstKey();
+			this.arriving.remove(at).forEach((reply) -> deliver(reply, at));
+		}
+	}
+
+	private void deliver(StatementReply reply, long at) {
+		if (this.connectionRefused) {
+			return;
+		}
+		ReplyMatcher.Match match = this.matcher.received(reply, this.matcher.commandsSent(), true,
+				at * STEP_NANOSECONDS);
+		if (!match.possible()) {
+			this.connectionRefused = true;
+			return;
+		}
+		for (StatementReply completed : match.completed()) {
+			StatementReply expected = this.trueReplies.poll();
+			boolean positionUnknown = completed.position() == null && expected.isDone() && !expected.hasProof();
+			if (!completed.equals(positionUnknown ? expected.withoutPosition() : expected)) {
+				this.wrongReplies.add("expected %s but was %s".formatted(expected, completed));
+			}
+			this.lastCompleted = completed;
+		}
+		for (int probe = 0; probe < match.probes(); probe++) {
+			send(ReplyForm.SETTING);
+		}
+	}
+
+}
--- /dev/null
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
@@ -0,0 +1,167 @@
+package org.magnolialead.engine.session;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.session.SessionState;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a reply of a member that is matched to another command than the one that
+ * it belongs to, and against commands that are never complete.
+ */
+class ReplyMatcherTests {
+
+	private static final long LATER = TimeUnit.SECONDS.toNanos(10);
+
+	private final ReplyMatcher matcher = new ReplyMatcher();
+
+	private final List<StatementReply> completed = new ArrayList<>();
+
+	private static StatementReply done(SessionState state, long index) {
+		return new StatementReply(List.of(), "-", null, "", state, new LogPosition(1, index));
+	}
+
+	private static StatementReply proven(String proof, SessionState state, long index) {
+		return new StatementReply(List.of("row"), proof, null, "", state, new LogPosition(1, index));
+	}
+
+	private static StatementReply busy(SessionState state, long index) {
+		return new StatementReply(List.of(), null, StatementError.OVERLOADED, "", state, new LogPosition(1, index));
+	}
+
+	private ReplyMatcher.Match receive(StatementReply reply) {
+		return receive(reply, true, 0);
+	}
+
+	private ReplyMatcher.Match receive(StatementReply reply, boolean repetitionsExpected, long now) {
+		ReplyMatcher.Match match = this.matcher.received(reply, this.matcher.commandsSent(), repetitionsExpected, now);
+		this.completed.addAll(match.completed());
+		return match;
+	}
+
+	@Test
+	void newRepliesCompleteTheirCommandsAtOnce() {
+		List<StatementReply> replies = List.of(done(SessionState.TRANSACTION, 1),
+				proven("a", SessionState.TRANSACTION, 1), busy(SessionState.TRANSACTION, 1),
+				proven("b", SessionState.IDLE, 2));
+		this.matcher.sent(ReplyForm.BEGIN);
+		replies.forEach((reply) -> {
+			this.matcher.sent(ReplyForm.STATEMENT);
+			assertThat(receive(reply).probes()).isZero();
+		});
+		assertThat(this.completed).isEqualTo(replies);
+	}
+
+	@Test
+	void repeatedProofIsIgnored() {
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(proven("a", SessionState.IDLE, 1));
+		this.matcher.sent(ReplyForm.STATEMENT);
+		assertThat(receive(proven("a", SessionState.IDLE, 1)).repeated()).isTrue();
+		receive(proven("b", SessionState.IDLE, 1));
+		assertThat(this.completed).hasSize(2).last().isEqualTo(proven("b", SessionState.IDLE, 1));
+	}
+
+	@Test
+	void refusalThatMayBeARepetitionIsBelievedAfterItsProbe() {
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(busy(SessionState.IDLE, 1));
+		this.matcher.sent(ReplyForm.STATEMENT);
+		ReplyMatcher.Match match = receive(busy(SessionState.IDLE, 1));
+		assertThat(match.completed()).isEmpty();
+		assertThat(match.probes()).isEqualTo(1);
+		this.matcher.sent(ReplyForm.SETTING);
+		receive(done(SessionState.IDLE, 1));
+		assertThat(this.completed).containsExactly(busy(SessionState.IDLE, 1), busy(SessionState.IDLE, 1),
+				done(SessionState.IDLE, 1));
+	}
+
+	@Test
+	void refusalThatWasARepetitionIsNotBelieved() {
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(busy(SessionState.IDLE, 1));
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(busy(SessionState.IDLE, 1));
+		this.matcher.sent(ReplyForm.SETTING);
+		receive(proven("a", SessionState.IDLE, 1));
+		receive(done(SessionState.IDLE, 1));
+		assertThat(this.completed).containsExactly(busy(SessionState.IDLE, 1), proven("a", SessionState.IDLE, 1),
+				done(SessionState.IDLE, 1));
+	}
+
+	@Test
+	void oldReplyIsIgnoredOnceTheLogHasGrown() {
+		this.matcher.sent(ReplyForm.BEGIN);
+		receive(done(SessionState.TRANSACTION, 1));
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(proven("a", SessionState.IDLE, 2));
+		this.matcher.sent(ReplyForm.BEGIN);
+		assertThat(receive(done(SessionState.TRANSACTION, 1)).completed()).isEmpty();
+		assertThat(receive(done(SessionState.TRANSACTION, 2)).completed()).hasSize(1);
+	}
+
+	@Test
+	void equalRepliesOfAMemberThatRepeatsNoneNeedNoProbe() {
+		for (int time = 0; time < 10; time++) {
+			this.matcher.sent(ReplyForm.BEGIN);
+			assertThat(receive(done(SessionState.TRANSACTION, 1), false, time).completed()).hasSize(1);
+			this.matcher.sent(ReplyForm.ROLLBACK);
+			assertThat(receive(done(SessionState.IDLE, 1), false, time).completed()).hasSize(1);
+		}
+	}
+
+	@Test
+	void equalRepliesNeedNoProbeAfterALongTime() {
+		this.matcher.sent(ReplyForm.BEGIN);
+		receive(done(SessionState.TRANSACTION, 1), true, 0);
+		this.matcher.sent(ReplyForm.ROLLBACK);
+		receive(done(SessionState.IDLE, 1), true, 0);
+		this.matcher.sent(ReplyForm.BEGIN);
+		assertThat(receive(done(SessionState.TRANSACTION, 1), true, LATER).completed()).hasSize(1);
+	}
+
+	@Test
+	void replyThatBeganBeforeItsCommandWasSentIsRefused() {
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(proven("a", SessionState.IDLE, 1));
+		long sentBefore = this.matcher.commandsSent();
+		this.matcher.sent(ReplyForm.STATEMENT);
+		assertThat(this.matcher.received(proven("b", SessionState.IDLE, 1), sentBefore, true, 0).possible()).isFalse();
+	}
+
+	@Test
+	void replyOfAnotherFormThatIsNoRepetitionIsRefused() {
+		this.matcher.sent(ReplyForm.STATEMENT);
+		assertThat(receive(done(SessionState.IDLE, 1)).possible()).isFalse();
+	}
+
+	/**
+	 * Plays a member that repeats replies with any delay, refuses statements and begins,
+	 * and commits now and then. Every command must receive its own reply, and no
+	 * connection may be given up more often than one time in ten commands.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "0.0005, 0", "0.005, 0.01", "0.05, 0.1", "0.3, 0.01", "0.3, 0.3", "1, 0.5" })
+	void eachCommandReceivesItsOwnReply(double repeatedShare, double refusedShare) {
+		int sent = 0;
+		int refusedConnections = 0;
+		for (int seed = 1; seed <= 300; seed++) {
+			RepeatingMember member = new RepeatingMember(seed, repeatedShare, refusedShare);
+			member.run();
+			assertThat(member.wrongReplies()).as("seed %d", seed).isEmpty();
+			sent += member.commandsSent();
+			refusedConnections += member.isConnectionRefused() ? 1 : 0;
+		}
+		assertThat(refusedConnections).isLessThan(sent / 10);
+	}
+
+}
