Ask a member that repeats no replies with one probe

A replica that is behind refuses read after read with the same reply.

A member that does repeat replies gets as many probes as before.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
@@ -74,8 +74,8 @@
 	 * @param reply the reply
 	 * @param sentBefore value of {@link #commandsSent()} when the reply began to arrive
 	 * @param repetitionsExpected whether the member is known to repeat replies. If not, a
-	 * reply whose content does not matter is not suspected to be a repetition, which
-	 * avoids probes.
+	 * reply that can be the next one and whose content does not matter is not suspected
+	 * to be a repetition, which avoids probes.
 	 * @param now monotonic time in nanoseconds
 	 * @return what follows from the reply
 	 */
@@ -86,15 +86,16 @@
 		int possibleRepetitions = this.history.possibleRepetitions(fingerprint, now);
 		this.history.add(fingerprint, now);
 		Map<Interpretation.Key, Interpretation> next = new HashMap<>();
-		boolean mayBeReply = false;
+		boolean trusted = false;
 		for (Interpretation interpretation : this.interpretations) {
 			Command command = nextCommand(interpretation, sentBefore);
-			boolean isReply = !repetition && command != null && command.form().permits(reply, interpretation.state());
-			if (isReply) {
-				mayBeReply = true;
+			if (!repetition && command != null && command.form().permits(reply, interpretation.state())) {
+				trusted |= !command.form().needsCertainty() && !repetitionsExpected;
 				add(next, interpretation.withReply(reply));
 			}
-			boolean trusted = isReply && !command.form().needsCertainty() && !repetitionsExpected;
+		}
+		boolean mayBeReply = !next.isEmpty();
+		for (Interpretation interpretation : this.interpretations) {
 			boolean mayRepeat = repetition || outdated
 					|| possibleRepetitions > 2 * interpretation.repetitions(fingerprint);
 			if (mayRepeat && !trusted) {
@@ -105,7 +106,7 @@
 			return Match.MISMATCH;
 		}
 		this.interpretations = List.copyOf(next.values());
-		return decide(reply, !mayBeReply, now);
+		return decide(reply, !mayBeReply, repetitionsExpected, now);
 	}
 
 	// The log of a member grows, unless the member was ahead of a new primary and has cut
@@ -124,7 +125,7 @@
 		interpretations.merge(added.key(), added, Interpretation::withFewerRepetitions);
 	}
 
-	private Match decide(StatementReply reply, boolean repeated, long now) {
+	private Match decide(StatementReply reply, boolean repeated, boolean repetitionsExpected, long now) {
 		List<StatementReply> completed = removeCompleted();
 		if (this.interpretations.size() == 1) {
 			settle(reply, repeated);
@@ -134,8 +135,9 @@
 			return new Match(true, repeated, completed, 0);
 		}
 		this.probeRounds++;
-		return needsCertainty() ? probeUntilCertain(reply, repeated, completed, now)
-				: probeOnce(reply, repeated, completed, now);
+		int possibleRepetitions = repetitionsExpected ? possibleProbeRepetitions(reply, now) : 0;
+		return needsCertainty() ? probeUntilCertain(possibleRepetitions, repeated, completed)
+				: probeOnce(reply, possibleRepetitions, repeated, completed);
 	}
 
 	// Until each reply has arrived in one of the interpretations, the next one may
@@ -161,15 +163,16 @@
 	// One probe more is sent than its reply may be a repetition of earlier ones, so that
 	// the
 	// probes certainly decide.
-	private Match probeUntilCertain(StatementReply reply, boolean repeated, List<StatementReply> completed, long now) {
-		int probes = 1 + possibleProbeRepetitions(reply, now);
+	private Match probeUntilCertain(int possibleRepetitions, boolean repeated, List<StatementReply> completed) {
+		int probes = 1 + possibleRepetitions;
 		boolean decidable = probes <= MAXIMUM_PROBES && this.probeRounds <= MAXIMUM_PROBE_ROUNDS;
 		return decidable ? new Match(true, repeated, completed, probes) : Match.MISMATCH;
 	}
 
-	private Match probeOnce(StatementReply reply, boolean repeated, List<StatementReply> completed, long now) {
+	private Match probeOnce(StatementReply reply, int possibleRepetitions, boolean repeated,
+			List<StatementReply> completed) {
 		if (this.probeRounds == 1) {
-			int probes = Math.min(1 + possibleProbeRepetitions(reply, now), MAXIMUM_PROBES_AFTER_SUCCESS);
+			int probes = Math.min(1 + possibleRepetitions, MAXIMUM_PROBES_AFTER_SUCCESS);
 			return new Match(true, repeated, completed, probes);
 		}
 		List<Interpretation> complete = this.interpretations.stream().filter(this::isComplete).toList();
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
@@ -119,6 +119,22 @@
 		}
 	}
 
+	/**
+	 * Guards against connections that are given up because a member refuses statements
+	 * again and again, without ever repeating a reply.
+	 */
+	@Test
+	void eachRefusalOfAMemberThatRepeatsNoneNeedsOneProbe() {
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(busy(SessionState.IDLE, 1), false, 0);
+		for (int time = 1; time < 50; time++) {
+			this.matcher.sent(ReplyForm.STATEMENT);
+			assertThat(receive(busy(SessionState.IDLE, 1), false, time).probes()).isEqualTo(1);
+			this.matcher.sent(ReplyForm.SETTING);
+			assertThat(receive(done(SessionState.IDLE, 1), false, time).completed()).hasSize(2);
+		}
+	}
+
 	@Test
 	void equalRepliesNeedNoProbeAfterALongTime() {
 		this.matcher.sent(ReplyForm.BEGIN);
