Ignore the answers of a relay after the first one

Cause: the handshake closed the connection after a rejection, but the decoder passed on what it still held when the channel became inactive. A second frame was handled as a further answer: after a rejection, an acceptance activated the endpoint on a closed channel, and a rejection was reported twice. Ruled out: a second acceptance, whose bytes reach the endpoint and are refused there as a line that no member sends, and an answer behind a cut one, which is refused because the frame cannot be decoded. Today's endpoint ignored the repeated events, so no wrong answer of a client follows from the fault. Change: the handshake takes only the first frame as an answer. Before: RelayHandshakeTests 2 of 4 failed with the events "rejected, active" and "rejected, rejected". After: 4 of 4 pass.

--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/relay/RelayHandshake.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/relay/RelayHandshake.java
@@ -10,7 +10,9 @@
 
 /**
  * Client side of the handshake on a relayed connection. Later handlers of the pipeline
- * receive {@code channelActive} only once the relay is connected to the member.
+ * receive {@code channelActive} only once the relay is connected to the member. Only the
+ * first answer counts: frames that follow a rejection are decoded when the connection is
+ * closed.
  */
 public final class RelayHandshake extends SimpleChannelInboundHandler<ByteBuf> {
 
@@ -20,6 +22,8 @@
 
 	private final Runnable onRejected;
 
+	private boolean answered;
+
 	private RelayHandshake(RelayRequest request, Runnable onRejected) {
 		this.request = request;
 		this.onRejected = onRejected;
@@ -43,6 +47,10 @@
 
 	@Override
 	protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+		if (this.answered) {
+			return;
+		}
+		this.answered = true;
 		if (!RelayCodec.decode(frame, RelayAnswer.class).connected()) {
 			this.onRejected.run();
 			context.close();
