Test that a member's repeated HTTP response is refused

The test sends the second copy of a response before and during the next request on one connection. The request identifier of the response and the check for a request in progress refuse it.

--- a/magnolialead-transport/src/test/java/org/magnolialead/transport/member/MemberConnectionTests.java
+++ b/magnolialead-transport/src/test/java/org/magnolialead/transport/member/MemberConnectionTests.java
@@ -7,7 +7,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -72,6 +74,25 @@
 		checkClosed(connection);
 	}
 
+	/**
+	 * Guards against the second copy of a response that is taken for the response to the
+	 * next request, whether it arrives before or during that request.
+	 */
+	@Test
+	void repeatedResponseIsNotTakenForThatOfTheNextRequest() throws Exception {
+		MemberConnection early = connect((requestId) -> RESPONSE.formatted(requestId).repeat(2));
+		exchange(early, 10_000).get();
+		checkClosed(early);
+		Queue<String> firstResponses = new ConcurrentLinkedQueue<>();
+		MemberConnection late = connect((requestId) -> {
+			firstResponses.add(RESPONSE.formatted(requestId));
+			return firstResponses.peek();
+		});
+		exchange(late, 10_000).get();
+		checkFailure(ErrorCode.NO_ANSWER, Step.EXECUTE, exchange(late, 10_000));
+		checkClosed(late);
+	}
+
 	/**
 	 * Guards against a late response that is taken for the response to the next request.
 	 */
