Refuse a forwarded statement while the one before is unanswered

Cause: the daemon that executes a forwarded transaction keeps one future for the answer and one statement in progress. A statement that arrived before the answer to the one before replaced both, so the answer belonged to whichever statement came last. Ruled out: the forwarding daemon sends one statement of a transaction at a time and ends the transaction after a missing answer, so no run with it showed the fault; peer answers carry a correlation number and are matched by it. Change: the executing daemon refuses such a statement as not run.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedSession.java
@@ -96,8 +96,12 @@
 		return this.ended;
 	}
 
+	boolean isAwaitingAnswer() {
+		return this.pendingAnswer != null;
+	}
+
 	/**
-	 * Executes a statement.
+	 * Executes a statement. Must not be called while an answer is awaited.
 	 * @param request the statement
 	 * @return a future of the answer
 	 */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardingHandler.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardingHandler.java
@@ -66,6 +66,10 @@
 		if (session == null || session.isEnded()) {
 			return CompletableFuture.completedFuture(transactionUnknown(request));
 		}
+		if (session.isAwaitingAnswer()) {
+			throw new MagnolialeadException(ErrorCode.BAD_REQUEST, Step.FORWARD, group,
+					"the previous statement of the transaction has not been answered");
+		}
 		ForwardedSession running = session;
 		return running.run(request).whenComplete((answer, failure) -> {
 			if (running.isEnded()) {
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
@@ -2,10 +2,14 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.api.Outcome;
+import org.magnolialead.api.Route;
 import org.magnolialead.api.message.ForwardStatementRequest;
 import org.magnolialead.api.message.ForwardStatementRequest.Action;
 import org.magnolialead.api.message.ForwardStatementRequest.TransactionScope;
@@ -13,8 +17,10 @@
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.daemon.session.ClientStatement.Verb;
 import org.magnolialead.transport.peer.PeerCodec;
+import org.magnolialead.transport.peer.PeerHandler;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Tests of a fleet with more daemons than connections per member, in which daemons
@@ -250,6 +256,29 @@
 			assertThat(StatementForwardingTests.this.group.member("a").openTransactions()).isZero();
 		}
 
+		/**
+		 * Guards against an answer that is given to the next statement of its
+		 * transaction, because that statement arrived first.
+		 */
+		@Test
+		void statementThatArrivesBeforeTheAnswerOfTheOneBeforeIsRefused() {
+			SessionService holder = StatementForwardingTests.this.fleet.holder();
+			PeerHandler handler = holder.forwardingHandler();
+			CompletableFuture<Object> first = handler.handle(statement("first", "WRITE 1 x", true));
+			assertThatThrownBy(() -> handler.handle(statement("second", "WRITE 2 y", false))).isInstanceOfSatisfying(
+					MagnolialeadException.class,
+					(failure) -> assertThat(failure.code().outcome()).isEqualTo(Outcome.NOT_RUN));
+			StatementForwardingTests.this.loop.advance(100);
+			assertThat(first).isCompleted();
+			assertThat(executedTexts()).containsExactly("WRITE 1 x");
+		}
+
+		private ForwardStatementRequest statement(String identifier, String text, boolean first) {
+			Route route = StatementForwardingTests.this.fleet.forwarding().routes().route("primary").orElseThrow();
+			return new ForwardStatementRequest(route, Map.of(), LogPosition.NONE, identifier, Action.WRITE, text, null,
+					new TransactionScope(1, first, false), 500_000);
+		}
+
 		/**
 		 * Guards against work of other daemons that is cut off at a shutdown without an
 		 * answer.
