Decide between equal replies of a member that repeats replies for certain

A member that is known to repeat replies got two probes after a command that seemed to have succeeded, and three copies answered all of them; a refusal that was repeated more than a second later was believed without a probe; a reply at an older position was dropped for certain, so that commands never ended after a member had cut its log back; the second transaction that failed in the same way closed its connection; the first copy of a BEGIN was believed with its old position; a row or a proof that was cut off and repeated within one line was passed on; a connection that the daemon closed itself counted as a failure of the member.

A member that repeats replies gets one probe more than their replies can be repetitions, after every command. A reply to a statement, a commit or a status that equals an earlier one is suspected at any age. Errors have a form as well: a failed transaction refuses everything as malformed, nothing else does in a transaction. A commit has a form of its own, so a statement that ran outside its transaction is noticed.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberCommand.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberCommand.java
@@ -55,7 +55,8 @@
 	 * @return the command
 	 */
 	public static MemberCommand forward(ClientStatement statement, LogPosition after) {
-		return new MemberCommand(Kind.FORWARD, statement.identifier(), after, List.of(statement.text()));
+		Kind kind = (statement.verb() == ClientStatement.Verb.COMMIT) ? Kind.COMMIT : Kind.FORWARD;
+		return new MemberCommand(kind, statement.identifier(), after, List.of(statement.text()));
 	}
 
 	/**
@@ -105,8 +106,12 @@
 	 */
 	public enum Kind {
 
-		/** Forwards a client's statement; the argument is its text. */
+		/**
+		 * Forwards a client's statement other than a commit; the argument is its text.
+		 */
 		FORWARD(ReplyForm.STATEMENT),
+		/** Forwards a client's commit; the argument is its text. */
+		COMMIT(ReplyForm.COMMIT),
 		/**
 		 * Executes a prepared statement; arguments are its shared name and its
 		 * parameters.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -119,8 +119,10 @@
 		return this.pool.repeatsReplies();
 	}
 
+	// The member is alive, so the loss of the connection is no failure of it.
 	@Override
 	public void replyRefused() {
+		this.lossRecorded = true;
 		this.pool.metrics().replyRefused();
 	}
 
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyForm.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyForm.java
@@ -1,6 +1,7 @@
 package org.magnolialead.engine.session;
 
 import org.magnolialead.api.session.SessionState;
+import org.magnolialead.api.session.StatementError;
 import org.magnolialead.api.session.StatementReply;
 
 /**
@@ -10,15 +11,21 @@
  */
 public enum ReplyForm {
 
-	/**
-	 * Statement of a client: any rows and a proof of execution. A commit ends the
-	 * transaction, other statements leave it as it is.
-	 */
+	/** Statement of a client other than a commit: any rows and a proof of execution. */
 	STATEMENT {
 
 		@Override
 		boolean isSuccess(StatementReply reply, SessionState before) {
-			return reply.hasProof() && (reply.state() == before || reply.state() == SessionState.IDLE);
+			return reply.hasProof() && reply.state() == before;
+		}
+
+	},
+	/** Commit: any rows and a proof of execution, in no transaction afterwards. */
+	COMMIT {
+
+		@Override
+		boolean isSuccess(StatementReply reply, SessionState before) {
+			return reply.hasProof() && reply.state() == SessionState.IDLE;
 		}
 
 	},
@@ -74,7 +81,7 @@
 	 * @return {@code false} if the reply belongs to another command
 	 */
 	public boolean permits(StatementReply reply, SessionState before) {
-		return !reply.isDone() || isSuccess(reply, before);
+		return reply.isDone() ? isSuccess(reply, before) : isFailure(reply, before);
 	}
 
 	/**
@@ -83,7 +90,17 @@
 	 * @return {@code false} if only success or failure matters
 	 */
 	boolean needsCertainty() {
-		return this == STATEMENT || this == STATUS;
+		return this == STATEMENT || this == COMMIT || this == STATUS;
+	}
+
+	// A failed transaction refuses everything but its end as malformed.
+	private static boolean isFailure(StatementReply reply, SessionState before) {
+		boolean malformed = reply.error() == StatementError.MALFORMED;
+		return switch (before) {
+			case IDLE -> reply.state() == SessionState.IDLE;
+			case TRANSACTION -> !malformed;
+			case FAILED_TRANSACTION -> malformed;
+		};
 	}
 
 	private static boolean isEmpty(StatementReply reply) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
@@ -24,17 +24,17 @@
  */
 public final class ReplyMatcher {
 
-	/** Maximum number of probes that are sent together. */
-	static final int MAXIMUM_PROBES = 8;
-
 	/**
-	 * Maximum number of probes that are sent because of commands that seem to have
-	 * succeeded. If their replies agree with this, it is believed.
+	 * Maximum number of probes that are sent together to a member that repeats replies.
+	 * They cost fewer bytes and less time than a new connection.
 	 */
-	static final int MAXIMUM_PROBES_AFTER_SUCCESS = 2;
+	static final int MAXIMUM_CERTAIN_PROBES = 32;
 
-	/** Maximum number of times that probes are sent to decide on one reply. */
-	static final int MAXIMUM_PROBE_ROUNDS = 3;
+	/**
+	 * Maximum number of probes that are sent together to a member that is not known to
+	 * repeat replies. If the replies to all of them agree with a reply, it is believed.
+	 */
+	static final int MAXIMUM_PROBES = 3;
 
 	/** Maximum number of interpretations, beyond which the replies are given up. */
 	static final int MAXIMUM_INTERPRETATIONS = 32;
@@ -49,7 +49,8 @@
 
 	private long commandsSent;
 
-	private int probeRounds;
+	/** Whether probes were sent since the replies were last certain. */
+	private boolean probing;
 
 	/**
 	 * Records that a command is sent.
@@ -73,32 +74,31 @@
 	 * Matches a reply that has arrived completely.
 	 * @param reply the reply
 	 * @param sentBefore value of {@link #commandsSent()} when the reply began to arrive
-	 * @param repetitionsExpected whether the member is known to repeat replies. If not, a
-	 * reply that can be the next one and whose content does not matter is not suspected
-	 * to be a repetition, which avoids probes.
+	 * @param repetitionsExpected whether the member is known to repeat replies. If not,
+	 * equal replies without a proof are suspected for a shorter time, and fewer probes
+	 * have to agree.
 	 * @param now monotonic time in nanoseconds
 	 * @return what follows from the reply
 	 */
 	public Match received(StatementReply reply, long sentBefore, boolean repetitionsExpected, long now) {
 		long fingerprint = ReplyHistory.fingerprint(reply);
-		boolean outdated = isOutdated(reply, fingerprint);
-		boolean repetition = reply.hasProof() && this.history.contains(fingerprint) || outdated && repetitionsExpected;
-		int possibleRepetitions = this.history.possibleRepetitions(fingerprint, now);
+		boolean known = this.history.contains(fingerprint);
+		boolean repetition = known && reply.hasProof();
+		boolean outdated = known && isOutdated(reply);
+		int possibleRepetitions = (known && !repetition)
+				? this.history.possibleRepetitions(fingerprint, repetitionsExpected, now) : 0;
 		this.history.add(fingerprint, now);
 		Map<Interpretation.Key, Interpretation> next = new HashMap<>();
-		boolean trusted = false;
+		boolean mayBeReply = false;
 		for (Interpretation interpretation : this.interpretations) {
 			Command command = nextCommand(interpretation, sentBefore);
 			if (!repetition && command != null && command.form().permits(reply, interpretation.state())) {
-				trusted |= !command.form().needsCertainty() && !repetitionsExpected;
+				mayBeReply = true;
 				add(next, interpretation.withReply(reply));
 			}
-		}
-		boolean mayBeReply = !next.isEmpty();
-		for (Interpretation interpretation : this.interpretations) {
-			boolean mayRepeat = repetition || outdated
-					|| possibleRepetitions > 2 * interpretation.repetitions(fingerprint);
-			if (mayRepeat && !trusted) {
+			boolean suspected = known && command != null && command.form().needsCertainty();
+			if (repetition || outdated || suspected
+					|| possibleRepetitions > 2 * interpretation.repetitions(fingerprint)) {
 				add(next, interpretation.withRepetition(fingerprint));
 			}
 		}
@@ -111,9 +111,8 @@
 
 	// The log of a member grows, unless the member was ahead of a new primary and has cut
 	// its log back.
-	private boolean isOutdated(StatementReply reply, long fingerprint) {
-		return reply.position() != null && this.position != null && reply.position().compareTo(this.position) < 0
-				&& this.history.contains(fingerprint);
+	private boolean isOutdated(StatementReply reply) {
+		return reply.position() != null && this.position != null && reply.position().compareTo(this.position) < 0;
 	}
 
 	private Command nextCommand(Interpretation interpretation, long sentBefore) {
@@ -134,10 +133,15 @@
 		if (isReplyOutstanding()) {
 			return new Match(true, repeated, completed, 0);
 		}
-		this.probeRounds++;
-		int possibleRepetitions = repetitionsExpected ? possibleProbeRepetitions(reply, now) : 0;
-		return needsCertainty() ? probeUntilCertain(possibleRepetitions, repeated, completed)
-				: probeOnce(reply, possibleRepetitions, repeated, completed);
+		int probes = 1 + possibleProbeRepetitions(reply, repetitionsExpected, now);
+		boolean first = !this.probing;
+		this.probing = true;
+		if (repetitionsExpected) {
+			boolean decidable = first && probes <= MAXIMUM_CERTAIN_PROBES;
+			return decidable ? new Match(true, repeated, completed, probes) : Match.MISMATCH;
+		}
+		return first ? new Match(true, repeated, completed, Math.min(probes, MAXIMUM_PROBES))
+				: believe(reply, repeated, completed);
 	}
 
 	// Until each reply has arrived in one of the interpretations, the next one may
@@ -150,54 +154,34 @@
 		return interpretation.replies().size() == this.commands.size();
 	}
 
-	// A statement must not get the reply of another one. A command that seems to have
-	// succeeded rarely fails, and its reply is often equal to earlier ones.
-	private boolean needsCertainty() {
-		boolean statement = this.commands.stream().anyMatch((command) -> command.form().needsCertainty());
-		boolean failed = this.interpretations.stream()
-			.flatMap((interpretation) -> interpretation.replies().stream())
-			.anyMatch((reply) -> !reply.isDone());
-		return statement || failed;
-	}
-
-	// One probe more is sent than its reply may be a repetition of earlier ones, so that
-	// the
-	// probes certainly decide.
-	private Match probeUntilCertain(int possibleRepetitions, boolean repeated, List<StatementReply> completed) {
-		int probes = 1 + possibleRepetitions;
-		boolean decidable = probes <= MAXIMUM_PROBES && this.probeRounds <= MAXIMUM_PROBE_ROUNDS;
-		return decidable ? new Match(true, repeated, completed, probes) : Match.MISMATCH;
+	// One probe more than their replies may be repetitions certainly decides.
+	private int possibleProbeRepetitions(StatementReply reply, boolean repetitionsExpected, long now) {
+		StatementReply probeReply = new StatementReply(List.of(), StatementReply.NO_PROOF, null, "", reply.state(),
+				reply.position());
+		return this.history.possibleRepetitions(ReplyHistory.fingerprint(probeReply), repetitionsExpected, now);
 	}
 
-	private Match probeOnce(StatementReply reply, int possibleRepetitions, boolean repeated,
-			List<StatementReply> completed) {
-		if (this.probeRounds == 1) {
-			int probes = Math.min(1 + possibleRepetitions, MAXIMUM_PROBES_AFTER_SUCCESS);
-			return new Match(true, repeated, completed, probes);
-		}
+	// The replies to all probes agree with the interpretation in which each command is
+	// answered.
+	private Match believe(StatementReply reply, boolean repeated, List<StatementReply> completed) {
 		List<Interpretation> complete = this.interpretations.stream().filter(this::isComplete).toList();
 		if (complete.size() > 1) {
 			return Match.MISMATCH;
 		}
 		this.interpretations = complete;
 		// The position may be that of an earlier reply.
-		removeCompleted().forEach((believed) -> completed.add(believed.withoutPosition()));
+		removeCompleted()
+			.forEach((believed) -> completed.add(believed.hasProof() ? believed : believed.withoutPosition()));
 		settle(reply, repeated);
 		return new Match(true, repeated, completed, 0);
 	}
 
-	private int possibleProbeRepetitions(StatementReply reply, long now) {
-		StatementReply probeReply = new StatementReply(List.of(), StatementReply.NO_PROOF, null, "", reply.state(),
-				reply.position());
-		return this.history.possibleRepetitions(ReplyHistory.fingerprint(probeReply), now);
-	}
-
 	// Called once a single interpretation is left.
 	private void settle(StatementReply reply, boolean repeated) {
 		Interpretation only = this.interpretations.get(0);
 		only.repetitions().forEach(this.history::markRepetitions);
 		this.interpretations = List.of(only.withoutRepetitions());
-		this.probeRounds = 0;
+		this.probing = false;
 		if (!repeated) {
 			this.position = reply.position();
 		}
