Do not count refused replies as failures of the member

When a reply cannot be explained, this daemon closes the connection. The loss then counted as one of the three consecutive failures after which a primary counts as failed, and a request without an answer remained pending. The member has just sent a reply, so it is alive: the loss is not recorded, and the reply counts as a response.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -122,6 +122,11 @@
 	@Override
 	public void replyRefused() {
 		this.pool.metrics().replyRefused();
+		if (this.channel != null) {
+			// The member has answered, so the loss of the connection is no failure of it.
+			this.lossRecorded = true;
+			this.pool.responseReceived();
+		}
 	}
 
 	@Override
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -111,10 +111,12 @@
 		Member member = member(description.member());
 		runAfterLatency(() -> {
 			if (relay != null && (member.down || member.unresponsive)) {
+				member.failedDials++;
 				handler.accept(new DialResult(null, DialError.UNREACHABLE_FROM_RELAY));
 				return;
 			}
 			if (member.down) {
+				member.failedDials++;
 				handler.accept(new DialResult(null, DialError.UNREACHABLE));
 				return;
 			}
@@ -175,6 +177,8 @@
 
 		private boolean down;
 
+		private int failedDials;
+
 		private boolean unresponsive;
 
 		private boolean partitioned;
@@ -214,6 +218,26 @@
 			List.copyOf(this.open).forEach(Connection::close);
 		}
 
+		/**
+		 * Closes the connections as a daemon does that has received a reply which belongs
+		 * to no command.
+		 */
+		void refuseReplies() {
+			List.copyOf(this.open).forEach((connection) -> {
+				connection.listener.replyRefused();
+				connection.close();
+			});
+		}
+
+		/**
+		 * Returns how many attempts to connect, direct or through a relay, have failed
+		 * because the member is down.
+		 * @return the number
+		 */
+		int failedDials() {
+			return this.failedDials;
+		}
+
 		void crash() {
 			this.down = true;
 			List.copyOf(this.open).forEach(Connection::close);
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/MemberRelayTests.java
@@ -34,6 +34,9 @@
 	/** Maximum time from a partition to the first answer through a relay. */
 	private static final long RELAY_DETECTION_MILLISECONDS = 300;
 
+	/** One less than the number that shows that the member is down. */
+	private static final int FAILED_DIALS_OF_A_HEALTHY_MEMBER = 2;
+
 	private final ManualLoop loop = new ManualLoop();
 
 	private final FakeGroup group = new FakeGroup(this.loop, "a", "b", "c");
@@ -162,6 +165,27 @@
 		assertThat(this.orders).isEmpty();
 	}
 
+	/**
+	 * Guards against a primary that counts as failed because this daemon has refused its
+	 * replies and closed the connections. The member has answered, so only the failed
+	 * attempts to connect count.
+	 */
+	@Test
+	void refusedReplyIsNoFailureOfTheMember() {
+		FakeGroup.Member member = this.group.member("a");
+		TestClient client = client();
+		client.send(Verb.BEGIN);
+		client.send(Verb.WRITE, "item", "x", 100);
+		client.send(Verb.WRITE, "item", "y", 0);
+		member.refuseReplies();
+		member.crash();
+		MemberPool pool = this.service.router(FakeGroup.NAME).pool("a");
+		while (member.failedDials() < FAILED_DIALS_OF_A_HEALTHY_MEMBER) {
+			this.loop.advance(1);
+		}
+		assertThat(pool.isUnreachable()).isFalse();
+	}
+
 	/**
 	 * Guards against the replacement of a primary that responds but refuses new
 	 * connections because its queue is full.
