Keep the replies of a busy connection for several seconds

A connection remembered its latest 512 replies. Probes and second copies are replies too.

The history now grows while its oldest reply is younger than 5 s, to 16,384 replies (about 280 KB) at most. Idle connections keep the 512 as before. repeatedProofIsIgnoredAfterManyOtherReplies failed before.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyHistory.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyHistory.java
@@ -12,8 +12,17 @@
  */
 final class ReplyHistory {
 
-	/** Number of latest replies that are kept. */
-	static final int CAPACITY = 512;
+	/** Number of latest replies that are kept at least. */
+	static final int MINIMUM_CAPACITY = 512;
+
+	/** Number of latest replies that are kept at most, which limits the memory. */
+	static final int MAXIMUM_CAPACITY = 16_384;
+
+	/**
+	 * Time for which replies are kept unless they are too many. Several times the delay
+	 * after which members were seen to repeat replies.
+	 */
+	static final long RETENTION_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
 
 	/**
 	 * Maximum delay after which a reply without a proof is expected to be repeated. Later
@@ -26,11 +35,14 @@
 
 	private static final long HASH_PRIME = 0x100000001b3L;
 
-	private final long[] fingerprints = new long[CAPACITY];
+	private long[] fingerprints = new long[MINIMUM_CAPACITY];
+
+	private long[] receivedAt = new long[MINIMUM_CAPACITY];
 
-	private final long[] receivedAt = new long[CAPACITY];
+	private boolean[] repetitions = new boolean[MINIMUM_CAPACITY];
 
-	private final boolean[] repetitions = new boolean[CAPACITY];
+	/** Number of the oldest reply that is kept. */
+	private long oldest;
 
 	private long count;
 
@@ -69,6 +81,9 @@
 	 * @param now monotonic time in nanoseconds
 	 */
 	void add(long fingerprint, long now) {
+		if (this.count - this.oldest == capacity()) {
+			makeRoom(now);
+		}
 		int slot = slot(this.count);
 		this.fingerprints[slot] = fingerprint;
 		this.receivedAt[slot] = now;
@@ -76,13 +91,47 @@
 		this.count++;
 	}
 
+	private int capacity() {
+		return this.fingerprints.length;
+	}
+
+	private void makeRoom(long now) {
+		boolean retained = now - this.receivedAt[slot(this.oldest)] <= RETENTION_NANOSECONDS;
+		if (retained && capacity() < MAXIMUM_CAPACITY) {
+			grow();
+		}
+		else {
+			this.oldest++;
+		}
+	}
+
+	private void grow() {
+		int first = slot(this.oldest);
+		this.fingerprints = grown(this.fingerprints, first);
+		this.receivedAt = grown(this.receivedAt, first);
+		boolean[] grown = new boolean[2 * this.repetitions.length];
+		System.arraycopy(this.repetitions, first, grown, 0, this.repetitions.length - first);
+		System.arraycopy(this.repetitions, 0, grown, this.repetitions.length - first, first);
+		this.repetitions = grown;
+		this.count -= this.oldest;
+		this.oldest = 0;
+	}
+
+	// Returns an array that is twice as long and begins with the oldest reply.
+	private static long[] grown(long[] values, int first) {
+		long[] grown = new long[2 * values.length];
+		System.arraycopy(values, first, grown, 0, values.length - first);
+		System.arraycopy(values, 0, grown, values.length - first, first);
+		return grown;
+	}
+
 	/**
 	 * Tells whether a reply was received before.
 	 * @param fingerprint its fingerprint
 	 * @return {@code true} if it is one of the kept replies
 	 */
 	boolean contains(long fingerprint) {
-		for (long number = oldest(); number < this.count; number++) {
+		for (long number = this.oldest; number < this.count; number++) {
 			if (this.fingerprints[slot(number)] == fingerprint) {
 				return true;
 			}
@@ -99,7 +148,7 @@
 	 */
 	int possibleRepetitions(long fingerprint, long now) {
 		int open = 0;
-		for (long number = this.count - 1; number >= oldest(); number--) {
+		for (long number = this.count - 1; number >= this.oldest; number--) {
 			int slot = slot(number);
 			if (now - this.receivedAt[slot] > MAXIMUM_REPETITION_DELAY_NANOSECONDS) {
 				break;
@@ -118,7 +167,7 @@
 	 */
 	void markRepetitions(long fingerprint, int number) {
 		int remaining = number;
-		for (long candidate = this.count - 1; candidate >= oldest() && remaining > 0; candidate--) {
+		for (long candidate = this.count - 1; candidate >= this.oldest && remaining > 0; candidate--) {
 			int slot = slot(candidate);
 			if (this.fingerprints[slot] == fingerprint && !this.repetitions[slot]) {
 				this.repetitions[slot] = true;
@@ -127,12 +176,8 @@
 		}
 	}
 
-	private long oldest() {
-		return Math.max(0, this.count - CAPACITY);
-	}
-
-	private static int slot(long number) {
-		return (int) (number % CAPACITY);
+	private int slot(long number) {
+		return (int) (number % capacity());
 	}
 
 }
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
@@ -22,6 +22,9 @@
 
 	private static final long LATER = TimeUnit.SECONDS.toNanos(10);
 
+	/** Number of replies of a connection that is always in use, probes included. */
+	private static final int REPLIES_IN_400_MILLISECONDS = 3_000;
+
 	private final ReplyMatcher matcher = new ReplyMatcher();
 
 	private final List<StatementReply> completed = new ArrayList<>();
@@ -71,6 +74,25 @@
 		assertThat(this.completed).hasSize(2).last().isEqualTo(proven("b", SessionState.IDLE, 1));
 	}
 
+	/**
+	 * Guards against a client that receives the rows of another statement because the
+	 * reply to that one was repeated 400 ms later, on a connection that had received
+	 * hundreds of replies meanwhile.
+	 */
+	@Test
+	void repeatedProofIsIgnoredAfterManyOtherReplies() {
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(proven("a", SessionState.IDLE, 1));
+		for (int number = 1; number <= REPLIES_IN_400_MILLISECONDS; number++) {
+			this.matcher.sent(ReplyForm.STATEMENT);
+			long now = TimeUnit.MILLISECONDS.toNanos(400) * number / REPLIES_IN_400_MILLISECONDS;
+			receive(proven("b" + number, SessionState.IDLE, 1), true, now);
+		}
+		this.matcher.sent(ReplyForm.STATEMENT);
+		assertThat(receive(proven("a", SessionState.IDLE, 1), true, TimeUnit.MILLISECONDS.toNanos(400)).repeated())
+			.isTrue();
+	}
+
 	@Test
 	void refusalThatMayBeARepetitionIsBelievedAfterItsProbe() {
 		this.matcher.sent(ReplyForm.STATEMENT);
