Do not trust an old position of a member that repeats no replies

A reply whose content does not matter was believed at once as long as the member had repeated none, even if it was an earlier reply with a position that the connection had passed. As the reply to a begin it is recorded as the present position of the primary, by which reads choose replicas. Such a reply is now decided by a probe, as for members that repeat replies.

oldReplyOfAMemberThatHasRepeatedNoneIsNotBelievedAtOnce failed before. Not covered: the first repetition of all at a position that the same connection has not passed, but another one has.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
@@ -90,7 +90,7 @@
 		for (Interpretation interpretation : this.interpretations) {
 			Command command = nextCommand(interpretation, sentBefore);
 			if (!repetition && command != null && command.form().permits(reply, interpretation.state())) {
-				trusted |= !command.form().needsCertainty() && !repetitionsExpected;
+				trusted |= !command.form().needsCertainty() && !repetitionsExpected && !outdated;
 				add(next, interpretation.withReply(reply));
 			}
 		}
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
@@ -131,6 +131,22 @@
 		assertThat(receive(done(SessionState.TRANSACTION, 2)).completed()).hasSize(1);
 	}
 
+	/**
+	 * Guards against the position of an earlier reply that is taken for the present one
+	 * of the primary, when a member repeats a reply for the first time.
+	 */
+	@Test
+	void oldReplyOfAMemberThatHasRepeatedNoneIsNotBelievedAtOnce() {
+		this.matcher.sent(ReplyForm.BEGIN);
+		receive(done(SessionState.TRANSACTION, 1), false, 0);
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(proven("a", SessionState.IDLE, 2), false, 0);
+		this.matcher.sent(ReplyForm.BEGIN);
+		receive(done(SessionState.TRANSACTION, 1), false, 0);
+		receive(done(SessionState.TRANSACTION, 2), false, 0);
+		assertThat(this.completed).filteredOn((reply) -> new LogPosition(1, 1).equals(reply.position())).hasSize(1);
+	}
+
 	@Test
 	void equalRepliesOfAMemberThatRepeatsNoneNeedNoProbe() {
 		for (int time = 0; time < 10; time++) {
