Do not trust refusals of a member that repeats no replies

The reply to a begin or a setting was believed at once as long as the member had repeated none, refusals included. A copy of an earlier refusal then stood for a begin that had succeeded, and the replies that followed were matched one command too early until one did not fit and the connection was closed. A repeated refusal of a begin costs one probe, as that of a statement does already.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
@@ -74,8 +74,8 @@
 	 * @param reply the reply
 	 * @param sentBefore value of {@link #commandsSent()} when the reply began to arrive
 	 * @param repetitionsExpected whether the member is known to repeat replies. If not, a
-	 * reply that can be the next one and whose content does not matter is not suspected
-	 * to be a repetition, which avoids probes.
+	 * success that can be the next reply and whose content does not matter is not
+	 * suspected to be a repetition, which avoids probes, unless its position shows it.
 	 * @param now monotonic time in nanoseconds
 	 * @return what follows from the reply
 	 */
@@ -90,7 +90,7 @@
 		for (Interpretation interpretation : this.interpretations) {
 			Command command = nextCommand(interpretation, sentBefore);
 			if (!repetition && command != null && command.form().permits(reply, interpretation.state())) {
-				trusted |= !command.form().needsCertainty() && !repetitionsExpected && !outdated;
+				trusted |= !command.form().needsCertainty() && !repetitionsExpected && reply.isDone() && !outdated;
 				add(next, interpretation.withReply(reply));
 			}
 		}
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/RepeatingMember.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/RepeatingMember.java
@@ -57,10 +57,14 @@
 
 	private boolean connectionRefused;
 
-	RepeatingMember(long seed, double repeatedShare, double refusedShare) {
+	/** Whether the member is known to repeat replies, as it is after the first one. */
+	private boolean repetitionsExpected;
+
+	RepeatingMember(long seed, double repeatedShare, double refusedShare, boolean repetitionsExpected) {
 		this.random = new Random(seed);
 		this.repeatedShare = repeatedShare;
 		this.refusedShare = refusedShare;
+		this.repetitionsExpected = repetitionsExpected;
 	}
 
 	List<String> wrongReplies() {
@@ -174,8 +178,9 @@
 		if (this.connectionRefused) {
 			return;
 		}
-		ReplyMatcher.Match match = this.matcher.received(reply, this.matcher.commandsSent(), true,
+		ReplyMatcher.Match match = this.matcher.received(reply, this.matcher.commandsSent(), this.repetitionsExpected,
 				at * STEP_NANOSECONDS);
+		this.repetitionsExpected |= match.repeated();
 		if (!match.possible()) {
 			this.connectionRefused = true;
 			return;
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
@@ -198,6 +198,22 @@
 		assertThat(receive(done(SessionState.IDLE, 1)).possible()).isFalse();
 	}
 
+	/**
+	 * Plays a member that is not known to repeat replies until it has repeated one.
+	 * Guards against a copy of a refusal that is believed as that of a begin or a
+	 * setting. With more repetitions and refusals than these, the first copy may be
+	 * believed, because a member that repeats none gets one probe only.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "0.0005, 0", "0.005, 0.01", "0.05, 0.1", "0.3, 0.01" })
+	void firstRepetitionOfAMemberIsNotTakenForAnotherReply(double repeatedShare, double refusedShare) {
+		for (int seed = 1; seed <= 300; seed++) {
+			RepeatingMember member = new RepeatingMember(seed, repeatedShare, refusedShare, false);
+			member.run();
+			assertThat(member.wrongReplies()).as("seed %d", seed).isEmpty();
+		}
+	}
+
 	/**
 	 * Plays a member that repeats replies with any delay, refuses statements and begins,
 	 * and commits now and then. Every command must receive its own reply, and no
@@ -209,7 +225,7 @@
 		int sent = 0;
 		int refusedConnections = 0;
 		for (int seed = 1; seed <= 300; seed++) {
-			RepeatingMember member = new RepeatingMember(seed, repeatedShare, refusedShare);
+			RepeatingMember member = new RepeatingMember(seed, repeatedShare, refusedShare, true);
 			member.run();
 			assertThat(member.wrongReplies()).as("seed %d", seed).isEmpty();
 			sent += member.commandsSent();
