--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -119,11 +119,14 @@
 		return this.pool.repeatsReplies();
 	}
 
-	// The member is alive, so the loss of the connection is no failure of it.
 	@Override
 	public void replyRefused() {
-		this.lossRecorded = true;
 		this.pool.metrics().replyRefused();
+		if (this.channel != null) {
+			// The member has answered, so the loss of the connection is no failure of it.
+			this.lossRecorded = true;
+			this.pool.responseReceived();
+		}
 	}
 
 	@Override
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ReplyMatcherTests.java
@@ -23,6 +23,9 @@
 
 	private static final long LATER = TimeUnit.SECONDS.toNanos(10);
 
+	/** Number of replies of a connection that is always in use, probes included. */
+	private static final int REPLIES_IN_400_MILLISECONDS = 3_000;
+
 	private final ReplyMatcher matcher = new ReplyMatcher();
 
 	private final List<StatementReply> completed = new ArrayList<>();
@@ -70,6 +73,25 @@
 		assertThat(this.completed).hasSize(2).last().isEqualTo(proven("b", SessionState.IDLE, 1));
 	}
 
+	/**
+	 * Guards against a client that receives the rows of another statement because the
+	 * reply to that one was repeated 400 ms later, on a connection that had received
+	 * hundreds of replies meanwhile.
+	 */
+	@Test
+	void repeatedProofIsIgnoredAfterManyOtherReplies() {
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(proven("a", SessionState.IDLE, 1));
+		for (int number = 1; number <= REPLIES_IN_400_MILLISECONDS; number++) {
+			this.matcher.sent(ReplyForm.STATEMENT);
+			long now = TimeUnit.MILLISECONDS.toNanos(400) * number / REPLIES_IN_400_MILLISECONDS;
+			receive(proven("b" + number, SessionState.IDLE, 1), true, now);
+		}
+		this.matcher.sent(ReplyForm.STATEMENT);
+		assertThat(receive(proven("a", SessionState.IDLE, 1), true, TimeUnit.MILLISECONDS.toNanos(400)).repeated())
+			.isTrue();
+	}
+
 	@Test
 	void refusalThatMayBeARepetitionIsBelievedAfterItsProbe() {
 		this.matcher.sent(ReplyForm.STATEMENT);
@@ -109,6 +131,22 @@
 		assertThat(match.probes()).isPositive();
 	}
 
+	/**
+	 * Guards against the position of an earlier reply that is taken for the present one
+	 * of the primary, when a member repeats a reply for the first time.
+	 */
+	@Test
+	void oldReplyOfAMemberThatHasRepeatedNoneIsNotBelievedAtOnce() {
+		this.matcher.sent(ReplyForm.BEGIN);
+		receive(done(SessionState.TRANSACTION, 1), false, 0);
+		this.matcher.sent(ReplyForm.STATEMENT);
+		receive(proven("a", SessionState.IDLE, 2), false, 0);
+		this.matcher.sent(ReplyForm.BEGIN);
+		receive(done(SessionState.TRANSACTION, 1), false, 0);
+		receive(done(SessionState.TRANSACTION, 2), false, 0);
+		assertThat(this.completed).filteredOn((reply) -> new LogPosition(1, 1).equals(reply.position())).hasSize(1);
+	}
+
 	@Test
 	void equalRepliesOfAMemberThatRepeatsNoneNeedNoProbeAfterAWhile() {
 		for (int time = 1; time < 10; time++) {
@@ -183,6 +221,20 @@
 		}
 	}
 
+	/**
+	 * Guards against a copy of a refusal that is believed as that of a begin or a
+	 * setting, while the member is not known to repeat replies.
+	 */
+	@ParameterizedTest
+	@CsvSource({ "0.0005, 0", "0.005, 0.01", "0.3, 0.01" })
+	void firstRepetitionOfAMemberIsNotTakenForAnotherReply(double repeatedShare, double refusedShare) {
+		for (int seed = 1; seed <= 300; seed++) {
+			RepeatingMember member = new RepeatingMember(seed, repeatedShare, refusedShare, false);
+			member.run();
+			assertThat(member.wrongReplies()).as("seed %d", seed).isEmpty();
+		}
+	}
+
 	/**
 	 * Guards against connections that are given up although their member repeats nothing.
 	 */
