Bound what sessions keep and drop prepared texts with their sessions

Cause: SessionService kept each text that any session had ever prepared, and member connections kept the texts of the statements they know, so clients that prepare one text after the other fill the heap. Variables of a session were not bounded.

Ruled out: sessions that stay (each closes its statement and ends after a hundred), buffers of the network (the number of texts until the end is that of the heap).

Change: SessionMemory counts the texts by the sessions, own and forwarded, that hold them, and keeps at most 256 unused ones of 1 MiB. SessionValues bounds a session by number and size, the daemon bounds the sum; the limits are settings. Names of statements are never used again. Member connections keep names without texts. A limit of the session is answered MALFORMED and changes nothing; the limit of the daemon is answered OVERLOADED and rolls an open transaction back.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
@@ -86,7 +86,8 @@
 		this.adapter = extension.sessionAdapter(settings);
 		this.forwardingClient = new PeerClient(clock, this.adapter.eventLoops(), PeerConnectionSettings.STATEMENTS);
 		this.sessions = new SessionService(settings.name(), settings.availabilityZone(), this.adapter.loop(), clock,
-				System::currentTimeMillis, this.adapter.dialer(), new PeerForwardingLink(this.forwardingClient));
+				System::currentTimeMillis, this.adapter.dialer(), new PeerForwardingLink(this.forwardingClient),
+				settings.sessions().orElseThrow().limits());
 		this.promotions = new PromotionController(settings.name(), incarnation, this.sessions,
 				this.entryServices.lease(), link, this.adapter.promotions());
 		this.entryServices.view().addListener(this.sessions::viewChanged);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -18,6 +18,8 @@
 import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.ReadPlan;
+import org.magnolialead.engine.session.SessionRefusal;
+import org.magnolialead.engine.session.SessionValues;
 import org.magnolialead.engine.session.StatementStage;
 
 /**
@@ -38,9 +40,7 @@
 
 	private final String database;
 
-	private final Map<String, String> sessionVariables = new HashMap<>();
-
-	private final Map<String, PreparedStatement> preparedStatements = new HashMap<>();
+	private final SessionValues values;
 
 	private final Deque<ClientStatement> waitingStatements = new ArrayDeque<>();
 
@@ -68,6 +68,7 @@
 		this.service = service;
 		this.channel = channel;
 		this.database = database;
+		this.values = new SessionValues(service.memory());
 	}
 
 	@Override
@@ -96,7 +97,7 @@
 
 	@Override
 	public Map<String, String> sessionVariables() {
-		return this.sessionVariables;
+		return this.values.variables();
 	}
 
 	/**
@@ -133,7 +134,7 @@
 		}
 		Prepared forwarded = (prepared != null) ? new Prepared(prepared.writes(), prepared.text(), statement.argument())
 				: null;
-		return new ForwardStatementRequest(this.route, this.sessionVariables, this.position, statement.identifier(),
+		return new ForwardStatementRequest(this.route, sessionVariables(), this.position, statement.identifier(),
 				action, statement.text(), forwarded, scope, 0);
 	}
 
@@ -180,18 +181,11 @@
 			return;
 		}
 		switch (statement.verb()) {
-			case SET -> {
-				this.sessionVariables.put(statement.name(), statement.argument());
-				answerDone();
-			}
-			case PREPARE_READ, PREPARE_WRITE -> {
-				boolean writes = statement.verb() == ClientStatement.Verb.PREPARE_WRITE;
-				this.preparedStatements.put(statement.name(),
-						this.service.sharedStatement(writes, statement.argument()));
-				answerDone();
-			}
+			case SET -> answerKept(this.values.set(statement.name(), statement.argument()));
+			case PREPARE_READ, PREPARE_WRITE -> answerKept(this.values.prepare(statement.name(),
+					statement.verb() == ClientStatement.Verb.PREPARE_WRITE, statement.argument()));
 			case CLOSE -> {
-				this.preparedStatements.remove(statement.name());
+				this.values.close(statement.name());
 				answerDone();
 			}
 			case BEGIN, BEGIN_READ -> begin(statement);
@@ -199,15 +193,10 @@
 			case COMMIT -> commit(statement);
 			case READ -> execute(statement, null, false);
 			case WRITE -> execute(statement, null, true);
-			case EXECUTE -> {
-				PreparedStatement prepared = this.preparedStatements.get(statement.name());
-				if (prepared == null) {
-					refuse(StatementError.NOT_PREPARED, "no prepared statement \"" + statement.name() + "\"");
-				}
-				else {
-					execute(statement, prepared, prepared.writes());
-				}
-			}
+			case EXECUTE -> this.values.preparedStatement(statement.name())
+				.ifPresentOrElse((prepared) -> execute(statement, prepared, prepared.writes()),
+						() -> refuse(StatementError.NOT_PREPARED,
+								"no prepared statement \"" + statement.name() + "\""));
 			default -> refuse(StatementError.MALFORMED, "statement cannot be read");
 		}
 	}
@@ -296,6 +285,20 @@
 		return statement.receivedAt() + TimeUnit.MILLISECONDS.toNanos(this.route.statementTimeoutMilliseconds());
 	}
 
+	// An open transaction goes on after a limit of the session. It is rolled back if the
+	// error promises that nothing of it is kept.
+	private void answerKept(Optional<SessionRefusal> refusal) {
+		if (refusal.isEmpty()) {
+			answerDone();
+		}
+		else if (refusal.get().error() == StatementError.OVERLOADED) {
+			refuse(refusal.get().error(), refusal.get().detail());
+		}
+		else {
+			answer(StatementReply.failed(refusal.get().error(), refusal.get().detail(), this.state));
+		}
+	}
+
 	private void answerDone() {
 		answer(StatementReply.done(this.state));
 	}
@@ -379,6 +382,7 @@
 		}
 		this.closed = true;
 		this.service.sessionClosed(this);
+		this.values.release();
 		stopIdleTimer();
 		if (this.transaction != null) {
 			this.transaction.rollBack(this.currentStatement != null);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedSession.java
@@ -40,6 +40,9 @@
 
 	private LogPosition committed;
 
+	/** Prepared statement of the newest statement, or {@code null}. */
+	private PreparedStatement prepared;
+
 	private Transaction transaction;
 
 	private SingleStatement singleStatement;
@@ -110,23 +113,32 @@
 		this.pendingAnswer = new CompletableFuture<>();
 		CompletableFuture<Object> answer = this.pendingAnswer;
 		ForwardStatementRequest.Prepared forwarded = request.prepared();
-		PreparedStatement prepared = (forwarded != null)
-				? this.service.sharedStatement(forwarded.writes(), forwarded.text()) : null;
+		hold(forwarded);
 		boolean writes = request.action() == ForwardStatementRequest.Action.WRITE;
 		ClientStatement statement = new ClientStatement(request.identifier(), verb(request.action()), "",
 				(forwarded != null) ? forwarded.argument() : "", request.text(), now);
 		if (request.transaction() == null) {
-			this.singleStatement = new MemberStatement(this, statement, prepared, writes, deadline);
+			this.singleStatement = new MemberStatement(this, statement, this.prepared, writes, deadline);
 			this.singleStatement.start();
 			return answer;
 		}
 		if (this.transaction == null) {
 			this.transaction = new MemberTransaction(this, request.transaction().readOnly(), now);
 		}
-		this.transaction.run(statement, prepared, writes, deadline);
+		this.transaction.run(statement, this.prepared, writes, deadline);
 		return answer;
 	}
 
+	// Its text has arrived with the statement, so refusing it would save nothing.
+	private void hold(ForwardStatementRequest.Prepared forwarded) {
+		PreparedStatement before = this.prepared;
+		this.prepared = (forwarded != null) ? this.service.memory().acquire(forwarded.writes(), forwarded.text())
+				: null;
+		if (before != null) {
+			this.service.memory().release(before);
+		}
+	}
+
 	private static ClientStatement.Verb verb(ForwardStatementRequest.Action action) {
 		return switch (action) {
 			case READ -> ClientStatement.Verb.READ;
@@ -170,6 +182,7 @@
 
 	private void end() {
 		this.ended = true;
+		hold(null);
 		stopIdleTimer();
 		this.service.forwardedSessionEnded(this);
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
@@ -21,6 +21,8 @@
 
 	private volatile int forwardedSessions;
 
+	private volatile long heldBytes;
+
 	private volatile int waiting;
 
 	private volatile int connections;
@@ -32,13 +34,14 @@
 	SessionMetrics() {
 		gauge("sessions.open", () -> this.sessions);
 		gauge("sessions.forwarded-here", () -> this.forwardedSessions);
+		gauge("sessions.held-bytes", () -> this.heldBytes);
 		gauge("statements.waiting", () -> this.waiting);
 		gauge("connections.open", () -> this.connections);
 		gauge("connections.relayed", () -> this.relayed);
 		gauge("groups.without-primary", () -> this.withoutPrimary);
 	}
 
-	private void gauge(String name, Gauge<Integer> gauge) {
+	private <T extends Number> void gauge(String name, Gauge<T> gauge) {
 		this.registry.registerGauge(name, gauge);
 	}
 
@@ -90,7 +93,7 @@
 		this.registry.counter("replies.mismatched").inc();
 	}
 
-	void update(int openSessions, int openForwardedSessions, Iterable<GroupRouter> routers) {
+	void update(int openSessions, int openForwardedSessions, long bytesHeldBySessions, Iterable<GroupRouter> routers) {
 		int waitingCount = 0;
 		int connectionCount = 0;
 		int relayedCount = 0;
@@ -105,6 +108,7 @@
 		}
 		this.sessions = openSessions;
 		this.forwardedSessions = openForwardedSessions;
+		this.heldBytes = bytesHeldBySessions;
 		this.waiting = waitingCount;
 		this.connections = connectionCount;
 		this.relayed = relayedCount;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -17,7 +17,8 @@
 import org.magnolialead.api.MonotonicClock;
 import org.magnolialead.api.Route;
 import org.magnolialead.api.RouteTable;
-import org.magnolialead.engine.session.PreparedStatement;
+import org.magnolialead.engine.session.SessionLimits;
+import org.magnolialead.engine.session.SessionMemory;
 import org.magnolialead.engine.session.SuspensionDetector;
 import org.magnolialead.transport.peer.PeerHandler;
 
@@ -47,7 +48,7 @@
 
 	private final Set<ForwardedSession> forwardedSessions = new HashSet<>();
 
-	private final Map<String, PreparedStatement> preparedStatements = new HashMap<>();
+	private final SessionMemory memory;
 
 	private final List<Runnable> tasksWaitingForRoutes = new ArrayList<>();
 
@@ -62,7 +63,7 @@
 	private volatile RouteTable routes = RouteTable.EMPTY;
 
 	/**
-	 * Creates a service without groups.
+	 * Creates a service without groups, with the default limits of sessions.
 	 * @param daemon name of this daemon
 	 * @param zone availability zone of this daemon
 	 * @param loop serial executor on which sessions and connections are handled
@@ -74,6 +75,25 @@
 	 */
 	public SessionService(String daemon, String zone, ScheduledExecutorService loop, MonotonicClock clock,
 			LongSupplier wallClock, MemberDialer dialer, ForwardingLink link) {
+		this(daemon, zone, loop, clock, wallClock, dialer, link,
+				SessionLimits.defaults(Runtime.getRuntime().maxMemory()));
+	}
+
+	/**
+	 * Creates a service without groups.
+	 * @param daemon name of this daemon
+	 * @param zone availability zone of this daemon
+	 * @param loop serial executor on which sessions and connections are handled
+	 * @param clock clock for all deadlines
+	 * @param wallClock wall clock in milliseconds, read only to detect a suspension of
+	 * the VM
+	 * @param dialer opens connections to members
+	 * @param link sends messages to other daemons
+	 * @param limits limits of what sessions keep
+	 */
+	public SessionService(String daemon, String zone, ScheduledExecutorService loop, MonotonicClock clock,
+			LongSupplier wallClock, MemberDialer dialer, ForwardingLink link, SessionLimits limits) {
+		this.memory = new SessionMemory(limits);
 		this.context = new SessionContext(loop, clock, dialer, new StatementForwarder(daemon, zone, clock, link),
 				this.metrics);
 		this.wallClock = wallClock;
@@ -223,17 +243,8 @@
 		return this.routers.values();
 	}
 
-	/**
-	 * Returns the prepared statement of a text under the name that all sessions use on
-	 * member connections. Clients may use the same name for different statements.
-	 * @param writes whether the statement writes
-	 * @param text statement text that the client prepared
-	 * @return the statement
-	 */
-	PreparedStatement sharedStatement(boolean writes, String text) {
-		String key = (writes ? "w" : "r") + text;
-		return this.preparedStatements.computeIfAbsent(key,
-				(absent) -> new PreparedStatement(writes, text, "p" + this.preparedStatements.size()));
+	SessionMemory memory() {
+		return this.memory;
 	}
 
 	/**
@@ -283,7 +294,8 @@
 	}
 
 	private void updateMetrics() {
-		this.metrics.update(this.sessions.size(), this.forwardedSessions.size(), this.routers.values());
+		this.metrics.update(this.sessions.size(), this.forwardedSessions.size(), this.memory.heldBytes(),
+				this.routers.values());
 	}
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -8,6 +8,7 @@
 
 import org.magnolialead.daemon.control.CommandLogSettings;
 import org.magnolialead.engine.consensus.FaultTolerance;
+import org.magnolialead.engine.session.SessionLimits;
 
 /**
  * Validated settings of one daemon.
@@ -122,9 +123,10 @@
 	 * the forced end of the process
 	 * @param startAfter address of a process on the same VM that has to start first
 	 * because the whole fleet depends on it; empty if there is none
+	 * @param limits limits of what sessions keep
 	 */
 	public record SessionSettings(String host, int port, String promotionAddress, long graceMilliseconds,
-			Optional<String> startAfter) {
+			Optional<String> startAfter, SessionLimits limits) {
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
@@ -17,6 +17,7 @@
 import org.magnolialead.api.Step;
 import org.magnolialead.daemon.control.CommandLogSettings;
 import org.magnolialead.engine.consensus.FaultTolerance;
+import org.magnolialead.engine.session.SessionLimits;
 
 /**
  * Reads and validates the settings file of a daemon.
@@ -63,6 +64,8 @@
 
 	private static final int MAXIMUM_GRACE_SECONDS = 3_600;
 
+	private static final int MAXIMUM_SESSION_ENTRIES = 100_000;
+
 	private static final Pattern NAME = Pattern.compile("[A-Za-z0-9._-]{1,64}");
 
 	private static final Pattern IP_ADDRESS = Pattern.compile("[0-9]{1,3}(\\.[0-9]{1,3}){3}|\\[?[0-9a-fA-F:]+\\]?");
@@ -197,10 +200,32 @@
 		long grace = TimeUnit.SECONDS.toMillis(sessions.integer("grace_seconds", 1, MAXIMUM_GRACE_SECONDS));
 		Optional<String> startAfter = sessions.optionalString("start_after");
 		startAfter.ifPresent((other) -> checkAddress(sessions, "start_after", other));
+		SessionLimits limits = sessionLimits(sessions);
 		sessions.rejectUnknownKeys();
 		int colon = address.lastIndexOf(':');
 		return Optional.of(new DaemonSettings.SessionSettings(address.substring(0, colon),
-				Integer.parseInt(address.substring(colon + 1)), promotionAddress, grace, startAfter));
+				Integer.parseInt(address.substring(colon + 1)), promotionAddress, grace, startAfter, limits));
+	}
+
+	private static SessionLimits sessionLimits(SettingsSection sessions) {
+		int statements = sessions.integer("maximum_prepared_statements", 1, MAXIMUM_SESSION_ENTRIES,
+				SessionLimits.DEFAULT_NUMBER);
+		int statementBytes = sessions.integer("maximum_prepared_bytes", 1, Integer.MAX_VALUE,
+				SessionLimits.DEFAULT_BYTES);
+		int variables = sessions.integer("maximum_variables", 1, MAXIMUM_SESSION_ENTRIES, SessionLimits.DEFAULT_NUMBER);
+		int variableBytes = sessions.integer("maximum_variable_bytes", 1, Integer.MAX_VALUE,
+				SessionLimits.DEFAULT_BYTES);
+		long heapBytes = Runtime.getRuntime().maxMemory();
+		int largest = Math.max(statementBytes, variableBytes);
+		int heapMegabytes = (int) Math.min(Integer.MAX_VALUE, heapBytes / BYTES_PER_MEGABYTE);
+		int defaultMegabytes = (int) (SessionLimits.defaultTotalBytes(heapBytes) / BYTES_PER_MEGABYTE);
+		int total = sessions.integer("maximum_total_megabytes", 1, heapMegabytes, Math.max(1, defaultMegabytes));
+		if ((long) total * BYTES_PER_MEGABYTE < largest) {
+			throw sessions.invalid("maximum_total_megabytes", String.valueOf(total),
+					"at least maximum_prepared_bytes and maximum_variable_bytes, %d bytes".formatted(largest));
+		}
+		return new SessionLimits(statements, statementBytes, variables, variableBytes,
+				(long) total * BYTES_PER_MEGABYTE);
 	}
 
 	private static void checkAddress(SettingsSection section, String key, String address) {
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
@@ -18,6 +18,9 @@
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.api.session.StatementReply;
 import org.magnolialead.daemon.session.ClientStatement.Verb;
+import org.magnolialead.engine.session.ConnectionState;
+import org.magnolialead.engine.session.SessionLimits;
+import org.magnolialead.engine.session.SessionMemory;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -95,6 +98,78 @@
 		assertThat(client.isClosed()).isTrue();
 	}
 
+	/**
+	 * Tests of the limits of what sessions keep.
+	 */
+	@Nested
+	class Memory {
+
+		private final SessionMemory memory = ClientSessionTests.this.service.memory();
+
+		/**
+		 * Guards against a name on a member connection that runs the text of another
+		 * statement, and against texts that stay after their sessions: clients that
+		 * prepare one text after the other ended the daemon with a full heap.
+		 */
+		@Test
+		void textsOfManySessionsRunAsPreparedAndGoWithThem() {
+			for (int number = 0; number < 3 * ConnectionState.MAXIMUM_PREPARED_STATEMENTS; number++) {
+				TestClient client = client("primary");
+				client.send(Verb.PREPARE_WRITE, "s1", "closed" + number, 1);
+				client.send(Verb.CLOSE, "s1", "", 1);
+				client.send(Verb.PREPARE_WRITE, "s1", "shape" + number, 1);
+				assertThat(client.send(Verb.EXECUTE, "s1", "item", 20).isDone()).isTrue();
+				assertThat(lastExecution().text()).isEqualTo("WRITE shape" + number + " item");
+				client.session().clientDisconnected();
+			}
+			assertThat(this.memory.heldBytes()).isZero();
+			assertThat(this.memory.statements()).isLessThanOrEqualTo(SessionMemory.MAXIMUM_UNUSED_STATEMENTS);
+		}
+
+		/**
+		 * Guards against a refused statement that has an effect: the transaction and the
+		 * values before it go on.
+		 */
+		@Test
+		void statementBeyondALimitOfTheSessionChangesNothing() {
+			TestClient client = client("primary");
+			client.send(Verb.SET, "language", "vi");
+			client.send(Verb.PREPARE_WRITE, "s1", "shape");
+			client.send(Verb.BEGIN);
+			client.send(Verb.WRITE, "1", "x");
+			String tooLarge = "x".repeat(SessionLimits.DEFAULT_BYTES + 1);
+			for (Verb verb : List.of(Verb.PREPARE_READ, Verb.PREPARE_WRITE, Verb.SET)) {
+				StatementReply refused = client.send(verb, "s1", tooLarge);
+				assertThat(refused.error()).isEqualTo(StatementError.MALFORMED);
+				assertThat(refused.state()).isEqualTo(SessionState.TRANSACTION);
+			}
+			assertThat(client.send(Verb.EXECUTE, "s1", "item").isDone()).isTrue();
+			assertThat(lastExecution().text()).isEqualTo("WRITE shape item");
+			assertThat(lastExecution().sessionVariables()).isEqualTo(Map.of("language", "vi"));
+			assertThat(client.send(Verb.COMMIT).state()).isEqualTo(SessionState.IDLE);
+		}
+
+		/**
+		 * Guards against a transaction that is committed after its client was told that
+		 * nothing of it is kept.
+		 */
+		@Test
+		void statementBeyondTheLimitOfTheDaemonRollsTheTransactionBack() {
+			TestClient client = client("primary");
+			client.send(Verb.BEGIN);
+			client.send(Verb.WRITE, "1", "x");
+			while (this.memory.heldBytes() < this.memory.limits().totalBytes()) {
+				this.memory.acquire(true, "x".repeat(SessionLimits.DEFAULT_BYTES) + this.memory.statements());
+			}
+			StatementReply refused = client.send(Verb.SET, "language", "vi");
+			assertThat(refused.error()).isEqualTo(StatementError.OVERLOADED);
+			assertThat(refused.state()).isEqualTo(SessionState.FAILED_TRANSACTION);
+			assertThat(client.send(Verb.COMMIT).error()).isEqualTo(StatementError.ROLLED_BACK);
+			assertThat(ClientSessionTests.this.group.member("a").openTransactions()).isZero();
+		}
+
+	}
+
 	@Nested
 	class Isolation {
 
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
@@ -75,6 +75,33 @@
 			assertThat(execution.sessionVariables()).isEqualTo(Map.of("language", "vi"));
 		}
 
+		/**
+		 * Guards against texts that a daemon keeps for others after their statements, and
+		 * against a text that each forwarded statement prepares again.
+		 */
+		@Test
+		void textsOfForwardedStatementsGoWithThem() {
+			TestClient client = client("primary");
+			client.send(Verb.PREPARE_WRITE, "s1", "shape");
+			client.send(Verb.EXECUTE, "s1", "1");
+			StatementForwardingTests.this.group.member("a").fail((kind) -> kind == MemberCommand.Kind.PREPARE_WRITE);
+			assertThat(client.send(Verb.EXECUTE, "s1", "2").isDone()).isTrue();
+			client.send(Verb.BEGIN);
+			assertThat(client.send(Verb.EXECUTE, "s1", "3").isDone()).isTrue();
+			assertThat(heldBytesOfOthers()).isPositive();
+			client.send(Verb.ROLLBACK);
+			assertThat(heldBytesOfOthers()).isZero();
+		}
+
+		private long heldBytesOfOthers() {
+			return StatementForwardingTests.this.fleet.services()
+				.values()
+				.stream()
+				.filter((service) -> service != StatementForwardingTests.this.fleet.forwarding())
+				.mapToLong((service) -> service.memory().heldBytes())
+				.sum();
+		}
+
 		@Test
 		void transactionRunsOnOneConnectionAndIsCommitted() {
 			TestClient client = client("primary");
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/settings/SettingsReaderTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/settings/SettingsReaderTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.MagnolialeadException;
+import org.magnolialead.engine.session.SessionLimits;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
@@ -39,6 +40,13 @@
 			control-1 = "127.0.0.1:7001"
 			""";
 
+	private static final String SESSIONS = """
+			[sessions]
+			address = "127.0.0.1:8081"
+			promotion_address = "127.0.0.1:8082"
+			grace_seconds = 6
+			""";
+
 	@TempDir
 	private Path folder;
 
@@ -81,6 +89,37 @@
 		assertThat(failure.getMessage().lines()).hasSize(1);
 	}
 
+	// Guards against a daemon whose sessions may keep more than it can hold.
+	@ParameterizedTest
+	@CsvSource(delimiter = '|', textBlock = """
+			maximum_prepared_statements = 0    | key "sessions.maximum_prepared_statements": found 0
+			maximum_prepared_bytes = 0         | key "sessions.maximum_prepared_bytes": found 0
+			maximum_variables = 100001         | key "sessions.maximum_variables": found 100001
+			maximum_variable_bytes = -1        | key "sessions.maximum_variable_bytes": found -1
+			maximum_variable_bytes = 2000000000 | key "sessions.maximum_total_megabytes"
+			maximum_total_megabytes = 1048576  | key "sessions.maximum_total_megabytes": found 1048576
+			maximum_total_megabytes = 0        | key "sessions.maximum_total_megabytes": found 0
+			""")
+	void rejectsInvalidLimitOfSessions(String limit, String expected) throws IOException {
+		Path file = write(VALID + SESSIONS + limit + "\n");
+		MagnolialeadException failure = catchThrowableOfType(MagnolialeadException.class,
+				() -> SettingsReader.read(file));
+		assertThat(failure.code()).isEqualTo(ErrorCode.INVALID_SETTINGS);
+		assertThat(failure).hasMessageContaining(expected);
+	}
+
+	@Test
+	void limitsOfSessionsHaveDefaults() throws IOException {
+		SessionLimits limits = SettingsReader.read(write(VALID + SESSIONS)).sessions().orElseThrow().limits();
+		assertThat(limits.preparedStatements()).isEqualTo(SessionLimits.DEFAULT_NUMBER);
+		assertThat(limits.variableBytes()).isEqualTo(SessionLimits.DEFAULT_BYTES);
+		assertThat(limits.totalBytes()).isLessThanOrEqualTo(Runtime.getRuntime().maxMemory() / 4).isPositive();
+		String set = SESSIONS + "maximum_variables = 7\nmaximum_total_megabytes = 5\n";
+		limits = SettingsReader.read(write(VALID + set)).sessions().orElseThrow().limits();
+		assertThat(limits.variables()).isEqualTo(7);
+		assertThat(limits.totalBytes()).isEqualTo(5 * 1024 * 1024);
+	}
+
 	@Test
 	void rejectsMissingFile() {
 		Path file = this.folder.resolve("absent.toml");
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConnectionState.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConnectionState.java
@@ -28,8 +28,11 @@
 	/** Variables that may be set, by name; empty if the value is not known. */
 	private final Map<String, Optional<String>> variables = new HashMap<>();
 
-	/** Prepared statements that the member has confirmed. */
-	private final Set<PreparedStatement> preparedStatements = new HashSet<>();
+	/**
+	 * Shared names of the prepared statements that the member has confirmed. Their texts
+	 * belong to the sessions, and a connection outlives these.
+	 */
+	private final Set<String> preparedStatements = new HashSet<>();
 
 	/**
 	 * Returns the steps that align this connection with a session. Sending a step and its
@@ -50,7 +53,7 @@
 				steps.add(new AlignmentStep.SetVariable(name, value));
 			}
 		});
-		if (statement != null && (reset || !this.preparedStatements.contains(statement))) {
+		if (statement != null && (reset || !this.preparedStatements.contains(statement.sharedName()))) {
 			steps.add(new AlignmentStep.Prepare(statement));
 		}
 		return List.copyOf(steps);
@@ -72,7 +75,7 @@
 	 * @param statement the statement
 	 */
 	public void notPrepared(PreparedStatement statement) {
-		this.preparedStatements.remove(statement);
+		this.preparedStatements.remove(statement.sharedName());
 	}
 
 	/**
@@ -99,7 +102,7 @@
 
 	private boolean lacksSpace(PreparedStatement statement) {
 		return statement != null && this.preparedStatements.size() >= MAXIMUM_PREPARED_STATEMENTS
-				&& !this.preparedStatements.contains(statement);
+				&& !this.preparedStatements.contains(statement.sharedName());
 	}
 
 	private boolean isKnown(String name, String value) {
@@ -182,12 +185,12 @@
 
 			@Override
 			public void sentOn(ConnectionState state) {
-				state.preparedStatements.remove(this.statement);
+				state.preparedStatements.remove(this.statement.sharedName());
 			}
 
 			@Override
 			public void confirmedOn(ConnectionState state) {
-				state.preparedStatements.add(this.statement);
+				state.preparedStatements.add(this.statement.sharedName());
 			}
 
 		}
