Let the seeds start the cluster together

Cause: at the first start of a fleet the daemon behind the first seed started the cluster alone, as its only voter. Lost before the others had joined, it left no cluster, and nobody else ever started one.

Ruled out: a successor that cannot join (the other machines had no leader either); a pause after which the next seed starts a cluster (the first seed may only be cut off, and then there are two clusters).

Change: all seeds have the same list at the first start, so each seed with a disk derives the same cluster with all seeds as voters, and the first leader needs a majority of them. A seed waits for the first message of another one, and starts alone only if all others have no disk and thus never vote. The data folder keeps the identity of such a seed. A learner at the address of a silent voter replaces it.

The simulation gave members that had never crashed a last contact of time 0, later than the present time of a clock that starts below zero, so half of the seeds elected nobody until the first crash. It is now the start of their clock.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -115,7 +115,7 @@
 					this.settings.controlMembers())
 			.withOverrides(Duration.ofMillis(this.settings.electionTimeoutMilliseconds()),
 					this.settings.snapshotEntries(), seeds, this.settings.diskBytes())
-			.withMembership(tolerance, this.temporaryFolder.isPresent());
+			.withMembership(tolerance, this.temporaryFolder.isPresent(), startsCluster());
 	}
 
 	// Each change must be on more voters than may be lost before it is acknowledged.
@@ -128,7 +128,6 @@
 	public void open() {
 		this.peerServer = Listeners.peer(this.settings, new MessageHandler(), this.executor);
 		this.httpServer = Listeners.http(this.settings, this.httpHandler, this.executor);
-		initializeIfFirst();
 		this.log.start();
 		this.controller.start();
 		this.timer.scheduleWithFixedDelay(this::checkTolerance, TOLERANCE_CHECK_SECONDS, TOLERANCE_CHECK_SECONDS,
@@ -144,17 +143,13 @@
 		this.toleranceMonitor.check(this.log.hasAuthority(), this.log.voters().size(), this.clock.nanoseconds());
 	}
 
-	// On the first start of a fleet every VM has the same list of seeds, so the first
-	// seed can be chosen to initialize the cluster without communication. The other
-	// daemons join it.
-	private void initializeIfFirst() {
-		this.settings.seeds().ifPresent((seeds) -> {
-			String address = this.settings.http().host() + ":" + this.settings.http().port();
-			boolean first = seeds.firstStart() && seeds.addresses().get(0).equals(address);
-			if (first && this.temporaryFolder.isEmpty() && this.log.cluster().isEmpty()) {
-				this.log.initialize();
-			}
-		});
+	// On the first start of a fleet every VM has the same list of seeds. Those with a
+	// disk
+	// start the cluster together, and the other daemons join it.
+	private boolean startsCluster() {
+		boolean firstStart = this.settings.seeds().filter(DaemonSettings.SeedSettings::firstStart).isPresent();
+		return firstStart && this.temporaryFolder.isEmpty()
+				&& this.settings.controlAddresses().contains(this.settings.peer().address());
 	}
 
 	private CompletableFuture<Object> handle(Object message) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/CommandLogSettings.java
@@ -25,11 +25,13 @@
  * @param logBudget limits of the log in bytes
  * @param faultTolerance number of voters that may be lost at once
  * @param observer whether the data folder is temporary, so that the daemon must not vote
+ * @param firstStart whether this daemon is a seed that starts the cluster together with
+ * the other seeds if its data folder belongs to none
  */
 public record CommandLogSettings(String name, String peerAddress, Path dataFolder, Map<String, String> peers,
 		Duration heartbeatInterval, Duration minimumElectionTimeout, Duration maximumElectionTimeout,
-		int snapshotThreshold, List<String> seeds, LogBudget logBudget, FaultTolerance faultTolerance,
-		boolean observer) {
+		int snapshotThreshold, List<String> seeds, LogBudget logBudget, FaultTolerance faultTolerance, boolean observer,
+		boolean firstStart) {
 
 	/** Default time between heartbeats of a leader. */
 	public static final Duration DEFAULT_HEARTBEAT_INTERVAL = Duration.ofMillis(100);
@@ -59,6 +61,10 @@
 		Objects.requireNonNull(maximumElectionTimeout, "maximumElectionTimeout must not be null");
 		peers = Map.copyOf(peers);
 		seeds = List.copyOf(seeds);
+		if (firstStart && (observer || !seeds.contains(peerAddress))) {
+			throw new IllegalArgumentException("only a seed with a durable folder starts a cluster, found %s, seeds %s"
+				.formatted(peerAddress, seeds));
+		}
 		if (snapshotThreshold <= 0) {
 			throw new IllegalArgumentException("snapshotThreshold must be positive: " + snapshotThreshold);
 		}
@@ -78,19 +84,21 @@
 			long diskBytes) {
 		return new CommandLogSettings(this.name, this.peerAddress, this.dataFolder, this.peers,
 				electionTimeout.dividedBy(HEARTBEATS_PER_TIMEOUT), electionTimeout, electionTimeout.multipliedBy(2),
-				entries, seedAddresses, logBudget(diskBytes), this.faultTolerance, this.observer);
+				entries, seedAddresses, logBudget(diskBytes), this.faultTolerance, this.observer, this.firstStart);
 	}
 
 	/**
 	 * Returns settings for a cluster whose members join by themselves.
 	 * @param tolerance number of voters that may be lost at once
 	 * @param isObserver whether the data folder is temporary
+	 * @param isFirstStart whether this daemon is a seed that starts the cluster together
+	 * with the other seeds
 	 * @return the settings
 	 */
-	public CommandLogSettings withMembership(FaultTolerance tolerance, boolean isObserver) {
+	public CommandLogSettings withMembership(FaultTolerance tolerance, boolean isObserver, boolean isFirstStart) {
 		return new CommandLogSettings(this.name, this.peerAddress, this.dataFolder, this.peers, this.heartbeatInterval,
 				this.minimumElectionTimeout, this.maximumElectionTimeout, this.snapshotThreshold, this.seeds,
-				this.logBudget, tolerance, isObserver);
+				this.logBudget, tolerance, isObserver, isFirstStart);
 	}
 
 	/**
@@ -108,7 +116,7 @@
 			Duration heartbeatInterval, Duration minimumElectionTimeout, Duration maximumElectionTimeout,
 			int snapshotThreshold) {
 		this(name, peerAddress, dataFolder, peers, heartbeatInterval, minimumElectionTimeout, maximumElectionTimeout,
-				snapshotThreshold, List.of(), logBudget(DEFAULT_DISK_BYTES), FaultTolerance.ONE_LOSS, false);
+				snapshotThreshold, List.of(), logBudget(DEFAULT_DISK_BYTES), FaultTolerance.ONE_LOSS, false, false);
 	}
 
 	private static LogBudget logBudget(long diskBytes) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/DefaultCommandLog.java
@@ -29,6 +29,7 @@
 import org.magnolialead.engine.consensus.ConsensusNode;
 import org.magnolialead.engine.consensus.ConsensusSettings;
 import org.magnolialead.engine.consensus.ConsensusSnapshot;
+import org.magnolialead.engine.consensus.FirstStart;
 import org.magnolialead.engine.consensus.RecoveryBackoff;
 import org.magnolialead.engine.consensus.StoredState;
 import org.magnolialead.storage.DataFolder;
@@ -78,6 +79,11 @@
 
 	private final ConsensusSettings consensusSettings;
 
+	/** Decides how the cluster starts, or {@code null} if this member never starts it. */
+	private final FirstStart firstStart;
+
+	private final long folderUnusedSince;
+
 	private final ScheduledExecutorService executor;
 
 	private final SnapshotWriter snapshotWriter;
@@ -129,9 +135,14 @@
 		long queueBytes = settings.logBudget().maximumBytes() / QUEUE_SHARE_OF_LOG;
 		this.messages = new ConsensusMessageQueue(queueBytes);
 		this.commands = new PendingCommands(queueBytes);
-		this.folder = new DataFolder(settings.dataFolder(), disk);
-		ControlIdentity self = new ControlIdentity(settings.name(), this.folder.incarnation(), settings.peerAddress(),
-				settings.observer());
+		this.firstStart = settings.firstStart() ? new FirstStart(settings.seeds(), settings.peerAddress()) : null;
+		this.folderUnusedSince = folderUnusedSince;
+		String newIncarnation = settings.firstStart() ? FirstStart.incarnation(settings.peerAddress())
+				: UUID.randomUUID().toString();
+		this.folder = new DataFolder(settings.dataFolder(), disk, newIncarnation);
+		ControlIdentity self = settings.observer()
+				? new ControlIdentity(settings.name(), this.folder.incarnation(), settings.peerAddress(), true)
+				: FirstStart.identity(settings.name(), this.folder.incarnation(), settings.peerAddress());
 		this.consensusSettings = ConsensusSettings.of(self, settings.peers(), settings.heartbeatInterval().toNanos(),
 				settings.minimumElectionTimeout().toNanos(), settings.maximumElectionTimeout().toNanos(),
 				settings.seeds(), settings.logBudget(), settings.faultTolerance());
@@ -373,6 +384,7 @@
 
 	private void tick() {
 		if (isRunning()) {
+			startClusterIfDecided();
 			perform(this.node.tick(this.clock.nanoseconds()));
 			finishBatch();
 		}
@@ -403,6 +415,20 @@
 				return;
 			}
 			perform(this.node.receive(message, this.clock.nanoseconds()));
+			if (this.firstStart != null) {
+				this.firstStart.received(message);
+			}
+		}
+	}
+
+	// A member without a cluster has answered neither a leader nor a candidate, so it may
+	// vote as soon as a restarted one.
+	private void startClusterIfDecided() {
+		if (this.firstStart != null && this.node.cluster().isEmpty()) {
+			this.firstStart.initialState(this.stateMachine.snapshot().get()).ifPresent((state) -> {
+				this.folder.startCluster(state);
+				createNode(state, this.folderUnusedSince);
+			});
 		}
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -85,7 +85,8 @@
 	 * Control daemons that are known at startup. Their answers name the others.
 	 *
 	 * @param addresses HTTP addresses of control daemons in the form {@code host:port};
-	 * the first one initializes the cluster on the first start of the fleet
+	 * those with a disk initialize the cluster together on the first start of the fleet,
+	 * at which all of them must have the same list
 	 * @param peerPort port for the peer protocol, the same for all control daemons
 	 * @param firstStart whether the fleet starts for the first time, with empty disks
 	 * @param faultTolerance number of control daemons that may lose their disks at once
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/CommandLogCluster.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/CommandLogCluster.java
@@ -47,6 +47,8 @@
 
 	private static final long POLL_INTERVAL_MILLISECONDS = 5;
 
+	private static final List<String> SEEDS = List.of("a:1", "b:1", "c:1");
+
 	/** Time within which a command of a cluster without a majority must fail. */
 	static final Duration TIMEOUT = Duration.ofSeconds(30);
 
@@ -63,6 +65,9 @@
 
 	private final List<String> observers;
 
+	/** Whether seeds without a cluster start one together. */
+	private volatile boolean firstStart;
+
 	private final Map<String, DefaultCommandLog> logs = new ConcurrentHashMap<>();
 
 	private final Map<String, NumberStateMachine> states = new ConcurrentHashMap<>();
@@ -81,6 +86,7 @@
 
 	CommandLogCluster(Path folder, int snapshotThreshold, LogBudget logBudget) {
 		this(folder, snapshotThreshold, logBudget, Optional.empty(), List.of("a", "b", "c"), List.of());
+		startAll();
 	}
 
 	/**
@@ -95,6 +101,7 @@
 			List<String> observers) {
 		this(folder, snapshotThreshold, LogBudget.of(CommandLogSettings.DEFAULT_DISK_BYTES, Integer.MAX_VALUE),
 				Optional.of(tolerance), voters, observers);
+		startAll();
 	}
 
 	private CommandLogCluster(Path folder, int snapshotThreshold, LogBudget logBudget, Optional<FaultTolerance> joining,
@@ -106,15 +113,43 @@
 		this.observers = List.copyOf(observers);
 		voters.forEach((name) -> this.addresses.put(name, name + ":1"));
 		observers.forEach((name) -> this.addresses.put(name, name + ":1"));
+	}
+
+	/**
+	 * Starts a fleet for the first time, whose seeds are the members a, b and c.
+	 * @param folder folder for the data folders
+	 * @param voters names of the members with durable folders, one letter each
+	 * @param observers names of the members that do not vote, one letter each
+	 * @return the cluster
+	 */
+	static CommandLogCluster startingTogether(Path folder, List<String> voters, List<String> observers) {
+		CommandLogCluster cluster = new CommandLogCluster(folder, CommandLogSettings.DEFAULT_SNAPSHOT_THRESHOLD,
+				LogBudget.of(CommandLogSettings.DEFAULT_DISK_BYTES, Integer.MAX_VALUE),
+				Optional.of(FaultTolerance.ONE_LOSS), voters, observers);
+		cluster.firstStart = true;
+		return cluster.startAll();
+	}
+
+	/**
+	 * Ends the first start: members that start later join the cluster.
+	 */
+	void endFirstStart() {
+		this.firstStart = false;
+	}
+
+	private CommandLogCluster startAll() {
 		this.addresses.keySet().forEach(this::start);
+		return this;
 	}
 
 	void start(String name) {
-		CommandLogSettings settings = new CommandLogSettings(name, this.addresses.get(name), this.folder.resolve(name),
+		String address = this.addresses.get(name);
+		boolean startsCluster = this.firstStart && SEEDS.contains(address) && !this.observers.contains(name);
+		CommandLogSettings settings = new CommandLogSettings(name, address, this.folder.resolve(name),
 				this.joining.isPresent() ? Map.of() : this.addresses, Duration.ofMillis(50), Duration.ofMillis(250),
-				Duration.ofMillis(500), this.snapshotThreshold,
-				this.joining.isPresent() ? List.of("a:1", "b:1", "c:1") : List.of(), this.logBudget,
-				this.joining.orElse(FaultTolerance.ONE_LOSS), this.observers.contains(name));
+				Duration.ofMillis(500), this.snapshotThreshold, this.joining.isPresent() ? SEEDS : List.of(),
+				this.logBudget, this.joining.orElse(FaultTolerance.ONE_LOSS), this.observers.contains(name),
+				startsCluster);
 		NumberStateMachine state = new NumberStateMachine(this::awaitEncoding);
 		DefaultCommandLog log = new DefaultCommandLog(settings, state, this::send, MonotonicClock.SYSTEM,
 				new Random(++this.startCount), System.nanoTime(), disk(name));
@@ -123,6 +158,11 @@
 		log.start();
 	}
 
+	void startAnother(String name) {
+		this.addresses.put(name, name + ":1");
+		start(name);
+	}
+
 	void stop(String name) {
 		this.logs.remove(name).close();
 	}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/Leadership.java
@@ -406,10 +406,17 @@
 				&& !progress.hasNotAnsweredSince(now - 2 * this.settings.heartbeatInterval());
 	}
 
+	// Seeds of the first start are named by their address, and by their settings once
+	// they
+	// have lost their disk.
+	private static boolean isEarlierIncarnation(ControlIdentity voter, ControlIdentity learner) {
+		return voter.name().equals(learner.name()) || voter.address().equals(learner.address());
+	}
+
 	private List<ControlIdentity> votersAfterPromotion(ControlIdentity learner, long now) {
 		List<ControlIdentity> voters = new ArrayList<>(this.log.voters());
 		Optional<ControlIdentity> previous = voters.stream()
-			.filter((voter) -> voter.name().equals(learner.name()))
+			.filter((voter) -> isEarlierIncarnation(voter, learner))
 			.findFirst();
 		if (previous.isEmpty()) {
 			voters.add(learner);
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/StoredState.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/consensus/StoredState.java
@@ -42,7 +42,18 @@
 	 * @return the state
 	 */
 	public static StoredState bootstrap(String cluster, ControlIdentity voter, byte[] data) {
-		ConsensusSnapshot snapshot = new ConsensusSnapshot(1, 1, List.of(voter), data);
+		return bootstrap(cluster, List.of(voter), data);
+	}
+
+	/**
+	 * Returns the state with which each of several voters starts the same new cluster.
+	 * @param cluster identifier of the new cluster, the same at all voters
+	 * @param voters the voters, the same list at all of them
+	 * @param data encoded initial state, the same at all voters
+	 * @return the state
+	 */
+	static StoredState bootstrap(String cluster, List<ControlIdentity> voters, byte[] data) {
+		ConsensusSnapshot snapshot = new ConsensusSnapshot(1, 1, voters, data);
 		return new StoredState(cluster, new Vote(1, null), snapshot, 1, 1, List.of());
 	}
 
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusNodeTests.java
@@ -61,6 +61,37 @@
 		}
 	}
 
+	/**
+	 * Guards against the same failures if the seeds start the cluster together, and
+	 * against a second cluster.
+	 * @param size number of members
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 3, 4, 5 })
+	void keepsGuaranteesAfterAFirstStart(int size) {
+		for (long seed = 1; seed <= SEEDS_PER_SIZE; seed++) {
+			new ConsensusSimulation(seed, size, ConsensusSimulation.Fault.NONE).withFirstStart().run(SIMULATED_SECONDS);
+		}
+	}
+
+	/**
+	 * Guards against a fleet that never forms a cluster, or forms two, because one
+	 * machine is lost for good or cut off during its first start. Nothing was served when
+	 * the first seed was lost 0.3 s after the start.
+	 * @param size number of members
+	 */
+	@ParameterizedTest
+	@ValueSource(ints = { 3, 4, 5 })
+	void firstStartSurvivesTheLossOfAnyMember(int size) {
+		for (long seed = 1; seed <= SEEDS_PER_SIZE; seed++) {
+			for (int member = 0; member < size; member++) {
+				long maximumDelay = (seed % 2 == 0) ? 400_000_000 : 3_000_000_000L;
+				new ConsensusSimulation(seed, size, ConsensusSimulation.Fault.NONE).withFirstStart()
+					.runFirstStartWithLoss(member, maximumDelay, seed % 3 == 0);
+			}
+		}
+	}
+
 	/**
 	 * Guards against the same failures if two members lose their disks at once, and
 	 * against voters that are removed until such a loss leaves no majority for good.
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/ConsensusSimulation.java
@@ -55,7 +55,9 @@
 
 	private final Map<Long, Long> stateHashes = new HashMap<>();
 
-	private final String initialVoter;
+	private final List<String> seedAddresses;
+
+	private boolean firstStart;
 
 	private LogBudget logBudget = new LogBudget(Long.MAX_VALUE / 2, 0, Long.MAX_VALUE);
 
@@ -87,7 +89,7 @@
 			this.members.add(new SimulatedMember(this, name, this.random.nextLong(), clockRate));
 			this.peers.put(name, name);
 		}
-		this.initialVoter = this.members.get(0).identity().incarnation();
+		this.seedAddresses = this.members.stream().limit(SEED_ADDRESSES).map(SimulatedMember::name).toList();
 	}
 
 	/**
@@ -99,6 +101,19 @@
 		return this;
 	}
 
+	/**
+	 * Lets the seeds start the cluster together, in any order within 0.3 s.
+	 * @return this simulation
+	 */
+	ConsensusSimulation withFirstStart() {
+		this.firstStart = true;
+		return withOpenMembership();
+	}
+
+	boolean isFirstStart() {
+		return this.firstStart;
+	}
+
 	/**
 	 * Limits the logs of the members in bytes. A command has 8 bytes.
 	 * @param budget the limits
@@ -147,7 +162,7 @@
 	 * @return addresses of the first members
 	 */
 	List<String> seedAddresses() {
-		return this.members.stream().limit(SEED_ADDRESSES).map(SimulatedMember::name).toList();
+		return this.seedAddresses;
 	}
 
 	long time() {
@@ -205,9 +220,7 @@
 	 */
 	Set<String> votersAfterLossOf(String name) {
 		if (this.time == 0) {
-			this.members.get(0).bootstrap();
-			this.members.forEach((member) -> member.start(this.peers));
-			propose();
+			start();
 			runUntil(10 * SECOND);
 		}
 		member(name).crash();
@@ -215,6 +228,63 @@
 		return committedVoters();
 	}
 
+	/**
+	 * Loses a member for good, or cuts it off, while the cluster starts for the first
+	 * time, and checks that the others form the only cluster.
+	 * @param number number of the member
+	 * @param maximumDelay upper bound in nanoseconds of the time of the loss
+	 * @param cutOff whether the member goes on without contact to the others
+	 */
+	void runFirstStartWithLoss(int number, long maximumDelay, boolean cutOff) {
+		reportingSeed(() -> {
+			start();
+			SimulatedMember lost = this.members.get(number);
+			schedule(this.random.nextLong(maximumDelay), null, () -> lose(lost, cutOff));
+			runUntil(12 * SECOND);
+			this.members.remove(lost);
+			Set<String> clusters = this.members.stream()
+				.map((member) -> member.node().cluster())
+				.collect(Collectors.toSet());
+			require(clusters.size() == 1, "clusters are " + clusters);
+			require(committedVoters().containsAll(identities()),
+					"voters are %s without all of %s".formatted(committedVoters(), identities()));
+			long lastCommand = this.proposedCommands;
+			runUntil(this.time + 5 * SECOND);
+			require(lastAppliedCommand() > lastCommand, "no command was committed");
+			if (cutOff) {
+				this.members.add(lost);
+				this.blockedLinks.clear();
+				runUntil(this.time + 10 * SECOND);
+				require(committedVoters().equals(identities()),
+						"voters are %s instead of %s".formatted(committedVoters(), identities()));
+			}
+		});
+	}
+
+	private void lose(SimulatedMember lost, boolean cutOff) {
+		if (cutOff) {
+			for (SimulatedMember other : this.members) {
+				this.blockedLinks.add(lost.name() + ">" + other.name());
+				this.blockedLinks.add(other.name() + ">" + lost.name());
+			}
+		}
+		else {
+			lost.loseForGood();
+		}
+	}
+
+	private void start() {
+		if (this.firstStart) {
+			this.members.forEach((member) -> schedule(this.random.nextLong(300 * MILLISECOND), null,
+					() -> member.startUnlessLost(this.peers)));
+		}
+		else {
+			this.members.get(0).bootstrap();
+			this.members.forEach((member) -> member.start(this.peers));
+		}
+		propose();
+	}
+
 	private void reportingSeed(Runnable task) {
 		try {
 			task.run();
@@ -228,9 +298,7 @@
 	}
 
 	private void runWithFailures(int seconds) {
-		this.members.get(0).bootstrap();
-		this.members.forEach((member) -> member.start(this.peers));
-		propose();
+		start();
 		runUntil(5 * SECOND);
 		injectFailure(this.time + seconds * SECOND);
 		runUntil(this.time + seconds * SECOND);
@@ -253,19 +321,20 @@
 
 	private void deliver(String sender, ConsensusAction.Send send) {
 		SimulatedMember recipient = member(send.address());
-		if (this.blockedLinks.contains(sender + ">" + recipient.name()) || !recipient.isRunning()) {
+		if (recipient == null || this.blockedLinks.contains(sender + ">" + recipient.name())
+				|| !recipient.isRunning()) {
 			return;
 		}
 		int startCount = recipient.startCount();
 		schedule(0, recipient, () -> {
 			if (recipient.isRunning() && recipient.startCount() == startCount) {
-				recipient.handle((node) -> node.receive(send.message(), recipient.clock()));
+				recipient.receive(send.message());
 			}
 		});
 	}
 
 	private SimulatedMember member(String address) {
-		return this.members.stream().filter((member) -> member.name().equals(address)).findFirst().orElseThrow();
+		return this.members.stream().filter((member) -> member.name().equals(address)).findFirst().orElse(null);
 	}
 
 	private void runUntil(long end) {
@@ -369,7 +438,12 @@
 			.filter((entry) -> entry.kind() == LogEntry.Kind.VOTERS)
 			.findFirst()
 			.map((entry) -> entry.voters().stream().map(ControlIdentity::incarnation).collect(Collectors.toSet()))
-			.orElse(Set.of(this.initialVoter));
+			.orElseGet(this::initialVoters);
+	}
+
+	private Set<String> initialVoters() {
+		return this.firstStart ? seedAddresses().stream().map(FirstStart::incarnation).collect(Collectors.toSet())
+				: Set.of(this.members.get(0).name() + "-1");
 	}
 
 	private void isolate(SimulatedMember member) {
@@ -417,13 +491,7 @@
 		runUntil(this.time + 20 * SECOND);
 		long lastCommand = this.proposedCommands;
 		runUntil(this.time + 10 * SECOND);
-		long applied = this.committed.values()
-			.stream()
-			.filter((entry) -> entry.kind() == LogEntry.Kind.COMMAND)
-			.mapToLong((entry) -> ByteBuffer.wrap(entry.command()).getLong())
-			.max()
-			.orElse(0);
-		require(applied > lastCommand, "no command was committed after the failures ended");
+		require(lastAppliedCommand() > lastCommand, "no command was committed after the failures ended");
 		require(committedVoters().equals(identities()),
 				"voters are %s instead of %s".formatted(committedVoters(), identities()));
 		for (SimulatedMember member : this.members) {
@@ -432,6 +500,15 @@
 		}
 	}
 
+	private long lastAppliedCommand() {
+		return this.committed.values()
+			.stream()
+			.filter((entry) -> entry.kind() == LogEntry.Kind.COMMAND)
+			.mapToLong((entry) -> ByteBuffer.wrap(entry.command()).getLong())
+			.max()
+			.orElse(0);
+	}
+
 	// Checks
 
 	void checkElection(SimulatedMember member, long term) {
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/consensus/SimulatedMember.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.Function;
 
+import org.magnolialead.api.message.ConsensusMessage;
 import org.magnolialead.api.message.ControlIdentity;
 import org.magnolialead.api.message.LogEntry;
 
@@ -38,6 +39,10 @@
 
 	private ConsensusNode node;
 
+	private ConsensusSettings settings;
+
+	private FirstStart firstStart;
+
 	private long stateHash;
 
 	private boolean syncing;
@@ -48,11 +53,15 @@
 
 	private long crashedAt;
 
+	private boolean lost;
+
 	SimulatedMember(ConsensusSimulation simulation, String name, long clockOffset, double clockRate) {
 		this.simulation = simulation;
 		this.name = name;
 		this.clockOffset = clockOffset;
 		this.clockRate = clockRate;
+		// Not later than the present time of a clock that starts below zero.
+		this.crashedAt = clockOffset;
 	}
 
 	String name() {
@@ -80,7 +89,10 @@
 	}
 
 	ControlIdentity identity() {
-		return new ControlIdentity(this.name, this.name + "-" + this.incarnation, this.name);
+		boolean startsCluster = this.simulation.isFirstStart() && this.incarnation == 1
+				&& this.simulation.seedAddresses().contains(this.name);
+		String text = startsCluster ? FirstStart.incarnation(this.name) : this.name + "-" + this.incarnation;
+		return FirstStart.identity(this.name, text, this.name);
 	}
 
 	long clock() {
@@ -99,19 +111,38 @@
 		this.startCount++;
 		this.syncing = false;
 		this.snapshotInProgress = false;
-		ConsensusSettings settings = new ConsensusSettings(identity(), peers, 100 * MILLISECOND, 500 * MILLISECOND,
+		this.settings = new ConsensusSettings(identity(), peers, 100 * MILLISECOND, 500 * MILLISECOND,
 				1_000 * MILLISECOND, 5, 64, 4, this.simulation.snapshotPartBytes(), this.simulation.seedAddresses(),
 				this.simulation.logBudget(), this.simulation.faultTolerance());
 		StoredState stored = this.disk.synced();
 		this.stateHash = (stored.snapshot() != null) ? decodeState(stored.snapshot().data()) : 0;
 		long lastPossibleLeaderContact = this.crashedAt;
 		if (this.simulation.fault() == ConsensusSimulation.Fault.VOTES_AFTER_RESTART) {
-			lastPossibleLeaderContact -= settings.minimumElectionTimeout();
+			lastPossibleLeaderContact -= this.settings.minimumElectionTimeout();
 		}
-		this.node = new ConsensusNode(settings, stored, lastPossibleLeaderContact, clock(), this.simulation.random());
+		this.firstStart = identity().incarnation().equals(FirstStart.incarnation(this.name))
+				? new FirstStart(this.simulation.seedAddresses(), this.name) : null;
+		this.node = new ConsensusNode(this.settings, stored, lastPossibleLeaderContact, clock(),
+				this.simulation.random());
 		tick(this.startCount);
 	}
 
+	void receive(ConsensusMessage message) {
+		handle((running) -> running.receive(message, clock()));
+		if (this.firstStart != null) {
+			this.firstStart.received(message);
+		}
+	}
+
+	private void startClusterIfDecided() {
+		if (this.firstStart != null && this.node.cluster().isEmpty()) {
+			this.firstStart.initialState(encodeState()).ifPresent((state) -> {
+				this.disk.replace(state);
+				this.node = new ConsensusNode(this.settings, state, this.crashedAt, clock(), this.simulation.random());
+			});
+		}
+	}
+
 	/**
 	 * Stops the member without syncing. A random number of the unsynced batches is
 	 * nevertheless on the disk.
@@ -124,6 +155,17 @@
 		this.pausedUntil = 0;
 	}
 
+	void loseForGood() {
+		crash();
+		this.lost = true;
+	}
+
+	void startUnlessLost(Map<String, String> peers) {
+		if (!this.lost) {
+			start(peers);
+		}
+	}
+
 	void loseDisk() {
 		crash();
 		this.disk = new SimulatedDisk();
@@ -132,6 +174,7 @@
 
 	private void tick(int expectedStartCount) {
 		if (this.startCount == expectedStartCount && isRunning()) {
+			startClusterIfDecided();
 			handle((running) -> running.tick(clock()));
 			this.simulation.schedule(20 * MILLISECOND, this, () -> tick(expectedStartCount));
 		}
--- a/magnolialead-storage/src/main/java/org/magnolialead/storage/DataFolder.java
+++ b/magnolialead-storage/src/main/java/org/magnolialead/storage/DataFolder.java
@@ -70,11 +70,23 @@
 	 * if the folder is in use, incomplete or corrupted
 	 */
 	public DataFolder(Path folder, Disk disk) {
+		this(folder, disk, UUID.randomUUID().toString());
+	}
+
+	/**
+	 * Opens a data folder on a given disk, creating it if it does not exist.
+	 * @param folder path of the folder
+	 * @param disk writes and syncs the files
+	 * @param newIncarnation incarnation of the folder if it does not belong to a cluster
+	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
+	 * if the folder is in use, incomplete or corrupted
+	 */
+	public DataFolder(Path folder, Disk disk, String newIncarnation) {
 		this.folder = folder;
 		this.files = new DurableFiles(disk);
 		this.lockChannel = lock(folder);
 		try {
-			this.incarnation = readOrCreateIncarnation();
+			this.incarnation = readOrCreateIncarnation(newIncarnation);
 			this.voteFile = new VoteFile(folder.resolve(VOTE_FILE), this.files);
 			this.snapshotFile = new SnapshotFile(folder.resolve(SNAPSHOT_FILE), this.files);
 			load();
@@ -86,7 +98,7 @@
 	}
 
 	/**
-	 * Returns the random identifier that this folder keeps while it belongs to a cluster.
+	 * Returns the identifier that this folder keeps while it belongs to a cluster.
 	 * @return the incarnation
 	 */
 	public String incarnation() {
@@ -169,7 +181,7 @@
 	/**
 	 * Starts a cluster in a folder that does not belong to one. The cluster file is
 	 * written last, so a crash before that leaves a folder without a cluster.
-	 * @param state initial state of the only voter
+	 * @param state initial state of the voter
 	 * @throws org.magnolialead.api.MagnolialeadException of code {@code STORAGE_FAILURE}
 	 * if the folder already belongs to a cluster or a file cannot be written
 	 */
@@ -238,12 +250,12 @@
 		}
 	}
 
-	private String readOrCreateIncarnation() {
+	private String readOrCreateIncarnation(String newIncarnation) {
 		Path path = this.folder.resolve(INCARNATION_FILE);
 		// A folder without a cluster gets a new incarnation each time it is opened,
 		// because the files of an earlier membership may have been lost.
 		if (!Files.exists(this.folder.resolve(CLUSTER_FILE))) {
-			this.files.replaceWithChecksum(path, UUID.randomUUID().toString().getBytes(StandardCharsets.UTF_8));
+			this.files.replaceWithChecksum(path, newIncarnation.getBytes(StandardCharsets.UTF_8));
 		}
 		if (!Files.exists(path)) {
 			throw missingFile(INCARNATION_FILE);
