--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -8,6 +8,7 @@
 
 import org.magnolialead.daemon.control.CommandLogSettings;
 import org.magnolialead.engine.consensus.FaultTolerance;
+import org.magnolialead.engine.session.SessionLimits;
 
 /**
  * Validated settings of one daemon.
@@ -84,7 +85,8 @@
 	 * Control daemons that are known at startup. Their answers name the others.
 	 *
 	 * @param addresses HTTP addresses of control daemons in the form {@code host:port};
-	 * the first one initializes the cluster on the first start of the fleet
+	 * those with a disk initialize the cluster together on the first start of the fleet,
+	 * at which all of them must have the same list
 	 * @param peerPort port for the peer protocol, the same for all control daemons
 	 * @param firstStart whether the fleet starts for the first time, with empty disks
 	 * @param faultTolerance number of control daemons that may lose their disks at once
@@ -122,9 +124,10 @@
 	 * the forced end of the process
 	 * @param startAfter address of a process on the same VM that has to start first
 	 * because the whole fleet depends on it; empty if there is none
+	 * @param limits limits of what sessions keep
 	 */
 	public record SessionSettings(String host, int port, String promotionAddress, long graceMilliseconds,
-			Optional<String> startAfter) {
+			Optional<String> startAfter, SessionLimits limits) {
 	}
 
 	/**
