Keep a failing exit status while a daemon runs

The build and EndToEndTests run ClassArchiveMain, which reported that its statements had not succeeded and ended with status 0 all the same.

Cause: the shutdown hook of a daemon halts the JVM with status 0, so that a signal does not end it with 128 plus its number. The status passed to System.exit is lost.

Ruled out: the status that ClassArchiveMain computes. It prints the failure before it exits.

Change: MagnolialeadMain.exit keeps the status, and the hook halts with it. A signal still ends a daemon with 0.

--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/MagnolialeadMain.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -31,6 +32,9 @@
 
 	private static final int EXIT_USAGE = 2;
 
+	/** Status with which the process ends once its daemons are shut down. */
+	private static final AtomicInteger EXIT_STATUS = new AtomicInteger(EXIT_OK);
+
 	@Option(name = "--settings", metaVar = "FILE", usage = "start a daemon with the settings in FILE",
 			forbids = "--check-settings")
 	private Path settings;
@@ -81,6 +85,16 @@
 		exitUnlessOk(main.start());
 	}
 
+	/**
+	 * Shuts down the daemons that run in this process and ends it with a status. A status
+	 * that is passed to {@link System#exit(int)} is replaced by 0 while a daemon runs.
+	 * @param status exit status of the process, 0 for success
+	 */
+	public static void exit(int status) {
+		EXIT_STATUS.set(status);
+		System.exit(status);
+	}
+
 	private static void setUpLogging() {
 		System.setProperty(LOG_MANAGER_PROPERTY, LOG_MANAGER);
 		ShutdownLogManager.useStandardOutput();
@@ -89,7 +103,7 @@
 	private static void exitUnlessOk(int exitCode) {
 		if (exitCode != EXIT_OK) {
 			ShutdownLogManager.close();
-			System.exit(exitCode);
+			exit(exitCode);
 		}
 	}
 
@@ -126,14 +140,15 @@
 	}
 
 	/**
-	 * Shuts down the daemon and ends the process with exit code 0. Otherwise the JVM
-	 * would exit with 128 plus the signal number.
+	 * Shuts down the daemon and ends the process with the status passed to
+	 * {@link #exit(int)}, or with 0 after a signal. Otherwise the JVM would exit with 128
+	 * plus the signal number.
 	 * @param daemon the daemon
 	 */
 	private static void stop(Daemon daemon) {
 		daemon.shutDown();
 		ShutdownLogManager.close();
-		Runtime.getRuntime().halt(EXIT_OK);
+		Runtime.getRuntime().halt(EXIT_STATUS.get());
 	}
 
 	// Only validates the file. Seeds are the only settings that change while a daemon
