--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
@@ -25,16 +25,22 @@
 public final class ReplyMatcher {
 
 	/**
-	 * Maximum number of probes that are sent together to a member that repeats replies.
+	 * Maximum number of probes that are sent together if the reply has to be certain.
 	 * They cost fewer bytes and less time than a new connection.
 	 */
 	static final int MAXIMUM_CERTAIN_PROBES = 32;
 
+	/**
+	 * Maximum number of probes that are sent together because of a command that seems to
+	 * have succeeded. If the replies to all of them agree with this, it is believed.
+	 */
+	static final int MAXIMUM_PROBES_AFTER_SUCCESS = 8;
+
 	/**
 	 * Maximum number of probes that are sent together to a member that is not known to
 	 * repeat replies. If the replies to all of them agree with a reply, it is believed.
 	 */
-	static final int MAXIMUM_PROBES = 3;
+	static final int MAXIMUM_PROBES_WITHOUT_REPETITIONS = 3;
 
 	/** Maximum number of interpretations, beyond which the replies are given up. */
 	static final int MAXIMUM_INTERPRETATIONS = 32;
@@ -74,9 +80,9 @@
 	 * Matches a reply that has arrived completely.
 	 * @param reply the reply
 	 * @param sentBefore value of {@link #commandsSent()} when the reply began to arrive
-	 * @param repetitionsExpected whether the member is known to repeat replies. If not,
-	 * equal replies without a proof are suspected for a shorter time, and fewer probes
-	 * have to agree.
+	 * @param repetitionsExpected whether the member is known to repeat replies. If not, a
+	 * success whose content does not matter is not suspected to be a repetition, unless
+	 * its position shows it, and fewer probes have to agree.
 	 * @param now monotonic time in nanoseconds
 	 * @return what follows from the reply
 	 */
@@ -88,17 +94,21 @@
 		int possibleRepetitions = (known && !repetition)
 				? this.history.possibleRepetitions(fingerprint, repetitionsExpected, now) : 0;
 		this.history.add(fingerprint, now);
+		boolean trusting = !repetitionsExpected && reply.isDone() && !outdated && this.interpretations.size() == 1;
 		Map<Interpretation.Key, Interpretation> next = new HashMap<>();
 		boolean mayBeReply = false;
 		for (Interpretation interpretation : this.interpretations) {
 			Command command = nextCommand(interpretation, sentBefore);
-			if (!repetition && command != null && command.form().permits(reply, interpretation.state())) {
+			boolean certain = command != null && command.form().needsCertainty();
+			boolean isReply = !repetition && command != null && command.form().permits(reply, interpretation.state());
+			if (isReply) {
 				mayBeReply = true;
 				add(next, interpretation.withReply(reply));
 			}
-			boolean suspected = known && command != null && command.form().needsCertainty();
-			if (repetition || outdated || suspected
-					|| possibleRepetitions > 2 * interpretation.repetitions(fingerprint)) {
+			boolean mayRepeat = repetition || outdated || known && certain
+					|| possibleRepetitions > 2 * interpretation.repetitions(fingerprint);
+			boolean trusted = trusting && isReply && !certain;
+			if (mayRepeat && !trusted) {
 				add(next, interpretation.withRepetition(fingerprint));
 			}
 		}
@@ -136,14 +146,22 @@
 		int probes = 1 + possibleProbeRepetitions(reply, repetitionsExpected, now);
 		boolean first = !this.probing;
 		this.probing = true;
-		if (repetitionsExpected) {
+		if (repetitionsExpected && needsCertainty()) {
 			boolean decidable = first && probes <= MAXIMUM_CERTAIN_PROBES;
 			return decidable ? new Match(true, repeated, completed, probes) : Match.MISMATCH;
 		}
-		return first ? new Match(true, repeated, completed, Math.min(probes, MAXIMUM_PROBES))
+		int maximum = repetitionsExpected ? MAXIMUM_PROBES_AFTER_SUCCESS : MAXIMUM_PROBES_WITHOUT_REPETITIONS;
+		return first ? new Match(true, repeated, completed, Math.min(probes, maximum))
 				: believe(reply, repeated, completed);
 	}
 
+	// A statement must not get the reply of another one. A command that seems to have
+	// succeeded rarely fails, and its reply is often equal to earlier ones.
+	private boolean needsCertainty() {
+		return this.commands.stream().anyMatch((command) -> command.form().needsCertainty())
+				|| this.interpretations.stream().anyMatch(Interpretation::hasFailure);
+	}
+
 	// Until each reply has arrived in one of the interpretations, the next one may
 	// decide.
 	private boolean isReplyOutstanding() {
@@ -251,6 +269,10 @@
 			return this.repetitions.getOrDefault(fingerprint, 0);
 		}
 
+		boolean hasFailure() {
+			return this.replies.stream().anyMatch((reply) -> !reply.isDone());
+		}
+
 		StatementReply firstReply() {
 			return this.replies.isEmpty() ? null : this.replies.get(0);
 		}
