Split the matching of a reply into steps

received() did five things with as many conditions. What is known of a reply from earlier ones is a record now, and the two questions about an interpretation have a method each.

--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ReplyMatcher.java
@@ -87,30 +87,21 @@
 	 * @return what follows from the reply
 	 */
 	public Match received(StatementReply reply, long sentBefore, boolean repetitionsExpected, long now) {
-		long fingerprint = ReplyHistory.fingerprint(reply);
-		boolean known = this.history.contains(fingerprint);
-		boolean outdated = known && isOutdated(reply);
-		boolean repetition = known && reply.hasProof()
-				|| outdated && repetitionsExpected && this.history.possibleOldRepetitions(fingerprint, now) > 0;
-		int possibleRepetitions = (known && !repetition)
-				? this.history.possibleRepetitions(fingerprint, repetitionsExpected, now) : 0;
-		this.history.add(fingerprint, now);
-		boolean trusting = !repetitionsExpected && reply.isDone() && !outdated && this.interpretations.size() == 1;
+		Arrival arrival = classify(reply, repetitionsExpected, now);
+		this.history.add(arrival.fingerprint(), now);
 		Map<Interpretation.Key, Interpretation> next = new HashMap<>();
 		boolean mayBeReply = false;
 		for (Interpretation interpretation : this.interpretations) {
 			Command command = nextCommand(interpretation, sentBefore);
-			boolean certain = command != null && command.form().needsCertainty();
-			boolean isReply = !repetition && command != null && command.form().permits(reply, interpretation.state());
+			boolean isReply = mayBeReply(interpretation, command, arrival);
 			if (isReply) {
 				mayBeReply = true;
 				add(next, interpretation.withReply(reply));
 			}
-			boolean mayRepeat = repetition || outdated || known && certain
-					|| possibleRepetitions > 2 * interpretation.repetitions(fingerprint);
-			boolean trusted = trusting && isReply && !certain;
-			if (mayRepeat && !trusted) {
-				add(next, interpretation.withRepetition(fingerprint));
+			boolean contentMatters = command != null && command.form().needsCertainty();
+			boolean believed = isReply && !contentMatters && arrival.trusted();
+			if (!believed && mayBeRepetition(interpretation, contentMatters, arrival)) {
+				add(next, interpretation.withRepetition(arrival.fingerprint()));
 			}
 		}
 		if (next.isEmpty() || next.size() > MAXIMUM_INTERPRETATIONS) {
@@ -120,17 +111,42 @@
 		return decide(reply, !mayBeReply, repetitionsExpected, now);
 	}
 
+	private Arrival classify(StatementReply reply, boolean repetitionsExpected, long now) {
+		long fingerprint = ReplyHistory.fingerprint(reply);
+		boolean known = this.history.contains(fingerprint);
+		boolean outdated = known && isOutdated(reply);
+		boolean repetition = known && reply.hasProof()
+				|| outdated && repetitionsExpected && this.history.possibleOldRepetitions(fingerprint, now) > 0;
+		int possibleRepetitions = (known && !repetition)
+				? this.history.possibleRepetitions(fingerprint, repetitionsExpected, now) : 0;
+		boolean trusted = !repetitionsExpected && reply.isDone() && !outdated && this.interpretations.size() == 1;
+		return new Arrival(reply, fingerprint, known, outdated, repetition, possibleRepetitions, trusted);
+	}
+
 	// The log of a member grows, unless the member was ahead of a new primary and has cut
 	// its log back. Then a reply may equal one from before.
 	private boolean isOutdated(StatementReply reply) {
 		return reply.position() != null && this.position != null && reply.position().compareTo(this.position) < 0;
 	}
 
+	// Returns the command that waits for the next reply according to an interpretation,
+	// if
+	// it was sent in time for a reply.
 	private Command nextCommand(Interpretation interpretation, long sentBefore) {
 		Command next = this.commands.stream().skip(interpretation.replies().size()).findFirst().orElse(null);
 		return (next != null && next.number() <= sentBefore) ? next : null;
 	}
 
+	private static boolean mayBeReply(Interpretation interpretation, Command command, Arrival arrival) {
+		return !arrival.repetition() && command != null
+				&& command.form().permits(arrival.reply(), interpretation.state());
+	}
+
+	private static boolean mayBeRepetition(Interpretation interpretation, boolean contentMatters, Arrival arrival) {
+		return arrival.repetition() || arrival.outdated() || arrival.known() && contentMatters
+				|| arrival.possibleRepetitions() > 2 * interpretation.repetitions(arrival.fingerprint());
+	}
+
 	private static void add(Map<Interpretation.Key, Interpretation> interpretations, Interpretation added) {
 		interpretations.merge(added.key(), added, Interpretation::withFewerRepetitions);
 	}
@@ -173,7 +189,8 @@
 		return interpretation.replies().size() == this.commands.size();
 	}
 
-	// One probe more than their replies may be repetitions certainly decides.
+	// Returns how many replies to probes may be repetitions. One probe more certainly
+	// decides.
 	private int possibleProbeRepetitions(StatementReply reply, boolean repetitionsExpected, long now) {
 		StatementReply probeReply = new StatementReply(List.of(), StatementReply.NO_PROOF, null, "", reply.state(),
 				reply.position());
@@ -228,6 +245,21 @@
 	private record Command(long number, ReplyForm form) {
 	}
 
+	/**
+	 * Reply that has arrived, and what is known of it from earlier ones.
+	 *
+	 * @param reply the reply
+	 * @param fingerprint its fingerprint
+	 * @param known whether an equal reply was received before
+	 * @param outdated whether such a reply has a position that the log has passed
+	 * @param repetition whether it is certainly a repetition
+	 * @param possibleRepetitions number of equal replies that may still be repeated
+	 * @param trusted whether a command whose content does not matter believes it at once
+	 */
+	private record Arrival(StatementReply reply, long fingerprint, boolean known, boolean outdated, boolean repetition,
+			int possibleRepetitions, boolean trusted) {
+	}
+
 	/**
 	 * What follows from a reply.
 	 *
