--- a/magnolialead-api/src/main/java/org/magnolialead/api/Route.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/Route.java
@@ -13,9 +13,10 @@
  * miss; 0 if replicas must not serve reads
  * @param priority priority of the statements; 0 is served first
  * @param statementTimeoutMilliseconds timeout of one statement in milliseconds
+ * @param publicAccess whether clients without a known key may use the database
  */
 public record Route(String database, String group, FreshnessRule freshness, long maximumAgeMilliseconds, int priority,
-		long statementTimeoutMilliseconds) {
+		long statementTimeoutMilliseconds, boolean publicAccess) {
 
 	public Route {
 		Objects.requireNonNull(database, "database must not be null");
@@ -32,6 +33,21 @@
 		}
 	}
 
+	/**
+	 * Creates a route for which clients need a key if there are client accounts.
+	 * @param database name of the database that clients connect to
+	 * @param group name of the database group that serves the database
+	 * @param freshness freshness rule for reads
+	 * @param maximumAgeMilliseconds maximum age in milliseconds of a commit that a read
+	 * may miss; 0 if replicas must not serve reads
+	 * @param priority priority of the statements; 0 is served first
+	 * @param statementTimeoutMilliseconds timeout of one statement in milliseconds
+	 */
+	public Route(String database, String group, FreshnessRule freshness, long maximumAgeMilliseconds, int priority,
+			long statementTimeoutMilliseconds) {
+		this(database, group, freshness, maximumAgeMilliseconds, priority, statementTimeoutMilliseconds, false);
+	}
+
 	/**
 	 * Returns whether replicas may serve reads of this route.
 	 * @return {@code true} if the freshness rule permits replicas and the maximum age is
--- a/magnolialead-api/src/main/java/org/magnolialead/api/RouteTable.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/RouteTable.java
@@ -14,11 +14,13 @@
  * primary acknowledges it, by group; a group without an entry has none
  * @param idleTransactionMilliseconds time in milliseconds after which an idle transaction
  * may be ended
+ * @param accounts client accounts, or {@code null} if clients need no key
  * @param document document sent by the operator, kept so that it can be returned
  * unchanged
  */
 public record RouteTable(long number, Map<String, Route> routes, Map<String, Integer> connectionLimits,
-		Map<String, Integer> synchronousReplicas, long idleTransactionMilliseconds, String document) {
+		Map<String, Integer> synchronousReplicas, long idleTransactionMilliseconds, AccountTable accounts,
+		String document) {
 
 	/**
 	 * Empty table that applies before the first change.
@@ -45,7 +47,7 @@
 	}
 
 	/**
-	 * Creates a table of groups that replicate asynchronously.
+	 * Creates a table of groups that replicate asynchronously, without client accounts.
 	 * @param number number assigned by the operator
 	 * @param routes routes by database name
 	 * @param connectionLimits maximum number of connections to one member, by group
@@ -55,7 +57,7 @@
 	 */
 	public RouteTable(long number, Map<String, Route> routes, Map<String, Integer> connectionLimits,
 			long idleTransactionMilliseconds, String document) {
-		this(number, routes, connectionLimits, Map.of(), idleTransactionMilliseconds, document);
+		this(number, routes, connectionLimits, Map.of(), idleTransactionMilliseconds, null, document);
 	}
 
 	/**
@@ -64,7 +66,7 @@
 	 */
 	public RouteTable withoutDocument() {
 		return new RouteTable(this.number, this.routes, this.connectionLimits, this.synchronousReplicas,
-				this.idleTransactionMilliseconds, "");
+				this.idleTransactionMilliseconds, this.accounts, "");
 	}
 
 	/**
@@ -85,4 +87,13 @@
 		return Optional.ofNullable(this.routes.get(database));
 	}
 
+	/**
+	 * Returns the limit of a client account.
+	 * @param account name of the account
+	 * @return the limit, or empty if the account is unknown or has none
+	 */
+	public Optional<RateLimit> limit(String account) {
+		return (this.accounts != null) ? this.accounts.account(account).map(ClientAccount::limit) : Optional.empty();
+	}
+
 }
--- a/magnolialead-api/src/main/java/org/magnolialead/api/message/ForwardStatementRequest.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/ForwardStatementRequest.java
@@ -11,6 +11,7 @@
  * the members of the group. Statements of one transaction are sent over one connection.
  *
  * @param route route of the session
+ * @param account name of the client account, or an empty string if there is none
  * @param sessionVariables session variables by name
  * @param position log position of the last commit of the session
  * @param identifier identifier given by the client
@@ -21,12 +22,14 @@
  * @param timeoutMicroseconds time in microseconds from the arrival of this message until
  * the statement must be answered
  */
-public record ForwardStatementRequest(Route route, Map<String, String> sessionVariables, LogPosition position,
-		String identifier, Action action, String text, Prepared prepared, TransactionScope transaction,
-		long timeoutMicroseconds) {
+public record ForwardStatementRequest(Route route, String account, Map<String, String> sessionVariables,
+		LogPosition position, String identifier, Action action, String text, Prepared prepared,
+		TransactionScope transaction, long timeoutMicroseconds) {
 
 	public ForwardStatementRequest {
 		Objects.requireNonNull(route, "route must not be null");
+		// Absent in messages of earlier releases, which know no client accounts.
+		account = (account != null) ? account : "";
 		sessionVariables = Map.copyOf(sessionVariables);
 		Objects.requireNonNull(position, "position must not be null");
 		Objects.requireNonNull(identifier, "identifier must not be null");
@@ -43,8 +46,8 @@
 	 * @return the statement
 	 */
 	public ForwardStatementRequest withTimeout(long microseconds) {
-		return new ForwardStatementRequest(this.route, this.sessionVariables, this.position, this.identifier,
-				this.action, this.text, this.prepared, this.transaction, microseconds);
+		return new ForwardStatementRequest(this.route, this.account, this.sessionVariables, this.position,
+				this.identifier, this.action, this.text, this.prepared, this.transaction, microseconds);
 	}
 
 	/**
--- a/magnolialead-api/src/main/java/org/magnolialead/api/session/StatementError.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/session/StatementError.java
@@ -29,6 +29,8 @@
 	FAILED,
 	/** The statement cannot be parsed or is not permitted in this state. */
 	MALFORMED,
+	/** The key of the client belongs to no client account. */
+	NOT_AUTHORIZED,
 	/** No database of that name exists. */
 	UNKNOWN_DATABASE,
 	/** The connection to the member was lost before the answer arrived. */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
+import org.magnolialead.api.KeyDigest;
 import org.magnolialead.api.LogPosition;
 import org.magnolialead.api.Route;
 import org.magnolialead.api.message.ForwardStatementRequest;
@@ -16,6 +17,7 @@
 import org.magnolialead.api.session.SessionState;
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.api.session.StatementReply;
+import org.magnolialead.engine.account.AccountAccess;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.ReadPlan;
 import org.magnolialead.engine.session.SessionRefusal;
@@ -34,12 +36,20 @@
 	 */
 	private static final int MAXIMUM_WAITING_STATEMENTS = 256;
 
+	/**
+	 * Time for which an open transaction may go on after the key of its client was
+	 * removed from the configuration.
+	 */
+	private static final long REVOKED_GRACE_NANOSECONDS = TimeUnit.SECONDS.toNanos(1);
+
 	private final SessionService service;
 
 	private final ClientChannel channel;
 
 	private final String database;
 
+	private final KeyDigest key;
+
 	private final SessionValues values;
 
 	private final Deque<ClientStatement> waitingStatements = new ArrayDeque<>();
@@ -48,6 +58,8 @@
 
 	private Route route;
 
+	private String account = AccountAccess.NO_ACCOUNT;
+
 	private GroupRouter router;
 
 	private LogPosition position = LogPosition.NONE;
@@ -60,14 +72,17 @@
 
 	private Future<?> idleTimer;
 
+	private Future<?> revocationTimer;
+
 	private boolean idleTimeoutExpired;
 
 	private boolean closed;
 
-	ClientSession(SessionService service, ClientChannel channel, String database) {
+	ClientSession(SessionService service, ClientChannel channel, String database, KeyDigest key) {
 		this.service = service;
 		this.channel = channel;
 		this.database = database;
+		this.key = key;
 		this.values = new SessionValues(service.memory());
 	}
 
@@ -81,6 +96,11 @@
 		return this.route;
 	}
 
+	@Override
+	public String account() {
+		return this.account;
+	}
+
 	@Override
 	public GroupRouter router() {
 		return this.router;
@@ -134,8 +154,8 @@
 		}
 		Prepared forwarded = (prepared != null) ? new Prepared(prepared.writes(), prepared.text(), statement.argument())
 				: null;
-		return new ForwardStatementRequest(this.route, sessionVariables(), this.position, statement.identifier(),
-				action, statement.text(), forwarded, scope, 0);
+		return new ForwardStatementRequest(this.route, this.account, sessionVariables(), this.position,
+				statement.identifier(), action, statement.text(), forwarded, scope, 0);
 	}
 
 	@Override
@@ -269,14 +289,21 @@
 		}
 	}
 
-	// Routes are resolved per transaction, so that a change does not affect an open one.
+	// The route and the account are resolved per transaction, so that a change does not
+	// affect an open one.
 	private boolean findRoute() {
 		Route found = this.service.routes().route(this.database).orElse(null);
 		if (found == null) {
 			refuse(StatementError.UNKNOWN_DATABASE, "no database \"" + this.database + "\"");
 			return false;
 		}
+		Optional<String> permitted = this.service.account(this.key, found);
+		if (permitted.isEmpty()) {
+			refuse(StatementError.NOT_AUTHORIZED, "the key is not known");
+			return false;
+		}
 		this.route = found;
+		this.account = permitted.get();
 		this.router = this.service.router(found.group());
 		return true;
 	}
@@ -372,6 +399,34 @@
 		this.state = SessionState.FAILED_TRANSACTION;
 	}
 
+	/**
+	 * Closes the session if its client may not use the database any more. A transaction
+	 * in progress has a short time to end.
+	 */
+	void endIfAccessRevoked() {
+		if (this.closed || !isAccessRevoked()) {
+			return;
+		}
+		if (isIdle()) {
+			close();
+		}
+		else if (this.revocationTimer == null) {
+			this.revocationTimer = context().schedule(REVOKED_GRACE_NANOSECONDS, () -> {
+				this.revocationTimer = null;
+				if (isAccessRevoked()) {
+					close();
+				}
+			});
+		}
+	}
+
+	private boolean isAccessRevoked() {
+		return this.service.routes()
+			.route(this.database)
+			.filter((known) -> this.service.account(this.key, known).isEmpty())
+			.isPresent();
+	}
+
 	/**
 	 * Ends the session because the client has disconnected. An open transaction is rolled
 	 * back.
@@ -384,6 +439,9 @@
 		this.service.sessionClosed(this);
 		this.values.release();
 		stopIdleTimer();
+		if (this.revocationTimer != null) {
+			this.revocationTimer.cancel(false);
+		}
 		if (this.transaction != null) {
 			this.transaction.rollBack(this.currentStatement != null);
 		}
@@ -412,7 +470,7 @@
 		boolean inTransaction = this.transaction != null;
 		StatementStage reached = inTransaction ? this.transaction.stage() : this.singleStatement.stage();
 		boolean ends = !inTransaction || this.currentStatement.verb() == ClientStatement.Verb.COMMIT;
-		StatementReply reply = StatementReply.failed(reached.errorAfterLoss(), "the daemon is shutting down",
+		StatementReply reply = StatementReply.failed(reached.errorAfterLoss(), "the session is closed",
 				ends ? SessionState.IDLE : SessionState.FAILED_TRANSACTION);
 		statementLog().failed(this.currentStatement, this.database, reply);
 		return reply;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardedSession.java
@@ -32,6 +32,8 @@
 
 	private final Route route;
 
+	private final String account;
+
 	private final GroupRouter router;
 
 	private Map<String, String> sessionVariables = Map.of();
@@ -53,9 +55,10 @@
 
 	private boolean ended;
 
-	ForwardedSession(SessionService service, Route route) {
+	ForwardedSession(SessionService service, Route route, String account) {
 		this.service = service;
 		this.route = route;
+		this.account = account;
 		this.router = service.router(route.group());
 	}
 
@@ -69,6 +72,11 @@
 		return this.route;
 	}
 
+	@Override
+	public String account() {
+		return this.account;
+	}
+
 	@Override
 	public GroupRouter router() {
 		return this.router;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardingHandler.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ForwardingHandler.java
@@ -55,12 +55,12 @@
 					"this daemon knows no members of the group");
 		}
 		if (request.transaction() == null) {
-			return this.service.openForwarded(request.route()).run(request);
+			return this.service.openForwarded(request.route(), request.account()).run(request);
 		}
 		long number = request.transaction().number();
 		ForwardedSession session = this.transactions.get(number);
 		if (request.transaction().first() && session == null) {
-			session = this.service.openForwarded(request.route());
+			session = this.service.openForwarded(request.route(), request.account());
 			this.transactions.put(number, session);
 		}
 		if (session == null || session.isEnded()) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberConnector.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberConnector.java
@@ -5,6 +5,7 @@
 
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.log.LogEvent;
+import org.magnolialead.engine.account.AccountAccess;
 import org.magnolialead.engine.session.ConnectBackoff;
 import org.magnolialead.engine.session.ConnectionPurpose;
 import org.magnolialead.engine.session.MemberPath;
@@ -113,7 +114,9 @@
 		PooledConnection connection = new PooledConnection(this.pool, relay != null);
 		MemberDescription member = this.pool.member();
 		try {
-			this.context.dialer().dial(member, relay, (result) -> dialFinished(connection, result), connection);
+			this.context.dialer()
+				.dial(member, relay, AccountAccess.NO_ACCOUNT, (result) -> dialFinished(connection, result),
+						connection);
 		}
 		catch (RuntimeException ex) {
 			LogEvent.MEMBER_UNREACHABLE.log(LOGGER, ex, member.group(), member.member(), ex);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberDialer.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberDialer.java
@@ -16,10 +16,12 @@
 	 * @param member the member
 	 * @param relay peer address of the daemon that relays the connection, or {@code null}
 	 * for a direct connection
+	 * @param account client account for which the connection is used, or an empty string
 	 * @param handler receives the result on the serial executor of the sessions
 	 * @param listener receives the events of the opened connection on the same executor
 	 */
-	void dial(MemberDescription member, String relay, Consumer<DialResult> handler, MemberChannelListener listener);
+	void dial(MemberDescription member, String relay, String account, Consumer<DialResult> handler,
+			MemberChannelListener listener);
 
 	/**
 	 * Parses the answer to a status command.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
@@ -79,6 +79,13 @@
 		this.registry.counter("alignments.round-trips").inc(roundTrips);
 	}
 
+	/**
+	 * Counts a session that was refused because its key belongs to no client account.
+	 */
+	void sessionNotAuthorized() {
+		this.registry.counter("sessions.not-authorized").inc();
+	}
+
 	/**
 	 * Counts a reply that a member has sent before on the same connection.
 	 */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.Future;
@@ -14,9 +15,12 @@
 import java.util.function.LongSupplier;
 
 import org.magnolialead.api.FleetView;
+import org.magnolialead.api.KeyDigest;
 import org.magnolialead.api.MonotonicClock;
 import org.magnolialead.api.Route;
 import org.magnolialead.api.RouteTable;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.engine.account.AccountAccess;
 import org.magnolialead.engine.session.SessionLimits;
 import org.magnolialead.engine.session.SessionMemory;
 import org.magnolialead.engine.session.SuspensionDetector;
@@ -62,6 +66,8 @@
 
 	private volatile RouteTable routes = RouteTable.EMPTY;
 
+	private AccountAccess accountAccess = new AccountAccess(null);
+
 	/**
 	 * Creates a service without groups, with the default limits of sessions.
 	 * @param daemon name of this daemon
@@ -118,8 +124,13 @@
 	}
 
 	private void applyView(FleetView view) {
+		RouteTable before = this.routes;
 		this.routes = view.configuration().routes();
 		this.context.forwarder().update(view);
+		if (!Objects.equals(before.accounts(), this.routes.accounts())) {
+			this.accountAccess = new AccountAccess(this.routes.accounts());
+			List.copyOf(this.sessions).forEach(ClientSession::endIfAccessRevoked);
+		}
 		if (isServing()) {
 			List<Runnable> tasks = List.copyOf(this.tasksWaitingForRoutes);
 			this.tasksWaitingForRoutes.clear();
@@ -144,16 +155,32 @@
 	/**
 	 * Opens a session.
 	 * @param database name of the database
+	 * @param key digest of the key that the client sent
 	 * @param channel connection to the client
-	 * @return the session, or empty if no route for the database exists
+	 * @return the session, or the reason of its refusal
 	 */
-	public Optional<ClientSession> open(String database, ClientChannel channel) {
-		if (this.routes.route(database).isEmpty()) {
-			return Optional.empty();
+	public SessionOpening open(String database, KeyDigest key, ClientChannel channel) {
+		Optional<Route> route = this.routes.route(database);
+		if (route.isEmpty()) {
+			return SessionOpening.refused(StatementError.UNKNOWN_DATABASE);
 		}
-		ClientSession session = new ClientSession(this, channel, database);
+		if (account(key, route.get()).isEmpty()) {
+			this.metrics.sessionNotAuthorized();
+			return SessionOpening.refused(StatementError.NOT_AUTHORIZED);
+		}
+		ClientSession session = new ClientSession(this, channel, database, key);
 		this.sessions.add(session);
-		return Optional.of(session);
+		return new SessionOpening(session, null);
+	}
+
+	/**
+	 * Returns the client account of a session under the configuration in force.
+	 * @param key digest of the key that the client sent
+	 * @param route route of the session
+	 * @return name of the account, or empty if the client may not use the database
+	 */
+	Optional<String> account(KeyDigest key, Route route) {
+		return this.accountAccess.account(key, route);
 	}
 
 	/**
@@ -217,8 +244,8 @@
 		return known != null && !known.pools().isEmpty();
 	}
 
-	ForwardedSession openForwarded(Route route) {
-		ForwardedSession session = new ForwardedSession(this, route);
+	ForwardedSession openForwarded(Route route, String account) {
+		ForwardedSession session = new ForwardedSession(this, route, account);
 		this.forwardedSessions.add(session);
 		return session;
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementSession.java
@@ -17,6 +17,12 @@
 
 	Route route();
 
+	/**
+	 * Returns the client account on whose behalf the current transaction runs.
+	 * @return name of the account, or an empty string if there is none
+	 */
+	String account();
+
 	GroupRouter router();
 
 	StatementLog statementLog();
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ClientSessionTests.java
@@ -1,5 +1,6 @@
 package org.magnolialead.daemon.session;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.magnolialead.api.FleetView;
 import org.magnolialead.api.FreshnessRule;
 import org.magnolialead.api.GroupView;
+import org.magnolialead.api.KeyDigest;
 import org.magnolialead.api.Route;
 import org.magnolialead.api.RouteTable;
 import org.magnolialead.api.session.SessionState;
@@ -418,7 +420,9 @@
 		@Test
 		void clientWaitsUntilRoutesAreKnown() {
 			List<Boolean> found = new ArrayList<>();
-			this.starting.whenServing(() -> found.add(this.starting.open("primary", new IgnoredChannel()).isPresent()));
+			this.starting.whenServing(() -> found
+				.add(this.starting.open("primary", KeyDigest.of("key", StandardCharsets.US_ASCII), new IgnoredChannel())
+					.refusal() == null));
 			assertThat(found).isEmpty();
 			this.starting.viewChanged(view(ClientSessionTests.this.group.view("", 0, ""), 1));
 			ClientSessionTests.this.loop.advance(1);
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -103,7 +103,7 @@
 	}
 
 	@Override
-	public void dial(MemberDescription description, String relay, Consumer<DialResult> handler,
+	public void dial(MemberDescription description, String relay, String account, Consumer<DialResult> handler,
 			MemberChannelListener listener) {
 		if (this.dialsThrow) {
 			throw new IllegalStateException("dial");
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/OwnedGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/OwnedGroup.java
@@ -81,7 +81,7 @@
 		GroupView view = this.group.view(DAEMON, EPOCH, "a", leaving);
 		Route route = new Route("primary", FakeGroup.NAME, FreshnessRule.LATEST, 0, 0, 800);
 		RouteTable table = new RouteTable(1, Map.of("primary", route), Map.of(FakeGroup.NAME, 18),
-				Map.of(FakeGroup.NAME, synchronousReplicas), 3_000, "");
+				Map.of(FakeGroup.NAME, synchronousReplicas), 3_000, null, "");
 		FleetConfiguration initial = FleetConfiguration.initial();
 		FleetConfiguration configuration = new FleetConfiguration(1, initial.profiles(), initial.rankFloors(),
 				initial.queueLimit(), table);
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionSimulationTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionSimulationTests.java
@@ -107,7 +107,7 @@
 		private void start() {
 			Route route = new Route("primary", SimulatedReplication.NAME, FreshnessRule.LATEST, 0, 0, 800);
 			apply(new ControlCommand.ReplaceRoutes(new RouteTable(1, Map.of("primary", route),
-					Map.of(SimulatedReplication.NAME, 30), Map.of(SimulatedReplication.NAME, 1), 3_000, "")));
+					Map.of(SimulatedReplication.NAME, 30), Map.of(SimulatedReplication.NAME, 1), 3_000, null, "")));
 			for (int number = 1; number <= 3; number++) {
 				addMember();
 			}
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/SimulatedReplication.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/SimulatedReplication.java
@@ -179,7 +179,7 @@
 	}
 
 	@Override
-	public void dial(MemberDescription description, String relay, Consumer<DialResult> handler,
+	public void dial(MemberDescription description, String relay, String account, Consumer<DialResult> handler,
 			MemberChannelListener listener) {
 		afterLatency(() -> {
 			Member member = this.members.get(description.member());
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/StatementForwardingTests.java
@@ -273,9 +273,9 @@
 		@Test
 		void transactionOfASilentDaemonIsRolledBack() {
 			ForwardedSession session = StatementForwardingTests.this.fleet.holder()
-				.openForwarded(
-						StatementForwardingTests.this.fleet.forwarding().routes().route("primary").orElseThrow());
-			session.run(new ForwardStatementRequest(session.route(), Map.of(), LogPosition.NONE, "id", Action.WRITE,
+				.openForwarded(StatementForwardingTests.this.fleet.forwarding().routes().route("primary").orElseThrow(),
+						"");
+			session.run(new ForwardStatementRequest(session.route(), "", Map.of(), LogPosition.NONE, "id", Action.WRITE,
 					"WRITE 1 x", null, new TransactionScope(1, true, false), 500_000));
 			StatementForwardingTests.this.loop.advance(3_500);
 			assertThat(StatementForwardingTests.this.group.member("a").openTransactions()).isOne();
@@ -302,8 +302,8 @@
 
 		private ForwardStatementRequest statement(String identifier, String text, boolean first) {
 			Route route = StatementForwardingTests.this.fleet.forwarding().routes().route("primary").orElseThrow();
-			return new ForwardStatementRequest(route, Map.of(), LogPosition.NONE, identifier, Action.WRITE, text, null,
-					new TransactionScope(1, first, false), 500_000);
+			return new ForwardStatementRequest(route, "", Map.of(), LogPosition.NONE, identifier, Action.WRITE, text,
+					null, new TransactionScope(1, first, false), 500_000);
 		}
 
 		/**
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/TestClient.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/TestClient.java
@@ -1,8 +1,10 @@
 package org.magnolialead.daemon.session;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
+import org.magnolialead.api.KeyDigest;
 import org.magnolialead.api.session.StatementReply;
 
 /**
@@ -23,8 +25,12 @@
 	private int statements;
 
 	TestClient(ManualLoop loop, SessionService service, String database) {
+		this(loop, service, database, "key");
+	}
+
+	TestClient(ManualLoop loop, SessionService service, String database, String key) {
 		this.loop = loop;
-		this.session = service.open(database, this).orElseThrow();
+		this.session = service.open(database, KeyDigest.of(key, StandardCharsets.US_ASCII), this).session();
 	}
 
 	/**
--- /dev/null
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/account/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions about client accounts.
+ */
+package org.magnolialead.engine.account;
