--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ConnectionRequest.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ConnectionRequest.java
@@ -15,6 +15,8 @@
 
 	private final Route route;
 
+	private final String account;
+
 	private final ReadPlan plan;
 
 	private final Map<String, String> sessionVariables;
@@ -38,6 +40,7 @@
 	/**
 	 * Creates a request.
 	 * @param route route of the session
+	 * @param account client account of the session, or an empty string
 	 * @param plan members on which the statement may run
 	 * @param sessionVariables variables of the session by name
 	 * @param deadline time in nanoseconds by which the statement must be answered
@@ -50,10 +53,11 @@
 	 * @param onGranted receives the connection, which is reserved for the caller
 	 * @param onRefused receives the error if the request is refused
 	 */
-	ConnectionRequest(Route route, ReadPlan plan, Map<String, String> sessionVariables, long deadline,
+	ConnectionRequest(Route route, String account, ReadPlan plan, Map<String, String> sessionVariables, long deadline,
 			long unavailableMemberTimeoutAt, long queueTimeoutAt, MemberPool avoided,
 			Consumer<PooledConnection> onGranted, Consumer<StatementError> onRefused) {
 		this.route = route;
+		this.account = account;
 		this.plan = plan;
 		this.sessionVariables = sessionVariables;
 		this.deadline = deadline;
@@ -64,6 +68,10 @@
 		this.onRefused = onRefused;
 	}
 
+	String account() {
+		return this.account;
+	}
+
 	ReadPlan plan() {
 		return this.plan;
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
@@ -102,9 +102,9 @@
 		this.attempts++;
 		ReadPlan plan = (this.writes || this.primaryOnly) ? ReadPlan.PRIMARY
 				: this.session.readPlan(this.statement.receivedAt());
-		this.connectionRequest = new ConnectionRequest(this.session.route(), plan, this.session.sessionVariables(),
-				this.deadline, this.unavailableMemberTimeoutAt, this.queueTimeoutAt, avoided,
-				(connection) -> connectionGranted(connection, plan), this::requestRefused);
+		this.connectionRequest = new ConnectionRequest(this.session.route(), this.session.account(), plan,
+				this.session.sessionVariables(), this.deadline, this.unavailableMemberTimeoutAt, this.queueTimeoutAt,
+				avoided, (connection) -> connectionGranted(connection, plan), this::requestRefused);
 		this.session.router().submit(this.connectionRequest);
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberTransaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberTransaction.java
@@ -84,9 +84,10 @@
 	private void attempt() {
 		this.attempts++;
 		ReadPlan plan = (this.readOnly && !this.primaryOnly) ? this.session.readPlan(this.begunAt) : ReadPlan.PRIMARY;
-		this.connectionRequest = new ConnectionRequest(this.session.route(), plan, this.session.sessionVariables(),
-				this.pendingStatement.deadline(), this.pendingStatement.unavailableMemberTimeoutAt(),
-				this.pendingStatement.queueTimeoutAt(), null, (granted) -> begin(granted, plan), this::requestRefused);
+		this.connectionRequest = new ConnectionRequest(this.session.route(), this.session.account(), plan,
+				this.session.sessionVariables(), this.pendingStatement.deadline(),
+				this.pendingStatement.unavailableMemberTimeoutAt(), this.pendingStatement.queueTimeoutAt(), null,
+				(granted) -> begin(granted, plan), this::requestRefused);
 		this.session.router().submit(this.connectionRequest);
 	}
 
