--- a/magnolialead-api/src/main/java/org/magnolialead/api/KeyDigest.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/KeyDigest.java
@@ -14,6 +14,11 @@
  */
 public record KeyDigest(String value) {
 
+	/**
+	 * Digest of a client whose key is not needed. It differs from those of all keys.
+	 */
+	public static final KeyDigest NONE = new KeyDigest("none");
+
 	/**
 	 * Number of bytes that are kept of a SHA-256 digest. No other key with the same 128
 	 * bits can be found, and the digests are a part of every view that daemons receive.
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -318,6 +318,16 @@
 		return !needsPrimary() && this.pools.values().stream().noneMatch(MemberPool::hasOpenOrDialing);
 	}
 
+	/**
+	 * Tells whether nothing waits for the next tick. Connections are still maintained,
+	 * which may take longer.
+	 * @return {@code true} without waiting requests, and with a primary if this daemon
+	 * has to know one
+	 */
+	boolean isQuiet() {
+		return this.waitingRequests.isEmpty() && (!needsPrimary() || primary().isPresent());
+	}
+
 	/**
 	 * Tells whether this daemon has to know the primary of the group. In a large fleet it
 	 * does not for most groups, and looking for the primary would open connections to all
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -35,8 +35,8 @@
 
 	private static final long TICK_MILLISECONDS = 20;
 
-	/** Interval of the periodic work while no group needs any. */
-	private static final long REST_TICK_MILLISECONDS = 100;
+	/** Interval of the periodic work while nothing waits for it. */
+	private static final long QUIET_TICK_MILLISECONDS = 100;
 
 	private static final long METRICS_UPDATE_MILLISECONDS = 500;
 
@@ -62,7 +62,7 @@
 
 	private Future<?> nextTick;
 
-	private boolean atRest;
+	private boolean quiet;
 
 	private volatile RouteTable routes = RouteTable.EMPTY;
 
@@ -152,10 +152,19 @@
 		return this.routes.number() > 0;
 	}
 
+	/**
+	 * Tells whether the configuration has client accounts.
+	 * @return {@code false} if clients need no key
+	 */
+	public boolean hasAccounts() {
+		return this.routes.accounts() != null;
+	}
+
 	/**
 	 * Opens a session.
 	 * @param database name of the database
-	 * @param key digest of the key that the client sent
+	 * @param key digest of the key that the client sent, {@link KeyDigest#NONE} if there
+	 * are no client accounts
 	 * @param channel connection to the client
 	 * @return the session, or the reason of its refusal
 	 */
@@ -307,14 +316,14 @@
 	}
 
 	private void scheduleTick() {
-		this.atRest = this.routers.values().stream().allMatch(GroupRouter::isAtRest);
-		long delay = this.atRest ? REST_TICK_MILLISECONDS : TICK_MILLISECONDS;
+		this.quiet = this.routers.values().stream().allMatch(GroupRouter::isQuiet);
+		long delay = this.quiet ? QUIET_TICK_MILLISECONDS : TICK_MILLISECONDS;
 		this.nextTick = this.context.schedule(TimeUnit.MILLISECONDS.toNanos(delay), this::tick);
 	}
 
 	// Requests time out with a tick.
 	private void requestQueued() {
-		if (this.atRest) {
+		if (this.quiet) {
 			this.nextTick.cancel(false);
 			scheduleTick();
 		}
