--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -14,6 +14,9 @@
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.session.SessionState;
 import org.magnolialead.api.session.StatementError;
+import org.magnolialead.engine.account.AccountAccess;
+import org.magnolialead.engine.session.ConnectionLimits;
+import org.magnolialead.engine.session.ConnectionSelection;
 import org.magnolialead.engine.session.ConnectionShare;
 import org.magnolialead.engine.session.PrimaryProgress;
 import org.magnolialead.engine.session.QueueAdmission;
@@ -50,6 +53,8 @@
 
 	private ConnectionShare share;
 
+	private boolean byAccount;
+
 	private long lastSequenceNumber;
 
 	private boolean dispatching;
@@ -109,9 +114,12 @@
 	 * Applies the current view of the group.
 	 * @param view the view
 	 * @param connectionShare share of this daemon in the connections to the members
+	 * @param accountsConfigured whether clients have accounts, whose connections are
+	 * separated
 	 */
-	void viewChanged(GroupView view, ConnectionShare connectionShare) {
+	void viewChanged(GroupView view, ConnectionShare connectionShare, boolean accountsConfigured) {
 		this.share = connectionShare;
+		this.byAccount = accountsConfigured;
 		for (MemberDescription member : view.allMembers()) {
 			MemberPool pool = this.pools.get(member.member());
 			if (pool != null && isOtherProcess(pool.member(), member)) {
@@ -123,7 +131,8 @@
 				this.pools.put(member.member(), pool);
 			}
 			boolean mayBePrimary = member.member().equals(view.primary()) || member.reportsPrimary();
-			pool.update(member, connectionShare.permanent(), connectionShare.maximum(mayBePrimary));
+			pool.update(member, new ConnectionLimits(connectionShare.permanent(), connectionShare.maximum(mayBePrimary),
+					accountsConfigured));
 		}
 		List.copyOf(this.pools.values())
 			.stream()
@@ -250,31 +259,55 @@
 			.filter((pool) -> pool.isUsable() && pool != primary && pool != request.avoided() && !pool.isBehind(now)
 					&& pool.permits(request))
 			.sorted(Comparator.comparingLong(MemberPool::expectedReadNanoseconds))
-			.map((pool) -> pool.free(request.sessionVariables()))
+			.map((pool) -> pool.free(request.account(), request.sessionVariables()))
 			.flatMap(Optional::stream)
 			.findFirst();
 		if (free.isPresent()) {
 			return free;
 		}
-		this.pools.values()
-			.stream()
-			.filter((pool) -> pool.isUsable() && pool.free(request.sessionVariables()).isEmpty())
-			.forEach(MemberPool::dialForWaiting);
+		if (this.byAccount || !request.account().isEmpty()) {
+			dialForRead(request);
+		}
+		else {
+			this.pools.values()
+				.stream()
+				.filter((pool) -> pool.isUsable() && pool.free(request.account(), request.sessionVariables()).isEmpty())
+				.forEach((pool) -> pool.dialForWaiting(request.account()));
+		}
 		boolean primaryMayServe = primary != null && primary.isUsable() && primary.permits(request);
-		return primaryMayServe ? primary.free(request.sessionVariables()) : Optional.empty();
+		return primaryMayServe ? primary.free(request.account(), request.sessionVariables()) : Optional.empty();
+	}
+
+	// A connection costs a member more than the read, so only one is opened.
+	private void dialForRead(ConnectionRequest request) {
+		long now = now();
+		MemberPool primary = primary().orElse(null);
+		List<MemberPool> replicas = this.pools.values()
+			.stream()
+			.filter((pool) -> pool.isUsable() && pool != primary && pool != request.avoided() && !pool.isBehind(now)
+					&& pool.permits(request))
+			.toList();
+		replicas.stream().filter(MemberPool::isUnreachable).forEach((pool) -> pool.dialForProbe(request.account()));
+		ConnectionSelection.replicaToDial(replicas, request.account())
+			.ifPresent((pool) -> pool.dialForWaiting(request.account()));
+		boolean primaryNeeded = primary != null && primary.isUsable() && primary.permits(request)
+				&& ConnectionSelection.needsPrimary(replicas, request.account());
+		if (primaryNeeded && primary.free(request.account(), request.sessionVariables()).isEmpty()) {
+			primary.dialForWaiting(request.account());
+		}
 	}
 
 	private Optional<PooledConnection> freeConnectionOrDial(MemberPool pool, ConnectionRequest request) {
 		if (pool == null) {
-			this.primaryTracker.probeAll();
+			this.primaryTracker.probeAll(request.account());
 			return Optional.empty();
 		}
 		if (!pool.permits(request)) {
 			return Optional.empty();
 		}
-		Optional<PooledConnection> free = pool.free(request.sessionVariables());
+		Optional<PooledConnection> free = pool.free(request.account(), request.sessionVariables());
 		if (free.isEmpty()) {
-			pool.dialForWaiting();
+			pool.dialForWaiting(request.account());
 		}
 		return free;
 	}
@@ -303,7 +336,7 @@
 			pool.closeIdleAdditional();
 		}
 		if (primary().isEmpty() && needsPrimary()) {
-			this.primaryTracker.probeAll();
+			this.primaryTracker.probeAll(waitingAccount());
 		}
 		dispatch();
 	}
@@ -328,6 +361,14 @@
 		return this.share == null || this.share.followsPrimary() || !this.waitingRequests.isEmpty();
 	}
 
+	/**
+	 * Returns the client account for which a connection is needed next.
+	 * @return account of the first waiting request, or an empty string if none waits
+	 */
+	String waitingAccount() {
+		return this.waitingRequests.isEmpty() ? AccountAccess.NO_ACCOUNT : this.waitingRequests.first().account();
+	}
+
 	private void refuse(ConnectionRequest request, StatementError error) {
 		this.waitingRequests.remove(request);
 		if (!request.isCancelled()) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberConnector.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberConnector.java
@@ -1,13 +1,17 @@
 package org.magnolialead.daemon.session;
 
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.log.LogEvent;
-import org.magnolialead.engine.account.AccountAccess;
 import org.magnolialead.engine.session.ConnectBackoff;
 import org.magnolialead.engine.session.ConnectionPurpose;
+import org.magnolialead.engine.session.ConnectionSelection;
+import org.magnolialead.engine.session.DialProgress;
 import org.magnolialead.engine.session.MemberPath;
 
 /**
@@ -26,9 +30,8 @@
 
 	private final ConnectBackoff backoff;
 
-	private int dialingDirect;
-
-	private int dialingRelayed;
+	/** Attempts in progress with the times in nanoseconds at which they have started. */
+	private final Map<PooledConnection, Long> attempts = new LinkedHashMap<>();
 
 	MemberConnector(MemberPool pool, SessionContext context) {
 		this.pool = pool;
@@ -42,46 +45,82 @@
 	}
 
 	boolean isDialing() {
-		return this.dialingDirect + this.dialingRelayed > 0;
+		return !this.attempts.isEmpty();
 	}
 
 	/**
-	 * Returns the number of attempts in progress that are expected to open a connection.
-	 * While the direct path is down, a direct attempt may take until its timeout and must
-	 * not delay relayed connections, so it is not counted.
-	 * @return the number of attempts
+	 * Returns the client accounts of the attempts in progress that are expected to open a
+	 * connection. While the direct path is down, a direct attempt may take until its
+	 * timeout and must not delay relayed connections, so it is not counted.
+	 * @return the account of each attempt
 	 */
-	int dialing() {
-		return this.path.isDirectPathDown() ? this.dialingRelayed : this.dialingDirect + this.dialingRelayed;
+	List<String> dialing() {
+		return this.attempts.keySet().stream().filter(this::isExpectedToOpen).map(PooledConnection::account).toList();
+	}
+
+	private boolean isExpectedToOpen(PooledConnection attempt) {
+		return attempt.isRelayed() || !this.path.isDirectPathDown();
+	}
+
+	/**
+	 * Returns the progress of the attempt for a client account.
+	 * @param account name of the account, or an empty string
+	 * @return the progress of the attempt that started last
+	 */
+	DialProgress dialProgress(String account) {
+		OptionalLong startedAt = this.attempts.entrySet()
+			.stream()
+			.filter((attempt) -> isExpectedToOpen(attempt.getKey()) && attempt.getKey().account().equals(account))
+			.mapToLong(Map.Entry::getValue)
+			.reduce((earlier, later) -> later);
+		if (startedAt.isEmpty()) {
+			return DialProgress.NONE;
+		}
+		boolean late = this.context.now() - startedAt.getAsLong() > ConnectionSelection.LATE_DIAL_NANOSECONDS;
+		return late ? DialProgress.LATE : DialProgress.IN_TIME;
+	}
+
+	/**
+	 * Tells whether {@link #dial} would open a connection now.
+	 * @param purpose purpose of the connection
+	 * @return {@code false} while attempts are delayed
+	 */
+	boolean permits(ConnectionPurpose purpose) {
+		return this.backoff.permits(purpose, this.context.now())
+				&& (nextRelay(relays()).isPresent() || !isDialingDirect() || !this.path.isDirectPathDown());
 	}
 
 	/**
 	 * Starts to open a connection unless attempts are delayed.
 	 * @param purpose purpose of the connection
+	 * @param account client account that it will serve, or an empty string
 	 */
-	void dial(ConnectionPurpose purpose) {
-		if (!this.backoff.permits(purpose, this.context.now())) {
+	void dial(ConnectionPurpose purpose, String account) {
+		if (!permits(purpose)) {
 			return;
 		}
 		List<String> relays = relays();
-		OptionalInt relay = this.path.nextRelay(relays.size(), this.dialingDirect > 0, this.context.now());
-		if (relay.isPresent()) {
-			this.dialingRelayed++;
-			open(relays.get(relay.getAsInt()));
-		}
-		else if (this.dialingDirect == 0 || !this.path.isDirectPathDown()) {
-			dialDirect();
-		}
+		OptionalInt relay = nextRelay(relays);
+		open(relay.isPresent() ? relays.get(relay.getAsInt()) : null, account);
+	}
+
+	private OptionalInt nextRelay(List<String> relays) {
+		return this.path.nextRelay(relays.size(), isDialingDirect(), this.context.now());
+	}
+
+	private boolean isDialingDirect() {
+		return this.attempts.keySet().stream().anyMatch((attempt) -> !attempt.isRelayed());
 	}
 
 	/**
 	 * Tries the direct path again if connections are relayed and the retry interval has
 	 * passed.
+	 * @param account client account that the connection will serve, or an empty string
 	 */
-	void tryDirectPath() {
+	void tryDirectPath(String account) {
 		boolean relaying = this.path.isDirectPathDown() && !relays().isEmpty();
-		if (relaying && this.path.isDirectAttemptDue(this.context.now()) && this.dialingDirect == 0) {
-			dialDirect();
+		if (relaying && this.path.isDirectAttemptDue(this.context.now()) && !isDialingDirect()) {
+			open(null, account);
 		}
 	}
 
@@ -104,19 +143,14 @@
 		return this.context.forwarder().relays(this.pool.member().group());
 	}
 
-	private void dialDirect() {
-		this.dialingDirect++;
-		open(null);
-	}
-
-	private void open(String relay) {
+	private void open(String relay, String account) {
 		this.pool.requestSent();
-		PooledConnection connection = new PooledConnection(this.pool, relay != null);
+		PooledConnection connection = new PooledConnection(this.pool, relay != null, account);
+		this.attempts.put(connection, this.context.now());
 		MemberDescription member = this.pool.member();
 		try {
 			this.context.dialer()
-				.dial(member, relay, AccountAccess.NO_ACCOUNT, (result) -> dialFinished(connection, result),
-						connection);
+				.dial(member, relay, account, (result) -> dialFinished(connection, result), connection);
 		}
 		catch (RuntimeException ex) {
 			LogEvent.MEMBER_UNREACHABLE.log(LOGGER, ex, member.group(), member.member(), ex);
@@ -126,14 +160,13 @@
 	}
 
 	private void dialFinished(PooledConnection connection, MemberDialer.DialResult result) {
+		this.attempts.remove(connection);
 		this.pool.dialFinished();
 		boolean pathWorks = result.channel() != null || result.error().isPathWorking();
 		if (connection.isRelayed()) {
-			this.dialingRelayed--;
 			relayDialFinished(pathWorks);
 		}
 		else {
-			this.dialingDirect--;
 			directDialFinished(pathWorks);
 		}
 		if (result.channel() != null) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +12,13 @@
 
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.log.LogEvent;
+import org.magnolialead.engine.account.AccountAccess;
+import org.magnolialead.engine.session.ConnectionLimits;
 import org.magnolialead.engine.session.ConnectionPurpose;
+import org.magnolialead.engine.session.ConnectionSelection;
+import org.magnolialead.engine.session.DialCandidate;
+import org.magnolialead.engine.session.DialDecision;
+import org.magnolialead.engine.session.DialProgress;
 import org.magnolialead.engine.session.FailureShare;
 import org.magnolialead.engine.session.OverloadBackoff;
 import org.magnolialead.engine.session.PrimaryHealth;
@@ -22,7 +27,7 @@
 /**
  * Pool of the connections of this daemon to one database member.
  */
-final class MemberPool {
+final class MemberPool implements DialCandidate {
 
 	private static final System.Logger LOGGER = System.getLogger(MemberPool.class.getName());
 
@@ -54,9 +59,7 @@
 
 	private MemberDescription member;
 
-	private int permanentConnections = 1;
-
-	private int maximumConnections = 1;
+	private ConnectionLimits limits = new ConnectionLimits(1, 1, false);
 
 	private final OverloadBackoff overloadBackoff = new OverloadBackoff();
 
@@ -105,7 +108,8 @@
 	 * choose among the members.
 	 * @return the time in nanoseconds, longer if the member fails a part of its work
 	 */
-	long expectedReadNanoseconds() {
+	@Override
+	public long expectedReadNanoseconds() {
 		return this.failureShare.expectedNanoseconds(this.serviceNanoseconds, now());
 	}
 
@@ -128,13 +132,11 @@
 	/**
 	 * Applies the current description of the member.
 	 * @param description the description
-	 * @param permanent number of permanent connections of this daemon
-	 * @param maximum maximum number of connections of this daemon
+	 * @param connectionLimits numbers of connections of this daemon
 	 */
-	void update(MemberDescription description, int permanent, int maximum) {
+	void update(MemberDescription description, ConnectionLimits connectionLimits) {
 		this.member = description;
-		this.permanentConnections = permanent;
-		this.maximumConnections = maximum;
+		this.limits = connectionLimits;
 	}
 
 	/**
@@ -188,7 +190,8 @@
 	 * @return {@code true} if it did not answer in time or too many consecutive
 	 * connections failed
 	 */
-	boolean isUnreachable() {
+	@Override
+	public boolean isUnreachable() {
 		return this.health.isFailed(now());
 	}
 
@@ -201,14 +204,23 @@
 	}
 
 	/**
-	 * Returns the free connection whose alignment with a session takes the fewest steps.
+	 * Returns the free connection of an account whose alignment with a session takes the
+	 * fewest steps.
+	 * @param account name of the account, or an empty string
 	 * @param sessionVariables variables of the session by name
 	 * @return the connection, not yet acquired, or empty if none is free
 	 */
-	Optional<PooledConnection> free(Map<String, String> sessionVariables) {
-		return this.connections.stream()
-			.filter(PooledConnection::isFree)
-			.min(Comparator.comparingInt((connection) -> connection.alignmentCost(sessionVariables)));
+	Optional<PooledConnection> free(String account, Map<String, String> sessionVariables) {
+		return ConnectionSelection.toUse(this.connections, account, sessionVariables);
+	}
+
+	/**
+	 * Returns a free connection for a command of this daemon itself, which belongs to no
+	 * account.
+	 * @return the connection, not yet acquired, or empty if none is free
+	 */
+	Optional<PooledConnection> freeForInternalCommand() {
+		return ConnectionSelection.forInternalCommand(this.connections);
 	}
 
 	/**
@@ -220,7 +232,7 @@
 		this.prioritizedUsers.add(user);
 		grantToPrioritizedUsers();
 		if (this.prioritizedUsers.contains(user)) {
-			dialForWaiting();
+			dialForWaiting(AccountAccess.NO_ACCOUNT);
 		}
 	}
 
@@ -235,7 +247,7 @@
 
 	private void grantToPrioritizedUsers() {
 		while (!this.prioritizedUsers.isEmpty()) {
-			Optional<PooledConnection> free = free(Map.of());
+			Optional<PooledConnection> free = freeForInternalCommand();
 			if (free.isEmpty()) {
 				return;
 			}
@@ -248,18 +260,21 @@
 	 * Opens a connection if fewer than the permanent ones are open.
 	 */
 	void dialPermanent() {
-		if (openOrDialing() < this.permanentConnections) {
-			dial(firstOrHeld());
+		if (openOrDialing() < this.limits.openedInAdvance()) {
+			dial(this.connections.isEmpty() ? ConnectionPurpose.FIRST : ConnectionPurpose.HELD,
+					AccountAccess.NO_ACCOUNT);
 		}
 	}
 
 	/**
 	 * Opens a connection to probe the member. If connections exist and are only in use,
 	 * it opens no additional one.
+	 * @param account client account on whose behalf the member is probed, or an empty
+	 * string
 	 */
-	void dialForProbe() {
-		if (this.connections.isEmpty()) {
-			dialForWaiting();
+	void dialForProbe(String account) {
+		if (this.connections.isEmpty() && (!this.limits.byAccount() || openOrDialing() == 0)) {
+			dialForWaiting(account);
 		}
 		else {
 			dialPermanent();
@@ -269,20 +284,44 @@
 	/**
 	 * Opens a connection because requests are waiting. The first connection does not
 	 * count as additional: if there are more daemons than permanent connections, each
-	 * daemon opens its first one when it has requests.
+	 * daemon opens its first one when it has requests. Idle connections of other accounts
+	 * are closed if the maximum would be exceeded.
+	 * @param account client account of the requests, or an empty string
 	 */
-	void dialForWaiting() {
-		int total = openOrDialing();
-		if (total < Math.max(1, this.permanentConnections)) {
-			dial(firstOrHeld());
-		}
-		else if (total < this.maximumConnections && total == this.connections.size()) {
-			dial(ConnectionPurpose.ADDITIONAL);
+	void dialForWaiting(String account) {
+		DialDecision<PooledConnection> decision = dialDecision(account);
+		if (!decision.dials() || this.closed || !this.connector.permits(decision.purpose())) {
+			return;
 		}
+		decision.evicted().forEach(this::evict);
+		dial(decision.purpose(), account);
 	}
 
-	private ConnectionPurpose firstOrHeld() {
-		return this.connections.isEmpty() ? ConnectionPurpose.FIRST : ConnectionPurpose.HELD;
+	private DialDecision<PooledConnection> dialDecision(String account) {
+		return ConnectionSelection.toDial(this.connections, this.connector.dialing(), account, this.limits);
+	}
+
+	// Removed first, so that no other request takes the place in the meantime.
+	private void evict(PooledConnection connection) {
+		this.connections.remove(connection);
+		connection.discard();
+		metrics().connectionEvicted();
+	}
+
+	@Override
+	public boolean hasRoomFor(String account) {
+		return dialDecision(account).dials();
+	}
+
+	@Override
+	public boolean permitsDial(String account) {
+		DialDecision<PooledConnection> decision = dialDecision(account);
+		return this.connector.permits(decision.dials() ? decision.purpose() : ConnectionPurpose.HELD);
+	}
+
+	@Override
+	public DialProgress dialProgress(String account) {
+		return this.connector.dialProgress(account);
 	}
 
 	/**
@@ -291,17 +330,25 @@
 	 */
 	void tryDirectPath() {
 		if (isUsable()) {
-			this.connector.tryDirectPath();
+			this.connector.tryDirectPath(latestAccount());
 		}
 	}
 
+	// The direct connection replaces a relayed one.
+	private String latestAccount() {
+		return this.connections.stream()
+			.reduce((left, right) -> (right.releasedAt() - left.releasedAt() > 0) ? right : left)
+			.map(PooledConnection::account)
+			.orElse(AccountAccess.NO_ACCOUNT);
+	}
+
 	private int openOrDialing() {
-		return this.connections.size() + this.connector.dialing();
+		return this.connections.size() + this.connector.dialing().size();
 	}
 
-	private void dial(ConnectionPurpose purpose) {
+	private void dial(ConnectionPurpose purpose, String account) {
 		if (!this.closed) {
-			this.connector.dial(purpose);
+			this.connector.dial(purpose, account);
 		}
 	}
 
@@ -343,12 +390,25 @@
 			return;
 		}
 		this.health.responseReceived();
+		metrics().connectionOpened();
 		connection.opened(channel, now());
 		this.connections.add(connection);
+		closeExcess();
 		grantToPrioritizedUsers();
 		this.router.dispatch();
 	}
 
+	// A direct attempt is not counted while the direct path is down, so it may open one
+	// connection too many.
+	private void closeExcess() {
+		if (this.limits.byAccount() && openOrDialing() > this.limits.maximum()) {
+			ConnectionSelection.leastRecentlyUsed(this.connections, (any) -> true)
+				.stream()
+				.findFirst()
+				.ifPresent(this::evict);
+		}
+	}
+
 	void released(PooledConnection connection, long busyNanoseconds) {
 		this.serviceNanoseconds += (busyNanoseconds - this.serviceNanoseconds) / SMOOTHING_DIVISOR;
 		if (this.closed) {
@@ -370,10 +430,11 @@
 	 */
 	void closeIdleAdditional() {
 		long now = now();
-		while (this.connections.size() > this.permanentConnections) {
-			Optional<PooledConnection> idle = this.connections.stream()
-				.filter((connection) -> connection.isFree()
-						&& now - connection.releasedAt() > ADDITIONAL_IDLE_TIMEOUT_NANOSECONDS)
+		while (this.connections.size() > this.limits.permanent()) {
+			Optional<PooledConnection> idle = ConnectionSelection
+				.leastRecentlyUsed(this.connections,
+						(connection) -> now - connection.releasedAt() > ADDITIONAL_IDLE_TIMEOUT_NANOSECONDS)
+				.stream()
 				.findFirst();
 			if (idle.isEmpty()) {
 				return;
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -11,17 +11,21 @@
 import org.magnolialead.engine.session.ConnectionState;
 import org.magnolialead.engine.session.ConnectionState.AlignmentStep;
 import org.magnolialead.engine.session.PreparedStatement;
+import org.magnolialead.engine.session.SelectableConnection;
 
 /**
- * Member connection that the sessions of this daemon share. It is used exclusively
- * between {@link #acquire(long)} and {@link #release()}.
+ * Member connection that the sessions of one client account share, or all sessions if
+ * there are no accounts. It is used exclusively between {@link #acquire(long)} and
+ * {@link #release()}.
  */
-final class PooledConnection implements MemberChannelListener {
+final class PooledConnection implements MemberChannelListener, SelectableConnection {
 
 	private final MemberPool pool;
 
 	private final boolean relayed;
 
+	private final String account;
+
 	private final ConnectionState state = new ConnectionState();
 
 	private MemberChannel channel;
@@ -34,9 +38,16 @@
 
 	private boolean lossRecorded;
 
-	PooledConnection(MemberPool pool, boolean relayed) {
+	/**
+	 * Creates a connection that is not open yet.
+	 * @param pool connections to the member
+	 * @param relayed whether another daemon relays the connection
+	 * @param account client account that it serves, or an empty string
+	 */
+	PooledConnection(MemberPool pool, boolean relayed, String account) {
 		this.pool = pool;
 		this.relayed = relayed;
+		this.account = account;
 	}
 
 	void opened(MemberChannel openedChannel, long now) {
@@ -56,7 +67,13 @@
 		return this.relayed;
 	}
 
-	boolean isFree() {
+	@Override
+	public String account() {
+		return this.account;
+	}
+
+	@Override
+	public boolean isFree() {
 		return !this.inUse && this.channel.isOpen();
 	}
 
@@ -68,11 +85,13 @@
 		return this.inUse;
 	}
 
-	long releasedAt() {
+	@Override
+	public long releasedAt() {
 		return this.releasedAt;
 	}
 
-	int alignmentCost(Map<String, String> sessionVariables) {
+	@Override
+	public int alignmentCost(Map<String, String> sessionVariables) {
 		return this.state.alignmentCost(sessionVariables);
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PrimaryTracker.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PrimaryTracker.java
@@ -114,7 +114,7 @@
 		this.lostAt = now();
 		LogEvent.SESSION_PRIMARY_LOST.log(LOGGER, this.router.group(), pool.member().member(), cause);
 		if (this.router.needsPrimary()) {
-			probeAll();
+			probeAll(this.router.waitingAccount());
 		}
 	}
 
@@ -148,12 +148,14 @@
 
 	/**
 	 * Probes all members, the expected primary first.
+	 * @param account client account on whose behalf connections are opened, or an empty
+	 * string
 	 */
-	void probeAll() {
+	void probeAll(String account) {
 		List<MemberPool> candidates = new ArrayList<>(this.router.pools());
 		candidates
 			.sort(Comparator.comparing((MemberPool pool) -> !pool.member().member().equals(this.expectedPrimary)));
-		candidates.forEach(this::probe);
+		candidates.forEach((pool) -> probe(pool, account));
 	}
 
 	/**
@@ -162,6 +164,10 @@
 	 * @param pool the member, or {@code null} for none
 	 */
 	void probe(MemberPool pool) {
+		probe(pool, this.router.waitingAccount());
+	}
+
+	private void probe(MemberPool pool, String account) {
 		if (pool == null) {
 			return;
 		}
@@ -170,9 +176,9 @@
 		if (lastProbedAt != null && now - lastProbedAt < PROBE_INTERVAL_NANOSECONDS) {
 			return;
 		}
-		Optional<PooledConnection> free = pool.free(Map.of());
+		Optional<PooledConnection> free = pool.freeForInternalCommand();
 		if (free.isEmpty()) {
-			pool.dialForProbe();
+			pool.dialForProbe(account);
 			return;
 		}
 		this.probedAt.put(pool.member().member(), now);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/RoutedStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/RoutedStatement.java
@@ -47,7 +47,8 @@
 
 	@Override
 	public void start() {
-		Optional<DaemonView> holder = this.session.forwarder().select(this.session.route().group());
+		Optional<DaemonView> holder = this.session.forwarder()
+			.select(this.session.route().group(), this.session.account());
 		this.attempts++;
 		if (holder.isEmpty() || this.attempts > StatementForwarder.MAXIMUM_ATTEMPTS) {
 			this.local = new MemberStatement(this.session, this.statement, this.prepared, this.writes, this.deadline);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/RoutedTransaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/RoutedTransaction.java
@@ -84,7 +84,8 @@
 	}
 
 	private void selectHolder() {
-		Optional<DaemonView> selected = this.session.forwarder().select(this.session.route().group());
+		Optional<DaemonView> selected = this.session.forwarder()
+			.select(this.session.route().group(), this.session.account());
 		this.attempts++;
 		if (selected.isPresent() && this.attempts <= StatementForwarder.MAXIMUM_ATTEMPTS) {
 			this.holder = selected.get();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
@@ -86,6 +86,21 @@
 		this.registry.counter("sessions.not-authorized").inc();
 	}
 
+	/**
+	 * Counts a member connection that was opened.
+	 */
+	void connectionOpened() {
+		this.registry.counter("connections.opened").inc();
+	}
+
+	/**
+	 * Counts an idle member connection that was closed to open one for another client
+	 * account.
+	 */
+	void connectionEvicted() {
+		this.registry.counter("connections.evicted").inc();
+	}
+
 	/**
 	 * Counts a reply that a member has sent before on the same connection.
 	 */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -139,7 +139,8 @@
 		view.groups().values().forEach((group) -> {
 			Integer limit = this.routes.connectionLimits().get(group.group());
 			if (limit != null) {
-				router(group.group()).viewChanged(group, this.context.forwarder().share(group, limit));
+				router(group.group()).viewChanged(group, this.context.forwarder().share(group, limit),
+						this.routes.accounts() != null);
 			}
 		});
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementForwarder.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/StatementForwarder.java
@@ -129,15 +129,16 @@
 	/**
 	 * Selects the daemon that serves a statement.
 	 * @param group name of the group
+	 * @param account client account of the session, or an empty string
 	 * @return the daemon, or empty if this daemon uses connections of its own
 	 */
-	Optional<DaemonView> select(String group) {
+	Optional<DaemonView> select(String group, String account) {
 		Integer limit = this.connectionLimits.get(group);
 		if (limit == null) {
 			return Optional.empty();
 		}
 		return this.availability
-			.select(this.holders.candidates(group, limit, this.zone, this.daemon), this.clock.nanoseconds())
+			.select(this.holders.candidates(group, limit, this.zone, this.daemon, account), this.clock.nanoseconds())
 			.filter((candidate) -> !candidate.daemon().equals(this.daemon));
 	}
 
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/FakeGroup.java
@@ -109,35 +109,45 @@
 			throw new IllegalStateException("dial");
 		}
 		Member member = member(description.member());
-		runAfterLatency(() -> {
-			if (relay != null && (member.down || member.unresponsive)) {
-				member.failedDials++;
-				handler.accept(new DialResult(null, DialError.UNREACHABLE_FROM_RELAY));
-				return;
-			}
-			if (member.down) {
-				member.failedDials++;
-				handler.accept(new DialResult(null, DialError.UNREACHABLE));
-				return;
-			}
-			if (member.unresponsive || member.partitioned && relay == null) {
-				this.loop.schedule(() -> handler.accept(new DialResult(null, DialError.UNREACHABLE)), 500,
-						TimeUnit.MILLISECONDS);
-				return;
-			}
-			if (member.refusingConnections) {
-				handler.accept(new DialResult(null, DialError.REFUSED));
-				return;
-			}
-			if (member.connectionLimitReached) {
-				handler.accept(new DialResult(null, DialError.TOO_MANY_CONNECTIONS));
-				return;
-			}
-			this.connections++;
-			Connection connection = new Connection(member, this.connections, relay != null, listener);
-			member.open.add(connection);
-			handler.accept(new DialResult(connection, null));
-		});
+		member.dialing++;
+		member.countConnections();
+		Consumer<DialResult> finished = (result) -> {
+			member.dialing--;
+			member.countConnections();
+			handler.accept(result);
+		};
+		runAfterLatency(() -> open(member, relay, account, finished, listener));
+	}
+
+	private void open(Member member, String relay, String account, Consumer<DialResult> handler,
+			MemberChannelListener listener) {
+		if (relay != null && (member.down || member.unresponsive)) {
+			member.failedDials++;
+			handler.accept(new DialResult(null, DialError.UNREACHABLE_FROM_RELAY));
+			return;
+		}
+		if (member.down) {
+			member.failedDials++;
+			handler.accept(new DialResult(null, DialError.UNREACHABLE));
+			return;
+		}
+		if (member.unresponsive || member.partitioned && relay == null) {
+			this.loop.schedule(() -> handler.accept(new DialResult(null, DialError.UNREACHABLE)), 500,
+					TimeUnit.MILLISECONDS);
+			return;
+		}
+		if (member.refusingConnections) {
+			handler.accept(new DialResult(null, DialError.REFUSED));
+			return;
+		}
+		if (member.connectionLimitReached) {
+			handler.accept(new DialResult(null, DialError.TOO_MANY_CONNECTIONS));
+			return;
+		}
+		this.connections++;
+		Connection connection = new Connection(member, this.connections, relay != null, account, listener);
+		member.open.add(connection);
+		handler.accept(new DialResult(connection, null));
 	}
 
 	@Override
@@ -157,9 +167,10 @@
 	 * @param text statement text as received
 	 * @param sessionVariables session variables of the connection at that time
 	 * @param inTransaction whether it ran in a transaction
+	 * @param account client account for which the connection was opened
 	 */
 	record Execution(String member, int connection, String text, Map<String, String> sessionVariables,
-			boolean inTransaction) {
+			boolean inTransaction, String account) {
 	}
 
 	/**
@@ -197,6 +208,10 @@
 
 		private boolean refusingConnections;
 
+		private int dialing;
+
+		private int mostConnections;
+
 		private Predicate<MemberCommand.Kind> failing = (kind) -> false;
 
 		private Predicate<MemberCommand.Kind> losingAnswers = (kind) -> false;
@@ -214,6 +229,35 @@
 			return this.position;
 		}
 
+		private void countConnections() {
+			this.mostConnections = Math.max(this.mostConnections, this.open.size() + this.dialing);
+		}
+
+		/**
+		 * Returns the greatest number of connections that were open or being opened at
+		 * the same time.
+		 * @return the number of connections
+		 */
+		int mostConnections() {
+			return this.mostConnections;
+		}
+
+		/**
+		 * Returns the accounts for which the open connections were opened.
+		 * @return one name for each connection, the oldest first
+		 */
+		List<String> openAccounts() {
+			return this.open.stream().map((connection) -> connection.account).toList();
+		}
+
+		/**
+		 * Sets whether connection attempts are refused. Open connections stay open.
+		 * @param refuses whether they are refused
+		 */
+		void refuseNewConnections(boolean refuses) {
+			this.refusingConnections = refuses;
+		}
+
 		void closeConnections() {
 			List.copyOf(this.open).forEach(Connection::close);
 		}
@@ -356,6 +400,8 @@
 
 		private final boolean relayed;
 
+		private final String account;
+
 		private final MemberChannelListener listener;
 
 		private final List<Consumer<StatementReply>> waitingHandlers = new ArrayList<>();
@@ -374,10 +420,11 @@
 
 		private boolean silent;
 
-		private Connection(Member member, int number, boolean relayed, MemberChannelListener listener) {
+		private Connection(Member member, int number, boolean relayed, String account, MemberChannelListener listener) {
 			this.member = member;
 			this.number = number;
 			this.relayed = relayed;
+			this.account = account;
 			this.listener = listener;
 		}
 
@@ -506,7 +553,7 @@
 				return error(StatementError.NOT_PRIMARY);
 			}
 			FakeGroup.this.executions.add(new Execution(this.member.name, this.number, text,
-					Map.copyOf(this.sessionVariables), this.transaction));
+					Map.copyOf(this.sessionVariables), this.transaction, this.account));
 			if (text.equals("COMMIT")) {
 				if (this.hasWritten) {
 					advance();
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/PromotionControllerTests.java
@@ -230,7 +230,7 @@
 		void replicaWhoseConnectionIsInUseIsAsked() {
 			SessionService service = PromotionControllerTests.this.service;
 			ManualLoop loop = PromotionControllerTests.this.loop;
-			PooledConnection used = service.router(FakeGroup.NAME).pool("c").free(Map.of()).orElseThrow();
+			PooledConnection used = service.router(FakeGroup.NAME).pool("c").freeForInternalCommand().orElseThrow();
 			used.acquire(loop.nanoseconds());
 			loop.schedule(used::release, 1_200, TimeUnit.MILLISECONDS);
 			this.first.crash();
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/SimulatedFleet.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/SimulatedFleet.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 
+import org.magnolialead.api.AccountTable;
 import org.magnolialead.api.DaemonView;
 import org.magnolialead.api.FleetConfiguration;
 import org.magnolialead.api.FleetView;
@@ -43,7 +44,18 @@
 
 	private final SessionService forwarding;
 
+	private final AccountTable accounts;
+
 	SimulatedFleet() {
+		this(null);
+	}
+
+	/**
+	 * Creates a fleet.
+	 * @param accounts the client accounts, or {@code null} if clients need no key
+	 */
+	SimulatedFleet(AccountTable accounts) {
+		this.accounts = accounts;
 		Map<String, DaemonView> daemons = new HashMap<>();
 		for (int number = 0; number < DAEMONS; number++) {
 			String name = "daemon-" + number;
@@ -76,7 +88,8 @@
 		Map<String, Route> routes = Map.of("primary",
 				new Route("primary", FakeGroup.NAME, FreshnessRule.LATEST, 0, 0, 800), "session",
 				new Route("session", FakeGroup.NAME, FreshnessRule.SESSION, 2_500, 1, 800));
-		RouteTable table = new RouteTable(1, routes, Map.of(FakeGroup.NAME, CONNECTION_LIMIT), 3_000, "");
+		RouteTable table = new RouteTable(1, routes, Map.of(FakeGroup.NAME, CONNECTION_LIMIT), Map.of(), 3_000,
+				this.accounts, "");
 		FleetConfiguration initial = FleetConfiguration.initial();
 		FleetConfiguration configuration = new FleetConfiguration(1, initial.profiles(), initial.rankFloors(),
 				initial.queueLimit(), table);
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConnectionHolders.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConnectionHolders.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 
 import org.magnolialead.api.DaemonView;
 
@@ -113,6 +114,32 @@
 		return preferring(callerHolds ? position : Math.floorMod(caller.hashCode(), Math.max(1, holders)), candidates);
 	}
 
+	/**
+	 * Returns the daemons of a zone that serve statements of a client account, the
+	 * preferred one first. If a zone has several holders, all callers prefer the same one
+	 * for an account, so that each holder opens connections for few accounts.
+	 * @param group name of the group
+	 * @param limit maximum number of connections to a member from all daemons together
+	 * @param zone availability zone of the caller
+	 * @param caller name of the calling daemon
+	 * @param account name of the account, or an empty string if there is none
+	 * @return the daemons, or an empty list if each daemon keeps a connection
+	 */
+	public List<DaemonView> candidates(String group, int limit, String zone, String caller, String account) {
+		if (account.isEmpty() || !areNeeded(limit)) {
+			return candidates(group, limit, zone, caller);
+		}
+		List<DaemonView> candidates = candidates(group, zone);
+		// Rendezvous hashing again: an account whose holder stays moves only to a new
+		// one.
+		String key = group + " " + account;
+		int preferred = IntStream.range(0, Math.min(holdersPerZone(limit), candidates.size()))
+			.boxed()
+			.max(Comparator.comparingLong((position) -> hash(key, candidates.get(position).daemon())))
+			.orElse(0);
+		return preferring(preferred, candidates);
+	}
+
 	/**
 	 * Returns the holders of a group in all zones.
 	 * @param group name of the group
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ConnectionHoldersTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ConnectionHoldersTests.java
@@ -118,6 +118,27 @@
 		assertThat(Arrays.stream(groups).boxed()).allSatisfy((count) -> assertThat(count).isBetween(1, 40));
 	}
 
+	/**
+	 * Guards against accounts whose statements reach all holders of a zone, each of which
+	 * would open connections for all accounts.
+	 */
+	@Test
+	void allDaemonsOfAZonePreferOneHolderForAnAccount() {
+		ConnectionHolders holders = new ConnectionHolders(fleet(100));
+		Set<DaemonView> preferred = new HashSet<>();
+		for (int account = 0; account < 73; account++) {
+			Set<List<DaemonView>> candidates = new HashSet<>();
+			for (int number = 0; number < 100; number++) {
+				if (zone(number).equals(zone(0))) {
+					candidates.add(holders.candidates(GROUP, 100, zone(0), "daemon-" + number, "account-" + account));
+				}
+			}
+			assertThat(candidates).hasSize(1);
+			preferred.add(candidates.iterator().next().get(0));
+		}
+		assertThat(preferred).hasSize(2).allMatch((holder) -> holder.availabilityZone().equals(zone(0)));
+	}
+
 	@Test
 	void drainingDaemonIsReplaced() {
 		List<DaemonView> daemons = fleet(100);
