--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -55,6 +55,12 @@
 
 	private boolean byAccount;
 
+	/**
+	 * Number of requests by kind and account that were considered since the last
+	 * selection has begun and found no connection.
+	 */
+	private final Map<String, Integer> unserved = new HashMap<>();
+
 	private long lastSequenceNumber;
 
 	private boolean dispatching;
@@ -225,7 +231,34 @@
 		}
 	}
 
+	/**
+	 * Grants a connection that was just opened to the first request of its account that
+	 * can use it, and free connections to the others. A more urgent request of another
+	 * account would otherwise close it before it was used.
+	 * @param connection the connection
+	 */
+	void connectionOpened(PooledConnection connection) {
+		if (this.byAccount && connection.isFree()) {
+			this.waitingRequests.stream()
+				.filter((request) -> !request.isCancelled() && request.account().equals(connection.account())
+						&& mayServe(connection.pool(), request))
+				.findFirst()
+				.ifPresent((request) -> grant(request, connection));
+		}
+		dispatch();
+	}
+
+	private boolean mayServe(MemberPool pool, ConnectionRequest request) {
+		boolean isPrimary = pool == primary().orElse(null);
+		if (!request.plan().onReplica()) {
+			return isPrimary && pool.permits(request);
+		}
+		return !isPrimary && pool.isUsable() && pool != request.avoided() && !pool.isBehind(now())
+				&& pool.permits(request);
+	}
+
 	private void grantWaitingRequests() {
+		this.unserved.clear();
 		for (ConnectionRequest request : List.copyOf(this.waitingRequests)) {
 			if (request.isCancelled()) {
 				this.waitingRequests.remove(request);
@@ -241,13 +274,21 @@
 		if (connection.isEmpty()) {
 			return false;
 		}
-		this.waitingRequests.remove(request);
-		connection.get().acquire(now());
-		connection.get().pool().requestGranted(request);
-		request.grant(connection.get());
+		grant(request, connection.get());
 		return true;
 	}
 
+	private void grant(ConnectionRequest request, PooledConnection connection) {
+		this.waitingRequests.remove(request);
+		connection.acquire(now());
+		connection.pool().requestGranted(request);
+		request.grant(connection);
+	}
+
+	private int countUnserved(ConnectionRequest request) {
+		return this.unserved.merge(request.plan().onReplica() + request.account(), 1, Integer::sum) - 1;
+	}
+
 	private Optional<PooledConnection> connectionFor(ConnectionRequest request) {
 		if (!request.plan().onReplica()) {
 			return freeConnectionOrDial(primary().orElse(null), request);
@@ -272,7 +313,7 @@
 			this.pools.values()
 				.stream()
 				.filter((pool) -> pool.isUsable() && pool.free(request.account(), request.sessionVariables()).isEmpty())
-				.forEach((pool) -> pool.dialForWaiting(request.account()));
+				.forEach((pool) -> pool.dialForWaiting(request.account(), 0));
 		}
 		boolean primaryMayServe = primary != null && primary.isUsable() && primary.permits(request);
 		return primaryMayServe ? primary.free(request.account(), request.sessionVariables()) : Optional.empty();
@@ -280,20 +321,16 @@
 
 	// A connection costs a member more than the read, so only one is opened.
 	private void dialForRead(ConnectionRequest request) {
-		long now = now();
-		MemberPool primary = primary().orElse(null);
-		List<MemberPool> replicas = this.pools.values()
-			.stream()
-			.filter((pool) -> pool.isUsable() && pool != primary && pool != request.avoided() && !pool.isBehind(now)
-					&& pool.permits(request))
-			.toList();
+		int ahead = countUnserved(request);
+		List<MemberPool> replicas = this.pools.values().stream().filter((pool) -> mayServe(pool, request)).toList();
 		replicas.stream().filter(MemberPool::isUnreachable).forEach((pool) -> pool.dialForProbe(request.account()));
-		ConnectionSelection.replicaToDial(replicas, request.account())
-			.ifPresent((pool) -> pool.dialForWaiting(request.account()));
+		ConnectionSelection.replicaToDial(replicas, request.account(), ahead)
+			.ifPresent((pool) -> pool.dialForWaiting(request.account(), ahead));
+		MemberPool primary = primary().orElse(null);
 		boolean primaryNeeded = primary != null && primary.isUsable() && primary.permits(request)
 				&& ConnectionSelection.needsPrimary(replicas, request.account());
 		if (primaryNeeded && primary.free(request.account(), request.sessionVariables()).isEmpty()) {
-			primary.dialForWaiting(request.account());
+			primary.dialForWaiting(request.account(), ahead);
 		}
 	}
 
@@ -307,7 +344,7 @@
 		}
 		Optional<PooledConnection> free = pool.free(request.account(), request.sessionVariables());
 		if (free.isEmpty()) {
-			pool.dialForWaiting(request.account());
+			pool.dialForWaiting(request.account(), countUnserved(request));
 		}
 		return free;
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -232,7 +232,7 @@
 		this.prioritizedUsers.add(user);
 		grantToPrioritizedUsers();
 		if (this.prioritizedUsers.contains(user)) {
-			dialForWaiting(AccountAccess.NO_ACCOUNT);
+			dialForWaiting(AccountAccess.NO_ACCOUNT, 0);
 		}
 	}
 
@@ -274,7 +274,7 @@
 	 */
 	void dialForProbe(String account) {
 		if (this.connections.isEmpty() && (!this.limits.byAccount() || openOrDialing() == 0)) {
-			dialForWaiting(account);
+			dialForWaiting(account, 0);
 		}
 		else {
 			dialPermanent();
@@ -287,9 +287,11 @@
 	 * daemon opens its first one when it has requests. Idle connections of other accounts
 	 * are closed if the maximum would be exceeded.
 	 * @param account client account of the requests, or an empty string
+	 * @param ahead number of requests of the account that wait before the one for which
+	 * the connection is opened
 	 */
-	void dialForWaiting(String account) {
-		DialDecision<PooledConnection> decision = dialDecision(account);
+	void dialForWaiting(String account, int ahead) {
+		DialDecision<PooledConnection> decision = dialDecision(account, ahead);
 		if (!decision.dials() || this.closed || !this.connector.permits(decision.purpose())) {
 			return;
 		}
@@ -297,8 +299,8 @@
 		dial(decision.purpose(), account);
 	}
 
-	private DialDecision<PooledConnection> dialDecision(String account) {
-		return ConnectionSelection.toDial(this.connections, this.connector.dialing(), account, this.limits);
+	private DialDecision<PooledConnection> dialDecision(String account, int ahead) {
+		return ConnectionSelection.toDial(this.connections, this.connector.dialing(), account, ahead, this.limits);
 	}
 
 	// Removed first, so that no other request takes the place in the meantime.
@@ -309,13 +311,13 @@
 	}
 
 	@Override
-	public boolean hasRoomFor(String account) {
-		return dialDecision(account).dials();
+	public boolean hasRoomFor(String account, int ahead) {
+		return dialDecision(account, ahead).dials();
 	}
 
 	@Override
 	public boolean permitsDial(String account) {
-		DialDecision<PooledConnection> decision = dialDecision(account);
+		DialDecision<PooledConnection> decision = dialDecision(account, 0);
 		return this.connector.permits(decision.dials() ? decision.purpose() : ConnectionPurpose.HELD);
 	}
 
@@ -395,7 +397,7 @@
 		this.connections.add(connection);
 		closeExcess();
 		grantToPrioritizedUsers();
-		this.router.dispatch();
+		this.router.connectionOpened(connection);
 	}
 
 	// A direct attempt is not counted while the direct path is down, so it may open one
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -20,6 +20,12 @@
  */
 final class PooledConnection implements MemberChannelListener, SelectableConnection {
 
+	/**
+	 * Multiple of the smoothed time for which requests use a connection, after which it
+	 * is not expected to become free soon.
+	 */
+	private static final int USUAL_USE_FACTOR = 2;
+
 	private final MemberPool pool;
 
 	private final boolean relayed;
@@ -85,6 +91,12 @@
 		return this.inUse;
 	}
 
+	// Transactions may occupy a connection for seconds.
+	@Override
+	public boolean isFreeSoon() {
+		return this.inUse && this.pool.now() - this.acquiredAt < USUAL_USE_FACTOR * this.pool.serviceNanoseconds();
+	}
+
 	@Override
 	public long releasedAt() {
 		return this.releasedAt;
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/AccountConnectionTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/AccountConnectionTests.java
@@ -170,6 +170,28 @@
 			assertSeparated(this.group);
 		}
 
+		/**
+		 * Guards against a connection that is closed for a more urgent request of another
+		 * account before the request for which it was opened could use it.
+		 */
+		@Test
+		void openedConnectionIsUsedBeforeItIsEvicted() {
+			for (String account : ACCOUNTS.subList(1, MAXIMUM)) {
+				TestClient client = client("primary", account);
+				client.send(Verb.BEGIN);
+				client.send(Verb.WRITE, account, "x", 10);
+			}
+			client("primary", "account-4").send(Verb.WRITE, "account-4", "x", 10);
+			int opened = this.group.connectionsOpened();
+			TestClient first = client("session", "account-1");
+			first.send(Verb.WRITE, "account-1", "x", 0);
+			TestClient urgent = client("primary", "account-4");
+			urgent.send(Verb.WRITE, "account-4", "y", 50);
+			assertThat(first.replies()).hasSize(1).allMatch((reply) -> reply.isDone());
+			assertThat(urgent.replies()).hasSize(1).allMatch((reply) -> reply.isDone());
+			assertThat(this.group.connectionsOpened() - opened).isEqualTo(2);
+		}
+
 		/**
 		 * Guards against a read without a connection of its account that opens one to
 		 * each replica.
@@ -306,6 +328,30 @@
 				.isLessThanOrEqualTo(SimulatedFleet.CONNECTION_LIMIT);
 		}
 
+		/**
+		 * Guards against relayed connections that serve all accounts, or that stay open
+		 * besides the direct ones that replace them.
+		 */
+		@Test
+		void relayedConnectionsAreSeparated() {
+			this.fleet.group().member("a").partitioned(true);
+			for (int round = 0; round < 4; round++) {
+				ACCOUNTS
+					.forEach((account) -> client(this.fleet.forwarding(), account).send(Verb.WRITE, account, "x", 600));
+				if (round == 1) {
+					assertThat(this.fleet.group().member("a").openConnections(true)).isPositive();
+					this.fleet.group().member("a").partitioned(false);
+				}
+			}
+			ACCOUNTS.forEach((account) -> assertThat(
+					client(this.fleet.forwarding(), account).send(Verb.WRITE, account, "y").isDone())
+				.isTrue());
+			assertThat(this.fleet.group().member("a").openConnections(true)).isZero();
+			assertThat(this.fleet.group().member("a").mostConnections())
+				.isLessThanOrEqualTo(SimulatedFleet.CONNECTION_LIMIT);
+			assertSeparated(this.fleet.group());
+		}
+
 		@Test
 		void statementsRunOnConnectionsOfTheirAccountsWhenAHolderHasDied() {
 			ACCOUNTS.forEach((account) -> client(this.fleet.forwarding(), account).send(Verb.WRITE, account, "x"));
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConnectionSelection.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConnectionSelection.java
@@ -58,17 +58,22 @@
 	}
 
 	/**
-	 * Decides whether a connection is opened for a request that has found none.
+	 * Decides whether a connection is opened for a request that has found none. Once the
+	 * maximum is reached, a request waits if a connection of its account is expected to
+	 * become free for it: closing and opening one would take as long, and would occupy
+	 * the member in addition.
 	 * @param connections open connections to the member
 	 * @param dialing client accounts for which connections are being opened, once for
 	 * each attempt
 	 * @param account client account of the request, or an empty string
+	 * @param ahead number of requests of the account that wait for a connection before
+	 * this one
 	 * @param limits numbers of connections that are permitted
 	 * @param <C> type of the connections
 	 * @return the decision
 	 */
 	public static <C extends SelectableConnection> DialDecision<C> toDial(Collection<C> connections,
-			Collection<String> dialing, String account, ConnectionLimits limits) {
+			Collection<String> dialing, String account, int ahead, ConnectionLimits limits) {
 		int total = connections.size() + dialing.size();
 		if (!limits.separates(account) && total < Math.max(1, limits.permanent())) {
 			return DialDecision.dial(purpose(connections.size(), total, limits));
@@ -80,6 +85,12 @@
 		if (total < limits.maximum()) {
 			return DialDecision.dial(purpose(connections.size(), total, limits));
 		}
+		long ownFreeSoon = connections.stream()
+			.filter((connection) -> connection.account().equals(account) && connection.isFreeSoon())
+			.count();
+		if (ahead < ownFreeSoon) {
+			return DialDecision.none();
+		}
 		int excess = total - limits.maximum() + 1;
 		List<C> evicted = leastRecentlyUsed(connections, (connection) -> !connection.account().equals(account)).stream()
 			.limit(excess)
@@ -115,16 +126,19 @@
 	 * @param replicas replicas that may serve the read and have no free connection of its
 	 * account
 	 * @param account client account of the read, or an empty string
+	 * @param ahead number of reads of the account that wait for a connection before this
+	 * one
 	 * @param <P> type of the replicas
 	 * @return the replica at which the read is expected to complete first; empty if a
 	 * connection for the account is being opened already, or if none can be opened
 	 */
-	public static <P extends DialCandidate> Optional<P> replicaToDial(Collection<P> replicas, String account) {
+	public static <P extends DialCandidate> Optional<P> replicaToDial(Collection<P> replicas, String account,
+			int ahead) {
 		if (replicas.stream().anyMatch((replica) -> replica.dialProgress(account) == DialProgress.IN_TIME)) {
 			return Optional.empty();
 		}
 		return replicas.stream()
-			.filter((replica) -> isAvailable(replica, account) && replica.hasRoomFor(account))
+			.filter((replica) -> isAvailable(replica, account) && replica.hasRoomFor(account, ahead))
 			.min(Comparator.comparingLong(DialCandidate::expectedReadNanoseconds));
 	}
 
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/DialCandidate.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/DialCandidate.java
@@ -29,9 +29,12 @@
 	 * Tells whether the maximum number of connections permits one more, after closing
 	 * idle ones of other accounts if necessary.
 	 * @param account client account for which it would be opened, or an empty string
-	 * @return {@code false} if all connections are in use
+	 * @param ahead number of requests of the account that wait before the one for which
+	 * it would be opened
+	 * @return {@code false} if all connections are in use, or if one of the account is
+	 * expected to become free for the request
 	 */
-	boolean hasRoomFor(String account);
+	boolean hasRoomFor(String account, int ahead);
 
 	/**
 	 * Returns the progress of the attempt to connect for a client account.
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/SelectableConnection.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/SelectableConnection.java
@@ -19,6 +19,12 @@
 	 */
 	boolean isFree();
 
+	/**
+	 * Tells whether the connection is in use and expected to become free soon.
+	 * @return {@code false} if it is free, closed, or in use for longer than usual
+	 */
+	boolean isFreeSoon();
+
 	/**
 	 * Returns when the connection was last used.
 	 * @return the time in nanoseconds at which it was released, or opened if it was not
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/AccountAffinityTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/AccountAffinityTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -36,7 +37,7 @@
 	 */
 	@Test
 	void accountsKeepTheirConnections() {
-		for (int perSecond : new int[] { 50, 100, 150 }) {
+		for (int perSecond : new int[] { 12, 50, 100, 150, 200 }) {
 			Result selected = new Holder(perSecond, ACCOUNTS, true).run();
 			Result arrival = new Holder(perSecond, ACCOUNTS, false).run();
 			System.out.printf("%d/s: selected %s, arrival order %s%n", perSecond, selected, arrival);
@@ -83,6 +84,11 @@
 			return this.free;
 		}
 
+		@Override
+		public boolean isFreeSoon() {
+			return !this.free;
+		}
+
 		@Override
 		public long releasedAt() {
 			return this.releasedAt;
@@ -183,6 +189,7 @@
 		}
 
 		private void dispatch() {
+			Map<String, Integer> ahead = new HashMap<>();
 			for (Statement statement : List.copyOf(this.waiting)) {
 				Optional<Connection> connection = ConnectionSelection.toUse(this.connections, statement.account(),
 						Map.of());
@@ -190,8 +197,9 @@
 					serve(statement, connection.get());
 				}
 				else if (this.affinity) {
-					dial(ConnectionSelection.toDial(this.connections, this.dialing, statement.account(), LIMITS),
-							statement.account());
+					int before = ahead.merge(statement.account(), 1, Integer::sum) - 1;
+					dial(ConnectionSelection.toDial(this.connections, this.dialing, statement.account(), before,
+							LIMITS), statement.account());
 				}
 				else {
 					takeAny(statement);
