--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ConnectionRequest.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ConnectionRequest.java
@@ -4,19 +4,22 @@
 import java.util.function.Consumer;
 
 import org.magnolialead.api.Route;
-import org.magnolialead.api.session.StatementError;
+import org.magnolialead.engine.queue.QueueLane;
+import org.magnolialead.engine.queue.QueueRefusal;
+import org.magnolialead.engine.queue.ServiceTimes.Work;
 import org.magnolialead.engine.session.ReadPlan;
 
 /**
- * Request of a statement or transaction for a member connection. Requests are ordered by
- * the priority of their route, then by arrival.
+ * Request of a statement or transaction for a member connection.
  */
-final class ConnectionRequest implements Comparable<ConnectionRequest> {
+final class ConnectionRequest {
 
 	private final Route route;
 
 	private final String account;
 
+	private final Work work;
+
 	private final ReadPlan plan;
 
 	private final Map<String, String> sessionVariables;
@@ -31,9 +34,7 @@
 
 	private final Consumer<PooledConnection> onGranted;
 
-	private final Consumer<StatementError> onRefused;
-
-	private long sequenceNumber;
+	private final Consumer<QueueRefusal> onRefused;
 
 	private boolean cancelled;
 
@@ -41,6 +42,7 @@
 	 * Creates a request.
 	 * @param route route of the session
 	 * @param account client account of the session, or an empty string
+	 * @param work kind of the work that will occupy the connection
 	 * @param plan members on which the statement may run
 	 * @param sessionVariables variables of the session by name
 	 * @param deadline time in nanoseconds by which the statement must be answered
@@ -51,13 +53,14 @@
 	 * @param avoided member that is not used as a replica for this request, or
 	 * {@code null}
 	 * @param onGranted receives the connection, which is reserved for the caller
-	 * @param onRefused receives the error if the request is refused
+	 * @param onRefused receives the reason if the request is refused
 	 */
-	ConnectionRequest(Route route, String account, ReadPlan plan, Map<String, String> sessionVariables, long deadline,
-			long unavailableMemberTimeoutAt, long queueTimeoutAt, MemberPool avoided,
-			Consumer<PooledConnection> onGranted, Consumer<StatementError> onRefused) {
+	ConnectionRequest(Route route, String account, Work work, ReadPlan plan, Map<String, String> sessionVariables,
+			long deadline, long unavailableMemberTimeoutAt, long queueTimeoutAt, MemberPool avoided,
+			Consumer<PooledConnection> onGranted, Consumer<QueueRefusal> onRefused) {
 		this.route = route;
 		this.account = account;
+		this.work = work;
 		this.plan = plan;
 		this.sessionVariables = sessionVariables;
 		this.deadline = deadline;
@@ -72,6 +75,18 @@
 		return this.account;
 	}
 
+	Route route() {
+		return this.route;
+	}
+
+	Work work() {
+		return this.work;
+	}
+
+	QueueLane lane() {
+		return new QueueLane(this.plan.onReplica(), this.avoided);
+	}
+
 	ReadPlan plan() {
 		return this.plan;
 	}
@@ -92,10 +107,6 @@
 		return this.avoided;
 	}
 
-	void sequenceNumber(long number) {
-		this.sequenceNumber = number;
-	}
-
 	void cancel() {
 		this.cancelled = true;
 	}
@@ -116,14 +127,8 @@
 		this.onGranted.accept(connection);
 	}
 
-	void refuse(StatementError error) {
-		this.onRefused.accept(error);
-	}
-
-	@Override
-	public int compareTo(ConnectionRequest other) {
-		int byPriority = Integer.compare(this.route.priority(), other.route.priority());
-		return (byPriority != 0) ? byPriority : Long.compare(this.sequenceNumber, other.sequenceNumber);
+	void refuse(QueueRefusal reason) {
+		this.onRefused.accept(reason);
 	}
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -14,6 +13,10 @@
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.session.SessionState;
 import org.magnolialead.api.session.StatementError;
+import org.magnolialead.engine.queue.FairQueue;
+import org.magnolialead.engine.queue.QueueRefusal;
+import org.magnolialead.engine.queue.ServiceTimes;
+import org.magnolialead.engine.queue.ServiceTimes.Work;
 import org.magnolialead.engine.session.ConnectionShare;
 import org.magnolialead.engine.session.PrimaryProgress;
 import org.magnolialead.engine.session.QueueAdmission;
@@ -46,11 +49,11 @@
 
 	private final PrimaryTracker primaryTracker;
 
-	private final TreeSet<ConnectionRequest> waitingRequests = new TreeSet<>();
+	private final FairQueue<ConnectionRequest> waitingRequests = new FairQueue<>();
 
-	private ConnectionShare share;
+	private final ServiceTimes serviceTimes = new ServiceTimes();
 
-	private long lastSequenceNumber;
+	private ConnectionShare share;
 
 	private boolean dispatching;
 
@@ -93,6 +96,14 @@
 		return this.primaryTracker.primary();
 	}
 
+	/**
+	 * Returns the service times of the routes that the group serves.
+	 * @return the service times
+	 */
+	ServiceTimes serviceTimes() {
+		return this.serviceTimes;
+	}
+
 	int waitingCount() {
 		return this.waitingRequests.size();
 	}
@@ -146,7 +157,7 @@
 
 	void close() {
 		List.copyOf(this.pools.values()).forEach(this::removePool);
-		List.copyOf(this.waitingRequests).forEach((request) -> refuse(request, StatementError.OVERLOADED));
+		this.waitingRequests.entries().forEach((entry) -> refuse(entry, QueueRefusal.CLOSED));
 	}
 
 	/**
@@ -154,17 +165,17 @@
 	 * @param request the request
 	 */
 	void submit(ConnectionRequest request) {
-		this.lastSequenceNumber++;
-		request.sequenceNumber(this.lastSequenceNumber);
-		if (this.waitingRequests.isEmpty() && grantIfPossible(request)) {
+		Optional<PooledConnection> connection = this.waitingRequests.isEmpty() ? connectionFor(request)
+				: Optional.empty();
+		if (connection.isPresent()) {
+			grant(request, connection.get());
 			return;
 		}
-		if (QueueAdmission.rejects(requestsAhead(request), connectionsServing(request),
-				expectedServiceNanoseconds(request), request.deadline() - now())) {
-			request.refuse(StatementError.OVERLOADED);
+		if (isExpectedWaitTooLong(request)) {
+			refuse(request, QueueRefusal.EXPECTED_WAIT);
 			return;
 		}
-		this.waitingRequests.add(request);
+		this.waitingRequests.add(request, request.priority(), request.account(), request.lane(), costOf(request));
 		this.requestQueued.run();
 		dispatch();
 	}
@@ -176,8 +187,33 @@
 		return primary().map((pool) -> !pool.hasConnection()).orElse(true);
 	}
 
-	private int requestsAhead(ConnectionRequest request) {
-		return this.waitingRequests.headSet(request).size();
+	// Requests that find no connection wait for one: how long they will wait is not
+	// known,
+	// and refusing them at once uses up the retries of their clients.
+	private boolean isExpectedWaitTooLong(ConnectionRequest request) {
+		long remaining = request.deadline() - now();
+		if (request.account().isEmpty()) {
+			return QueueAdmission.rejects(this.waitingRequests.requestsAhead(request.priority()),
+					connectionsServing(request), expectedServiceNanoseconds(request), remaining);
+		}
+		long workAhead = this.waitingRequests.workAhead(request.priority(), request.account(),
+				request.plan().onReplica());
+		return !lacksConnection(request) && QueueAdmission.rejects(workAhead, connectionsServing(request), remaining);
+	}
+
+	private long costOf(ConnectionRequest request) {
+		long smoothed = expectedServiceNanoseconds(request);
+		return request.account().isEmpty() ? smoothed : learnedServiceNanoseconds(request, request.work(), smoothed);
+	}
+
+	private boolean isTooLate(ConnectionRequest request, long now) {
+		return !request.account().isEmpty() && QueueAdmission
+			.isTooLate(learnedServiceNanoseconds(request, Work.STATEMENT, 0), request.deadline() - now);
+	}
+
+	private long learnedServiceNanoseconds(ConnectionRequest request, Work work, long unknown) {
+		long timeout = TimeUnit.MILLISECONDS.toNanos(request.route().statementTimeoutMilliseconds());
+		return this.serviceTimes.expected(request.route().database(), work, timeout, unknown);
 	}
 
 	private int connectionsServing(ConnectionRequest request) {
@@ -217,26 +253,38 @@
 	}
 
 	private void grantWaitingRequests() {
-		for (ConnectionRequest request : List.copyOf(this.waitingRequests)) {
-			if (request.isCancelled()) {
-				this.waitingRequests.remove(request);
-			}
-			else if (grantIfPossible(request)) {
-				this.dispatchAgain = true;
-			}
+		FairQueue<ConnectionRequest>.Scan scan = this.waitingRequests.scan();
+		Optional<FairQueue.Entry<ConnectionRequest>> next = scan.next();
+		while (next.isPresent()) {
+			grantOrRefuse(next.get(), scan);
+			next = scan.next();
 		}
 	}
 
-	private boolean grantIfPossible(ConnectionRequest request) {
+	private void grantOrRefuse(FairQueue.Entry<ConnectionRequest> entry, FairQueue<ConnectionRequest>.Scan scan) {
+		ConnectionRequest request = entry.request();
+		if (request.isCancelled()) {
+			this.waitingRequests.remove(entry);
+			return;
+		}
+		if (isTooLate(request, now())) {
+			refuse(entry, QueueRefusal.INSUFFICIENT_TIME);
+			return;
+		}
 		Optional<PooledConnection> connection = connectionFor(request);
 		if (connection.isEmpty()) {
-			return false;
+			scan.blocked(entry);
+			return;
 		}
-		this.waitingRequests.remove(request);
-		connection.get().acquire(now());
-		connection.get().pool().requestGranted(request);
-		request.grant(connection.get());
-		return true;
+		this.waitingRequests.grant(entry);
+		this.dispatchAgain = true;
+		grant(request, connection.get());
+	}
+
+	private void grant(ConnectionRequest request, PooledConnection connection) {
+		connection.acquire(now());
+		connection.pool().requestGranted(request);
+		request.grant(connection);
 	}
 
 	private Optional<PooledConnection> connectionFor(ConnectionRequest request) {
@@ -289,11 +337,8 @@
 			return;
 		}
 		long now = now();
-		for (ConnectionRequest request : List.copyOf(this.waitingRequests)) {
-			if (request.isCancelled() || request.isQueueTimeoutReached(now)
-					|| request.isUnavailableMemberTimeoutReached(now) && lacksConnection(request)) {
-				refuse(request, StatementError.OVERLOADED);
-			}
+		for (FairQueue.Entry<ConnectionRequest> entry : this.waitingRequests.entries()) {
+			overdueReason(entry.request(), now).ifPresent((reason) -> refuse(entry, reason));
 		}
 		for (MemberPool pool : List.copyOf(this.pools.values())) {
 			if (pool.isUsable()) {
@@ -328,10 +373,28 @@
 		return this.share == null || this.share.followsPrimary() || !this.waitingRequests.isEmpty();
 	}
 
-	private void refuse(ConnectionRequest request, StatementError error) {
-		this.waitingRequests.remove(request);
+	private Optional<QueueRefusal> overdueReason(ConnectionRequest request, long now) {
+		if (request.isCancelled() || request.isQueueTimeoutReached(now)) {
+			return Optional.of(QueueRefusal.QUEUE_TIMEOUT);
+		}
+		if (request.isUnavailableMemberTimeoutReached(now) && lacksConnection(request)) {
+			return Optional.of(QueueRefusal.UNAVAILABLE_MEMBER);
+		}
+		return isTooLate(request, now) ? Optional.of(QueueRefusal.INSUFFICIENT_TIME) : Optional.empty();
+	}
+
+	// The refusal of another request may have led to a grant of this one.
+	private void refuse(FairQueue.Entry<ConnectionRequest> entry, QueueRefusal reason) {
+		if (entry.isWaiting()) {
+			this.waitingRequests.remove(entry);
+			refuse(entry.request(), reason);
+		}
+	}
+
+	private void refuse(ConnectionRequest request, QueueRefusal reason) {
 		if (!request.isCancelled()) {
-			request.refuse(error);
+			this.context.metrics().requestRefused(reason);
+			request.refuse(reason);
 		}
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
@@ -1,13 +1,17 @@
 package org.magnolialead.daemon.session;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 import org.magnolialead.api.session.SessionState;
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.api.session.StatementReply;
+import org.magnolialead.engine.queue.QueueRefusal;
+import org.magnolialead.engine.queue.ServiceTimes.Work;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.QueueAdmission;
 import org.magnolialead.engine.session.ReadPlan;
@@ -61,6 +65,9 @@
 
 	private final List<PooledConnection> pendingConnections = new ArrayList<>();
 
+	/** Times in nanoseconds at which the connections were granted. */
+	private final Map<PooledConnection, Long> grantedAt = new HashMap<>();
+
 	private final Future<?> deadlineTimer;
 
 	private Future<?> hedgeTimer;
@@ -102,15 +109,16 @@
 		this.attempts++;
 		ReadPlan plan = (this.writes || this.primaryOnly) ? ReadPlan.PRIMARY
 				: this.session.readPlan(this.statement.receivedAt());
-		this.connectionRequest = new ConnectionRequest(this.session.route(), this.session.account(), plan,
-				this.session.sessionVariables(), this.deadline, this.unavailableMemberTimeoutAt, this.queueTimeoutAt,
-				avoided, (connection) -> connectionGranted(connection, plan), this::requestRefused);
+		this.connectionRequest = new ConnectionRequest(this.session.route(), this.session.account(), Work.STATEMENT,
+				plan, this.session.sessionVariables(), this.deadline, this.unavailableMemberTimeoutAt,
+				this.queueTimeoutAt, avoided, (connection) -> connectionGranted(connection, plan),
+				this::requestRefused);
 		this.session.router().submit(this.connectionRequest);
 	}
 
-	private void requestRefused(StatementError error) {
+	private void requestRefused(QueueRefusal reason) {
 		if (this.pendingConnections.isEmpty()) {
-			finish(StatementReply.failed(error, "no member can serve this in time", SessionState.IDLE));
+			finish(StatementReply.failed(StatementError.OVERLOADED, reason.detail(), SessionState.IDLE));
 		}
 	}
 
@@ -120,6 +128,7 @@
 			return;
 		}
 		this.pendingConnections.add(connection);
+		this.grantedAt.put(connection, this.session.context().now());
 		if (!this.writes) {
 			// The delay depends on the service time, so that a member under load does
 			// not receive the same read twice.
@@ -209,6 +218,12 @@
 
 	private void returnConnection(PooledConnection connection, StatementReply reply) {
 		this.pendingConnections.remove(connection);
+		Long since = this.grantedAt.remove(connection);
+		if (reply.isDone() && since != null) {
+			this.session.router()
+				.serviceTimes()
+				.record(this.session.route().database(), Work.STATEMENT, this.session.context().now() - since);
+		}
 		if (reply.error() == StatementError.CONNECTION_LOST) {
 			connection.discard();
 		}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberTransaction.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberTransaction.java
@@ -7,6 +7,8 @@
 import org.magnolialead.api.session.SessionState;
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.api.session.StatementReply;
+import org.magnolialead.engine.queue.QueueRefusal;
+import org.magnolialead.engine.queue.ServiceTimes.Work;
 import org.magnolialead.engine.session.OverloadBackoff;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.QueueAdmission;
@@ -37,6 +39,9 @@
 
 	private PooledConnection connection;
 
+	/** Time in nanoseconds at which the connection was granted. */
+	private long grantedAt;
+
 	private ConnectionRequest connectionRequest;
 
 	private boolean hasWritten;
@@ -84,20 +89,21 @@
 	private void attempt() {
 		this.attempts++;
 		ReadPlan plan = (this.readOnly && !this.primaryOnly) ? this.session.readPlan(this.begunAt) : ReadPlan.PRIMARY;
-		this.connectionRequest = new ConnectionRequest(this.session.route(), this.session.account(), plan,
-				this.session.sessionVariables(), this.pendingStatement.deadline(),
+		this.connectionRequest = new ConnectionRequest(this.session.route(), this.session.account(), Work.TRANSACTION,
+				plan, this.session.sessionVariables(), this.pendingStatement.deadline(),
 				this.pendingStatement.unavailableMemberTimeoutAt(), this.pendingStatement.queueTimeoutAt(), null,
 				(granted) -> begin(granted, plan), this::requestRefused);
 		this.session.router().submit(this.connectionRequest);
 	}
 
-	private void requestRefused(StatementError error) {
-		fail(error, "no member can serve this in time");
+	private void requestRefused(QueueRefusal reason) {
+		fail(StatementError.OVERLOADED, reason.detail());
 	}
 
 	private void begin(PooledConnection granted, ReadPlan plan) {
 		this.connectionRequest = null;
 		this.connection = granted;
+		this.grantedAt = this.session.context().now();
 		granted.startAlignment(this.session.sessionVariables(), this.pendingStatement.prepared());
 		MemberCommand command = plan.onReplica() ? MemberCommand.beginRead(plan.required())
 				: MemberCommand.internal(MemberCommand.Kind.BEGIN);
@@ -231,6 +237,9 @@
 	private void succeeded(StatementReply reply, long requestedAt) {
 		this.session.statementLog()
 			.served(this.pendingStatement.statement(), this.session.route().database(), this.connection, this.attempts);
+		if (!this.statementRan) {
+			recordServiceTime(Work.STATEMENT);
+		}
 		this.statementRan = true;
 		this.hasWritten |= this.pendingStatement.writes();
 		if (!this.pendingStatement.commit()) {
@@ -243,12 +252,19 @@
 				.primaryConfirmed(this.connection.pool(), requestedAt, reply.position());
 			this.session.recordCommit(reply.position());
 		}
+		recordServiceTime(Work.TRANSACTION);
 		PooledConnection used = this.connection;
 		this.connection = null;
 		this.session.router().endTransaction(used, reply.state());
 		this.session.transactionEnded(reply.withState(SessionState.IDLE));
 	}
 
+	private void recordServiceTime(Work work) {
+		this.session.router()
+			.serviceTimes()
+			.record(this.session.route().database(), work, this.session.context().now() - this.grantedAt);
+	}
+
 	private void commitFailed(StatementReply reply) {
 		StatementError error = switch (reply.error()) {
 			case OVERLOADED, NOT_PRIMARY, ROLLED_BACK, MALFORMED -> StatementError.ROLLED_BACK;
@@ -302,6 +318,9 @@
 		if (this.connection == null) {
 			return;
 		}
+		if (this.statementRan) {
+			recordServiceTime(Work.TRANSACTION);
+		}
 		PooledConnection used = this.connection;
 		this.connection = null;
 		if (answerPending) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import org.magnolialead.api.session.StatementError;
+import org.magnolialead.engine.queue.QueueRefusal;
 
 /**
  * Counters and latencies of statements, and gauges of sessions, queued requests and
@@ -68,6 +69,15 @@
 		this.registry.timer("latency." + suffix).update(nanoseconds, TimeUnit.NANOSECONDS);
 	}
 
+	/**
+	 * Counts a request for a member connection that was refused as
+	 * {@code requests.refused.<reason>}.
+	 * @param reason the reason
+	 */
+	void requestRefused(QueueRefusal reason) {
+		this.registry.counter("requests.refused." + reason.metricName()).inc();
+	}
+
 	/**
 	 * Counts the end of an alignment of a connection with a session whose answers were
 	 * awaited, and its round trips.
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/QueueAdmission.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/QueueAdmission.java
@@ -63,8 +63,29 @@
 	 * @return {@code true} if the expected wait exceeds half of the remaining time
 	 */
 	public static boolean rejects(int ahead, int connections, long serviceNanoseconds, long remainingNanoseconds) {
-		long expected = ahead * serviceNanoseconds / Math.max(1, connections);
-		return expected > remainingNanoseconds / WAIT_SHARE_DIVISOR;
+		return rejects(ahead * serviceNanoseconds, connections, remainingNanoseconds);
+	}
+
+	/**
+	 * Tells whether a statement should be refused on arrival.
+	 * @param workAheadNanoseconds expected service time of the queued statements that are
+	 * served before it, in nanoseconds
+	 * @param connections number of connections that serve them
+	 * @param remainingNanoseconds time until the deadline
+	 * @return {@code true} if the expected wait exceeds half of the remaining time
+	 */
+	public static boolean rejects(long workAheadNanoseconds, int connections, long remainingNanoseconds) {
+		return workAheadNanoseconds / Math.max(1, connections) > remainingNanoseconds / WAIT_SHARE_DIVISOR;
+	}
+
+	/**
+	 * Tells whether a queued statement can no longer be answered before its deadline.
+	 * @param serviceNanoseconds expected service time of the statement in nanoseconds
+	 * @param remainingNanoseconds time until the deadline
+	 * @return {@code true} if the service time exceeds the remaining time
+	 */
+	public static boolean isTooLate(long serviceNanoseconds, long remainingNanoseconds) {
+		return serviceNanoseconds > remainingNanoseconds;
 	}
 
 }
