--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -15,6 +14,10 @@
 import org.magnolialead.api.session.SessionState;
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.engine.account.AccountAccess;
+import org.magnolialead.engine.queue.FairQueue;
+import org.magnolialead.engine.queue.QueueRefusal;
+import org.magnolialead.engine.queue.ServiceTimes;
+import org.magnolialead.engine.queue.ServiceTimes.Work;
 import org.magnolialead.engine.session.ConnectionLimits;
 import org.magnolialead.engine.session.ConnectionSelection;
 import org.magnolialead.engine.session.ConnectionShare;
@@ -49,20 +52,14 @@
 
 	private final PrimaryTracker primaryTracker;
 
-	private final TreeSet<ConnectionRequest> waitingRequests = new TreeSet<>();
+	private final FairQueue<ConnectionRequest> waitingRequests = new FairQueue<>();
+
+	private final ServiceTimes serviceTimes = new ServiceTimes();
 
 	private ConnectionShare share;
 
 	private boolean byAccount;
 
-	/**
-	 * Number of requests by kind and account that were considered since the last
-	 * selection has begun and found no connection.
-	 */
-	private final Map<String, Integer> unserved = new HashMap<>();
-
-	private long lastSequenceNumber;
-
 	private boolean dispatching;
 
 	private boolean dispatchAgain;
@@ -104,6 +101,14 @@
 		return this.primaryTracker.primary();
 	}
 
+	/**
+	 * Returns the service times of the routes that the group serves.
+	 * @return the service times
+	 */
+	ServiceTimes serviceTimes() {
+		return this.serviceTimes;
+	}
+
 	int waitingCount() {
 		return this.waitingRequests.size();
 	}
@@ -161,7 +166,7 @@
 
 	void close() {
 		List.copyOf(this.pools.values()).forEach(this::removePool);
-		List.copyOf(this.waitingRequests).forEach((request) -> refuse(request, StatementError.OVERLOADED));
+		this.waitingRequests.entries().forEach((entry) -> refuse(entry, QueueRefusal.CLOSED));
 	}
 
 	/**
@@ -169,17 +174,17 @@
 	 * @param request the request
 	 */
 	void submit(ConnectionRequest request) {
-		this.lastSequenceNumber++;
-		request.sequenceNumber(this.lastSequenceNumber);
-		if (this.waitingRequests.isEmpty() && grantIfPossible(request)) {
+		Optional<PooledConnection> connection = this.waitingRequests.isEmpty() ? connectionFor(request)
+				: Optional.empty();
+		if (connection.isPresent()) {
+			grant(request, connection.get());
 			return;
 		}
-		if (QueueAdmission.rejects(requestsAhead(request), connectionsServing(request),
-				expectedServiceNanoseconds(request), request.deadline() - now())) {
-			request.refuse(StatementError.OVERLOADED);
+		if (isExpectedWaitTooLong(request)) {
+			refuse(request, QueueRefusal.EXPECTED_WAIT);
 			return;
 		}
-		this.waitingRequests.add(request);
+		this.waitingRequests.add(request, request.priority(), request.account(), request.lane(), costOf(request));
 		this.requestQueued.run();
 		dispatch();
 	}
@@ -191,8 +196,32 @@
 		return primary().map((pool) -> !pool.hasConnection()).orElse(true);
 	}
 
-	private int requestsAhead(ConnectionRequest request) {
-		return this.waitingRequests.headSet(request).size();
+	// Without a connection the wait is not known, and a refusal at once would use up
+	// the retries of the client.
+	private boolean isExpectedWaitTooLong(ConnectionRequest request) {
+		long remaining = request.deadline() - now();
+		if (request.account().isEmpty()) {
+			return QueueAdmission.rejects(this.waitingRequests.requestsAhead(request.priority()),
+					connectionsServing(request), expectedServiceNanoseconds(request), remaining);
+		}
+		long workAhead = this.waitingRequests.workAhead(request.priority(), request.account(),
+				request.plan().onReplica());
+		return !lacksConnection(request) && QueueAdmission.rejects(workAhead, connectionsServing(request), remaining);
+	}
+
+	private long costOf(ConnectionRequest request) {
+		long smoothed = expectedServiceNanoseconds(request);
+		return request.account().isEmpty() ? smoothed : learnedServiceNanoseconds(request, request.work(), smoothed);
+	}
+
+	private boolean isTooLate(ConnectionRequest request, long now) {
+		return !request.account().isEmpty() && QueueAdmission
+			.isTooLate(learnedServiceNanoseconds(request, Work.STATEMENT, 0), request.deadline() - now);
+	}
+
+	private long learnedServiceNanoseconds(ConnectionRequest request, Work work, long unknown) {
+		long timeout = TimeUnit.MILLISECONDS.toNanos(request.route().statementTimeoutMilliseconds());
+		return this.serviceTimes.expected(request.route().database(), work, timeout, unknown);
 	}
 
 	private int connectionsServing(ConnectionRequest request) {
@@ -239,11 +268,13 @@
 	 */
 	void connectionOpened(PooledConnection connection) {
 		if (this.byAccount && connection.isFree()) {
-			this.waitingRequests.stream()
-				.filter((request) -> !request.isCancelled() && request.account().equals(connection.account())
-						&& mayServe(connection.pool(), request))
-				.findFirst()
-				.ifPresent((request) -> grant(request, connection));
+			this.waitingRequests
+				.first(connection.account(),
+						(request) -> !request.isCancelled() && mayServe(connection.pool(), request))
+				.ifPresent((entry) -> {
+					this.waitingRequests.grant(entry);
+					grant(entry.request(), connection);
+				});
 		}
 		dispatch();
 	}
@@ -258,35 +289,42 @@
 	}
 
 	private void grantWaitingRequests() {
-		this.unserved.clear();
-		for (ConnectionRequest request : List.copyOf(this.waitingRequests)) {
-			if (request.isCancelled()) {
-				this.waitingRequests.remove(request);
-			}
-			else if (grantIfPossible(request)) {
-				this.dispatchAgain = true;
-			}
+		FairQueue<ConnectionRequest>.Scan scan = this.waitingRequests.scan();
+		Optional<FairQueue.Entry<ConnectionRequest>> next = scan.next();
+		while (next.isPresent()) {
+			grantOrRefuse(next.get(), scan);
+			next = scan.next();
 		}
 	}
 
-	private boolean grantIfPossible(ConnectionRequest request) {
+	private void grantOrRefuse(FairQueue.Entry<ConnectionRequest> entry, FairQueue<ConnectionRequest>.Scan scan) {
+		ConnectionRequest request = entry.request();
+		if (request.isCancelled()) {
+			this.waitingRequests.remove(entry);
+			return;
+		}
+		if (isTooLate(request, now())) {
+			refuse(entry, QueueRefusal.INSUFFICIENT_TIME);
+			return;
+		}
 		Optional<PooledConnection> connection = connectionFor(request);
 		if (connection.isEmpty()) {
-			return false;
+			scan.blocked(entry);
+			return;
 		}
+		this.waitingRequests.grant(entry);
+		this.dispatchAgain = true;
 		grant(request, connection.get());
-		return true;
 	}
 
 	private void grant(ConnectionRequest request, PooledConnection connection) {
-		this.waitingRequests.remove(request);
 		connection.acquire(now());
 		connection.pool().requestGranted(request);
 		request.grant(connection);
 	}
 
-	private int countUnserved(ConnectionRequest request) {
-		return this.unserved.merge(request.plan().onReplica() + request.account(), 1, Integer::sum) - 1;
+	private int requestsOfAccountAhead(ConnectionRequest request) {
+		return Math.max(0, this.waitingRequests.requestsOf(request.account(), request.plan().onReplica()) - 1);
 	}
 
 	private Optional<PooledConnection> connectionFor(ConnectionRequest request) {
@@ -321,7 +359,7 @@
 
 	// A connection costs a member more than the read, so only one is opened.
 	private void dialForRead(ConnectionRequest request) {
-		int ahead = countUnserved(request);
+		int ahead = requestsOfAccountAhead(request);
 		List<MemberPool> replicas = this.pools.values().stream().filter((pool) -> mayServe(pool, request)).toList();
 		replicas.stream().filter(MemberPool::isUnreachable).forEach((pool) -> pool.dialForProbe(request.account()));
 		ConnectionSelection.replicaToDial(replicas, request.account(), ahead)
@@ -344,7 +382,7 @@
 		}
 		Optional<PooledConnection> free = pool.free(request.account(), request.sessionVariables());
 		if (free.isEmpty()) {
-			pool.dialForWaiting(request.account(), countUnserved(request));
+			pool.dialForWaiting(request.account(), requestsOfAccountAhead(request));
 		}
 		return free;
 	}
@@ -359,11 +397,8 @@
 			return;
 		}
 		long now = now();
-		for (ConnectionRequest request : List.copyOf(this.waitingRequests)) {
-			if (request.isCancelled() || request.isQueueTimeoutReached(now)
-					|| request.isUnavailableMemberTimeoutReached(now) && lacksConnection(request)) {
-				refuse(request, StatementError.OVERLOADED);
-			}
+		for (FairQueue.Entry<ConnectionRequest> entry : this.waitingRequests.entries()) {
+			overdueReason(entry.request(), now).ifPresent((reason) -> refuse(entry, reason));
 		}
 		for (MemberPool pool : List.copyOf(this.pools.values())) {
 			if (pool.isUsable()) {
@@ -413,13 +448,34 @@
 	 * @return account of the first waiting request, or an empty string if none waits
 	 */
 	String waitingAccount() {
-		return this.waitingRequests.isEmpty() ? AccountAccess.NO_ACCOUNT : this.waitingRequests.first().account();
+		return this.waitingRequests.scan()
+			.next()
+			.map((entry) -> entry.request().account())
+			.orElse(AccountAccess.NO_ACCOUNT);
+	}
+
+	private Optional<QueueRefusal> overdueReason(ConnectionRequest request, long now) {
+		if (request.isCancelled() || request.isQueueTimeoutReached(now)) {
+			return Optional.of(QueueRefusal.QUEUE_TIMEOUT);
+		}
+		if (request.isUnavailableMemberTimeoutReached(now) && lacksConnection(request)) {
+			return Optional.of(QueueRefusal.UNAVAILABLE_MEMBER);
+		}
+		return isTooLate(request, now) ? Optional.of(QueueRefusal.INSUFFICIENT_TIME) : Optional.empty();
+	}
+
+	// The refusal of another request may have led to a grant of this one.
+	private void refuse(FairQueue.Entry<ConnectionRequest> entry, QueueRefusal reason) {
+		if (entry.isWaiting()) {
+			this.waitingRequests.remove(entry);
+			refuse(entry.request(), reason);
+		}
 	}
 
-	private void refuse(ConnectionRequest request, StatementError error) {
-		this.waitingRequests.remove(request);
+	private void refuse(ConnectionRequest request, QueueRefusal reason) {
 		if (!request.isCancelled()) {
-			request.refuse(error);
+			this.context.metrics().requestRefused(reason);
+			request.refuse(reason);
 		}
 	}
 
