--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -58,6 +58,9 @@
 			"command without effect: group=%s member=%s command=%s status=%s"),
 	/** A member has sent an answer twice on one connection. */
 	MEMBER_REPEATS_ANSWERS(3205, Level.WARNING, "database member repeats answers: group=%s member=%s"),
+	/** The learned limit of a member has fallen to a half or doubled. */
+	MEMBER_LIMIT_CHANGED(3206, Level.INFO,
+			"in-flight limit of database member changed: group=%s member=%s before=%s after=%s smoothed_milliseconds=%s dropped_lines=%s"),
 	/** This daemon found the primary of a group. */
 	SESSION_PRIMARY_FOUND(3301, Level.INFO, "primary found: group=%s member=%s term=%s index=%s"),
 	/** This daemon no longer sends writes to a member. */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -234,6 +234,7 @@
 		}
 		this.waitingRequests.remove(request);
 		connection.get().acquire(now());
+		connection.get().priority(request.priority());
 		connection.get().pool().requestGranted(request);
 		request.grant(connection.get());
 		return true;
@@ -249,18 +250,20 @@
 			.stream()
 			.filter((pool) -> pool.isUsable() && pool != primary && pool != request.avoided() && !pool.isBehind(now)
 					&& pool.permits(request))
-			.sorted(Comparator.comparingLong(MemberPool::expectedReadNanoseconds))
+			.sorted(Comparator.comparing(MemberPool::isAtLimit).thenComparingLong(MemberPool::expectedReadNanoseconds))
 			.map((pool) -> pool.free(request.sessionVariables()))
 			.flatMap(Optional::stream)
 			.findFirst();
+		boolean primaryMayServe = primary != null && primary.isUsable() && primary.permits(request);
 		if (free.isPresent()) {
-			return free;
+			boolean primaryPreferred = free.get().pool().isAtLimit() && primaryMayServe && primary != request.avoided()
+					&& !primary.isAtLimit();
+			return primaryPreferred ? primary.free(request.sessionVariables()).or(() -> free) : free;
 		}
 		this.pools.values()
 			.stream()
 			.filter((pool) -> pool.isUsable() && pool.free(request.sessionVariables()).isEmpty())
 			.forEach(MemberPool::dialForWaiting);
-		boolean primaryMayServe = primary != null && primary.isUsable() && primary.permits(request);
 		return primaryMayServe ? primary.free(request.sessionVariables()) : Optional.empty();
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -13,6 +13,9 @@
 
 import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.log.LogEvent;
+import org.magnolialead.api.session.StatementError;
+import org.magnolialead.api.session.StatementReply;
+import org.magnolialead.engine.session.ConcurrencyLimit;
 import org.magnolialead.engine.session.ConnectionPurpose;
 import org.magnolialead.engine.session.FailureShare;
 import org.magnolialead.engine.session.OverloadBackoff;
@@ -45,6 +48,10 @@
 
 	private final FailureShare failureShare;
 
+	private final ConcurrencyLimit concurrencyLimit;
+
+	private int loggedLimit = ConcurrencyLimit.DEFAULT_LIMIT;
+
 	private final MemberConnector connector;
 
 	private final List<PooledConnection> connections = new ArrayList<>();
@@ -78,6 +85,7 @@
 		this.router = router;
 		this.context = context;
 		this.failureShare = new FailureShare(now);
+		this.concurrencyLimit = new ConcurrencyLimit(now);
 		this.member = member;
 		this.connector = new MemberConnector(this, context);
 		this.behindUntil = now;
@@ -103,10 +111,74 @@
 	/**
 	 * Returns the time that a read at the member is expected to take, by which reads
 	 * choose among the members.
-	 * @return the time in nanoseconds, longer if the member fails a part of its work
+	 * @return the time in nanoseconds, longer if the member fails a part of its work or,
+	 * with learned limits, for each statement in flight there
 	 */
 	long expectedReadNanoseconds() {
-		return this.failureShare.expectedNanoseconds(this.serviceNanoseconds, now());
+		long now = now();
+		long service = this.context.learnedLimits().isEnabled()
+				? this.concurrencyLimit.expectedNanoseconds(inFlight(), now) : this.serviceNanoseconds;
+		return this.failureShare.expectedNanoseconds(service, now);
+	}
+
+	/**
+	 * Tells whether reads should prefer other members because of the statements in flight
+	 * at this one.
+	 * @return {@code false} if learned limits are not enabled or nothing is in flight
+	 */
+	boolean isAtLimit() {
+		return this.context.learnedLimits().isEnabled() && inFlight() >= limit();
+	}
+
+	int limit() {
+		return this.concurrencyLimit.value(now());
+	}
+
+	int inFlight() {
+		return (int) this.connections.stream().filter(PooledConnection::isInFlight).count();
+	}
+
+	long smoothedNanoseconds() {
+		return this.concurrencyLimit.smoothedNanoseconds();
+	}
+
+	void statementStarted() {
+		this.concurrencyLimit.started(inFlight(), now());
+	}
+
+	/**
+	 * Learns from the reply to a statement. Only executed statements show how fast the
+	 * member is.
+	 * @param priority priority of the statement
+	 * @param reply the reply
+	 * @param nanoseconds time from the statement to the reply in nanoseconds
+	 */
+	void statementAnswered(int priority, StatementReply reply, long nanoseconds) {
+		if (reply.isDone()) {
+			learn(priority, nanoseconds);
+		}
+		else if (reply.error() == StatementError.OVERLOADED) {
+			this.concurrencyLimit.refused();
+		}
+	}
+
+	/**
+	 * Learns from a statement that is given up without a reply, whose age is the least
+	 * time that the member would have taken.
+	 * @param priority priority of the statement
+	 * @param nanoseconds time since the statement in nanoseconds
+	 */
+	void statementAbandoned(int priority, long nanoseconds) {
+		if (nanoseconds > smoothedNanoseconds()) {
+			learn(priority, nanoseconds);
+		}
+	}
+
+	private void learn(int priority, long nanoseconds) {
+		long now = now();
+		this.concurrencyLimit.answered(priority, nanoseconds, now);
+		this.loggedLimit = this.context.learnedLimits()
+			.logChange(this.member, this.loggedLimit, this.concurrencyLimit.value(now), smoothedNanoseconds(), now);
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -34,6 +34,16 @@
 
 	private boolean lossRecorded;
 
+	/** Priority of the statement or transaction that uses the connection. */
+	private int priority;
+
+	/** Whether a statement was sent since the connection was acquired. */
+	private boolean statementSent;
+
+	private int unansweredStatements;
+
+	private long statementSentAt;
+
 	PooledConnection(MemberPool pool, boolean relayed) {
 		this.pool = pool;
 		this.relayed = relayed;
@@ -76,8 +86,22 @@
 		return this.state.alignmentCost(sessionVariables);
 	}
 
+	/**
+	 * Tells whether the member executes a statement of the connection or is about to
+	 * receive one. A transaction between two statements does not occupy the member.
+	 * @return {@code true} if the connection counts as in flight
+	 */
+	boolean isInFlight() {
+		return this.inUse && (this.unansweredStatements > 0 || !this.statementSent);
+	}
+
+	void priority(int current) {
+		this.priority = current;
+	}
+
 	void acquire(long now) {
 		this.inUse = true;
+		this.statementSent = false;
 		this.acquiredAt = now;
 	}
 
@@ -98,6 +122,9 @@
 	 * transaction.
 	 */
 	void discard() {
+		if (this.inUse && this.unansweredStatements > 0) {
+			this.pool.statementAbandoned(this.priority, this.pool.now() - this.statementSentAt);
+		}
 		this.lossRecorded = true;
 		this.inUse = false;
 		this.channel.close();
@@ -196,7 +223,17 @@
 	 */
 	void sendStatement(ClientStatement statement, PreparedStatement prepared, LogPosition after,
 			Consumer<StatementReply> handler) {
+		long sentAt = this.pool.now();
+		this.statementSent = true;
+		this.statementSentAt = sentAt;
+		this.unansweredStatements++;
+		this.pool.statementStarted();
 		send(MemberCommand.of(statement, prepared, after), (reply) -> {
+			this.unansweredStatements--;
+			// A commit executes no statement, so its time is not comparable.
+			if (statement.verb() != ClientStatement.Verb.COMMIT) {
+				this.pool.statementAnswered(this.priority, reply, this.pool.now() - sentAt);
+			}
 			if (reply.error() == StatementError.NOT_PREPARED && prepared != null) {
 				this.state.notPrepared(prepared);
 			}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionContext.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionContext.java
@@ -17,9 +17,10 @@
  * @param dialer opens connections to members
  * @param forwarder knows the other daemons and forwards statements to them
  * @param metrics counters and latencies
+ * @param learnedLimits whether reads follow the learned limits of members
  */
 record SessionContext(ScheduledExecutorService loop, MonotonicClock clock, MemberDialer dialer,
-		StatementForwarder forwarder, SessionMetrics metrics) {
+		StatementForwarder forwarder, SessionMetrics metrics, LearnedLimits learnedLimits) {
 
 	private static final System.Logger LOGGER = System.getLogger(SessionContext.class.getName());
 
@@ -29,6 +30,7 @@
 		Objects.requireNonNull(dialer, "dialer must not be null");
 		Objects.requireNonNull(forwarder, "forwarder must not be null");
 		Objects.requireNonNull(metrics, "metrics must not be null");
+		Objects.requireNonNull(learnedLimits, "learnedLimits must not be null");
 	}
 
 	long now() {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionMetrics.java
@@ -31,7 +31,10 @@
 
 	private volatile int withoutPrimary;
 
+	private final MemberLoadMetrics memberLoads;
+
 	SessionMetrics() {
+		this.memberLoads = new MemberLoadMetrics(this.registry);
 		gauge("sessions.open", () -> this.sessions);
 		gauge("sessions.forwarded-here", () -> this.forwardedSessions);
 		gauge("sessions.held-bytes", () -> this.heldBytes);
@@ -127,6 +130,7 @@
 		this.connections = connectionCount;
 		this.relayed = relayedCount;
 		this.withoutPrimary = withoutPrimaryCount;
+		this.memberLoads.update(routers);
 	}
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -82,7 +82,7 @@
 	public SessionService(String daemon, String zone, ScheduledExecutorService loop, MonotonicClock clock,
 			LongSupplier wallClock, MemberDialer dialer, ForwardingLink link) {
 		this(daemon, zone, loop, clock, wallClock, dialer, link,
-				SessionLimits.defaults(Runtime.getRuntime().maxMemory()));
+				SessionLimits.defaults(Runtime.getRuntime().maxMemory()), false);
 	}
 
 	/**
@@ -96,12 +96,14 @@
 	 * @param dialer opens connections to members
 	 * @param link sends messages to other daemons
 	 * @param limits limits of what sessions keep
+	 * @param learnedLimits whether reads follow the learned limits of members
 	 */
 	public SessionService(String daemon, String zone, ScheduledExecutorService loop, MonotonicClock clock,
-			LongSupplier wallClock, MemberDialer dialer, ForwardingLink link, SessionLimits limits) {
+			LongSupplier wallClock, MemberDialer dialer, ForwardingLink link, SessionLimits limits,
+			boolean learnedLimits) {
 		this.memory = new SessionMemory(limits);
 		this.context = new SessionContext(loop, clock, dialer, new StatementForwarder(daemon, zone, clock, link),
-				this.metrics);
+				this.metrics, new LearnedLimits(learnedLimits, clock.nanoseconds()));
 		this.wallClock = wallClock;
 		this.statementLog = new StatementLog(this.context);
 		this.suspensionDetector = new SuspensionDetector(clock.nanoseconds(), wallClock.getAsLong());
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -125,9 +125,26 @@
 	 * @param startAfter address of a process on the same VM that has to start first
 	 * because the whole fleet depends on it; empty if there is none
 	 * @param limits limits of what sessions keep
+	 * @param learnedLimits whether reads follow the learned limits of members
 	 */
 	public record SessionSettings(String host, int port, String promotionAddress, long graceMilliseconds,
-			Optional<String> startAfter, SessionLimits limits) {
+			Optional<String> startAfter, SessionLimits limits, boolean learnedLimits) {
+
+		/**
+		 * Creates settings with which reads do not follow the learned limits of members.
+		 * @param host address to listen on
+		 * @param port port to listen on
+		 * @param promotionAddress address of the service that promotes database members
+		 * @param graceMilliseconds time in milliseconds between the termination signal
+		 * and the forced end of the process
+		 * @param startAfter address of a process on the same VM that has to start first
+		 * @param limits limits of what sessions keep
+		 */
+		public SessionSettings(String host, int port, String promotionAddress, long graceMilliseconds,
+				Optional<String> startAfter, SessionLimits limits) {
+			this(host, port, promotionAddress, graceMilliseconds, startAfter, limits, false);
+		}
+
 	}
 
 	/**
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
@@ -201,10 +201,12 @@
 		Optional<String> startAfter = sessions.optionalString("start_after");
 		startAfter.ifPresent((other) -> checkAddress(sessions, "start_after", other));
 		SessionLimits limits = sessionLimits(sessions);
+		boolean learnedLimits = sessions.booleanValue("learned_limits", false);
 		sessions.rejectUnknownKeys();
 		int colon = address.lastIndexOf(':');
 		return Optional.of(new DaemonSettings.SessionSettings(address.substring(0, colon),
-				Integer.parseInt(address.substring(colon + 1)), promotionAddress, grace, startAfter, limits));
+				Integer.parseInt(address.substring(colon + 1)), promotionAddress, grace, startAfter, limits,
+				learnedLimits));
 	}
 
 	private static SessionLimits sessionLimits(SettingsSection sessions) {
