--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -319,6 +319,7 @@
 
 	private void grant(ConnectionRequest request, PooledConnection connection) {
 		connection.acquire(now());
+		connection.priority(request.priority());
 		connection.pool().requestGranted(request);
 		request.grant(connection);
 	}
@@ -337,12 +338,15 @@
 			.stream()
 			.filter((pool) -> pool.isUsable() && pool != primary && pool != request.avoided() && !pool.isBehind(now)
 					&& pool.permits(request))
-			.sorted(Comparator.comparingLong(MemberPool::expectedReadNanoseconds))
+			.sorted(Comparator.comparing(MemberPool::isAtLimit).thenComparingLong(MemberPool::expectedReadNanoseconds))
 			.map((pool) -> pool.free(request.account(), request.sessionVariables()))
 			.flatMap(Optional::stream)
 			.findFirst();
+		boolean primaryMayServe = primary != null && primary.isUsable() && primary.permits(request);
 		if (free.isPresent()) {
-			return free;
+			boolean primaryPreferred = free.get().pool().isAtLimit() && primaryMayServe && primary != request.avoided()
+					&& !primary.isAtLimit();
+			return primaryPreferred ? primary.free(request.account(), request.sessionVariables()).or(() -> free) : free;
 		}
 		if (this.byAccount || !request.account().isEmpty()) {
 			dialForRead(request);
@@ -353,7 +357,6 @@
 				.filter((pool) -> pool.isUsable() && pool.free(request.account(), request.sessionVariables()).isEmpty())
 				.forEach((pool) -> pool.dialForWaiting(request.account(), 0));
 		}
-		boolean primaryMayServe = primary != null && primary.isUsable() && primary.permits(request);
 		return primaryMayServe ? primary.free(request.account(), request.sessionVariables()) : Optional.empty();
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/PooledConnection.java
@@ -44,6 +44,16 @@
 
 	private boolean lossRecorded;
 
+	/** Priority of the statement or transaction that uses the connection. */
+	private int priority;
+
+	/** Whether a statement was sent since the connection was acquired. */
+	private boolean statementSent;
+
+	private int unansweredStatements;
+
+	private long statementSentAt;
+
 	/**
 	 * Creates a connection that is not open yet.
 	 * @param pool connections to the member
@@ -107,8 +117,22 @@
 		return this.state.alignmentCost(sessionVariables);
 	}
 
+	/**
+	 * Tells whether the member executes a statement of the connection or is about to
+	 * receive one. A transaction between two statements does not occupy the member.
+	 * @return {@code true} if the connection counts as in flight
+	 */
+	boolean isInFlight() {
+		return this.inUse && (this.unansweredStatements > 0 || !this.statementSent);
+	}
+
+	void priority(int current) {
+		this.priority = current;
+	}
+
 	void acquire(long now) {
 		this.inUse = true;
+		this.statementSent = false;
 		this.acquiredAt = now;
 	}
 
@@ -129,6 +153,9 @@
 	 * transaction.
 	 */
 	void discard() {
+		if (this.inUse && this.unansweredStatements > 0) {
+			this.pool.statementAbandoned(this.priority, this.pool.now() - this.statementSentAt);
+		}
 		this.lossRecorded = true;
 		this.inUse = false;
 		this.channel.close();
@@ -227,7 +254,17 @@
 	 */
 	void sendStatement(ClientStatement statement, PreparedStatement prepared, LogPosition after,
 			Consumer<StatementReply> handler) {
+		long sentAt = this.pool.now();
+		this.statementSent = true;
+		this.statementSentAt = sentAt;
+		this.unansweredStatements++;
+		this.pool.statementStarted();
 		send(MemberCommand.of(statement, prepared, after), (reply) -> {
+			this.unansweredStatements--;
+			// A commit executes no statement, so its time is not comparable.
+			if (statement.verb() != ClientStatement.Verb.COMMIT) {
+				this.pool.statementAnswered(this.priority, reply, this.pool.now() - sentAt);
+			}
 			if (reply.error() == StatementError.NOT_PREPARED && prepared != null) {
 				this.state.notPrepared(prepared);
 			}
