--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -58,6 +58,9 @@
 			"command without effect: group=%s member=%s command=%s status=%s"),
 	/** A member has sent an answer twice on one connection. */
 	MEMBER_REPEATS_ANSWERS(3205, Level.WARNING, "database member repeats answers: group=%s member=%s"),
+	/** Client accounts close each other's connections to a member. */
+	MEMBER_CONNECTIONS_CONTESTED(3206, Level.WARNING,
+			"connections contested by client accounts: group=%s member=%s evicted=%s seconds=%s"),
 	/** This daemon found the primary of a group. */
 	SESSION_PRIMARY_FOUND(3301, Level.INFO, "primary found: group=%s member=%s term=%s index=%s"),
 	/** This daemon no longer sends writes to a member. */
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -42,6 +42,15 @@
 	/** Time for which a member that has repeated a reply is expected to repeat others. */
 	private static final long REPETITION_MEMORY_NANOSECONDS = TimeUnit.MINUTES.toNanos(5);
 
+	/** Interval in which evictions are counted for the log. */
+	private static final long EVICTION_INTERVAL_NANOSECONDS = TimeUnit.MINUTES.toNanos(1);
+
+	/**
+	 * Number of evictions within the interval that is logged. Opening a connection takes
+	 * about 12 ms of a slot of the member, so ten in a second use an eighth of a slot.
+	 */
+	private static final int LOGGED_EVICTIONS = 600;
+
 	private final GroupRouter router;
 
 	private final SessionContext context;
@@ -76,6 +85,10 @@
 
 	private boolean closed;
 
+	private long evictionIntervalEndsAt;
+
+	private int evictions;
+
 	MemberPool(GroupRouter router, SessionContext context, MemberDescription member) {
 		long now = context.now();
 		this.router = router;
@@ -85,6 +98,7 @@
 		this.connector = new MemberConnector(this, context);
 		this.behindUntil = now;
 		this.repetitionsExpectedUntil = now;
+		this.evictionIntervalEndsAt = now;
 	}
 
 	MemberDescription member() {
@@ -308,6 +322,16 @@
 		this.connections.remove(connection);
 		connection.discard();
 		metrics().connectionEvicted();
+		long now = now();
+		if (now - this.evictionIntervalEndsAt >= 0) {
+			this.evictionIntervalEndsAt = now + EVICTION_INTERVAL_NANOSECONDS;
+			this.evictions = 0;
+		}
+		this.evictions++;
+		if (this.evictions == LOGGED_EVICTIONS) {
+			LogEvent.MEMBER_CONNECTIONS_CONTESTED.log(LOGGER, this.member.group(), this.member.member(), this.evictions,
+					TimeUnit.NANOSECONDS.toSeconds(EVICTION_INTERVAL_NANOSECONDS));
+		}
 	}
 
 	@Override
