--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -61,6 +61,9 @@
 	/** The learned limit of a member has fallen to a half or doubled. */
 	MEMBER_LIMIT_CHANGED(3206, Level.INFO,
 			"in-flight limit of database member changed: group=%s member=%s before=%s after=%s smoothed_milliseconds=%s dropped_lines=%s"),
+	/** Client accounts close each other's connections to a member. */
+	MEMBER_CONNECTIONS_CONTESTED(3207, Level.WARNING,
+			"connections contested by client accounts: group=%s member=%s evicted=%s seconds=%s"),
 	/** This daemon found the primary of a group. */
 	SESSION_PRIMARY_FOUND(3301, Level.INFO, "primary found: group=%s member=%s term=%s index=%s"),
 	/** This daemon no longer sends writes to a member. */
