--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ConcurrencyLimitRoutingTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/ConcurrencyLimitRoutingTests.java
@@ -11,6 +11,7 @@
 import org.magnolialead.api.FleetConfiguration;
 import org.magnolialead.api.FleetView;
 import org.magnolialead.api.FreshnessRule;
+import org.magnolialead.api.MemberDescription;
 import org.magnolialead.api.Route;
 import org.magnolialead.api.RouteTable;
 import org.magnolialead.api.session.StatementReply;
@@ -141,6 +142,20 @@
 		assertThat(Math.max(executionsAt("b"), executionsAt("c"))).isEqualTo(ConcurrencyLimit.DEFAULT_LIMIT * 2);
 	}
 
+	/**
+	 * Guards against a log line for each step of a limit.
+	 */
+	@Test
+	void onlyLimitsThatHalveOrDoubleAreLogged() {
+		LearnedLimits limits = new LearnedLimits(true, 0);
+		MemberDescription member = new MemberDescription(FakeGroup.NAME, "a", "10.0.0.1:1", ZONE, 2, 18, false, true,
+				1);
+		assertThat(limits.logChange(member, 4, 3, 0, 0)).isEqualTo(4);
+		assertThat(limits.logChange(member, 4, 7, 0, 0)).isEqualTo(4);
+		assertThat(limits.logChange(member, 4, 2, 0, 0)).isEqualTo(2);
+		assertThat(limits.logChange(member, 4, 8, 0, 0)).isEqualTo(8);
+	}
+
 	/**
 	 * Guards against a member whose statements are given up without an answer and that
 	 * keeps its smoothed time, and against more gauges than members.
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/settings/SettingsReaderTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/settings/SettingsReaderTests.java
@@ -99,6 +99,7 @@
 			maximum_variable_bytes = 2000000000 | key "sessions.maximum_total_megabytes"
 			maximum_total_megabytes = 1048576  | key "sessions.maximum_total_megabytes": found 1048576
 			maximum_total_megabytes = 0        | key "sessions.maximum_total_megabytes": found 0
+			learned_limits = "yes"             | key "sessions.learned_limits": found
 			""")
 	void rejectsInvalidLimitOfSessions(String limit, String expected) throws IOException {
 		Path file = write(VALID + SESSIONS + limit + "\n");
@@ -120,6 +121,16 @@
 		assertThat(limits.totalBytes()).isEqualTo(5 * 1024 * 1024);
 	}
 
+	/**
+	 * Guards against a choice of members that changes without the operator's setting.
+	 */
+	@Test
+	void learnedLimitsAreEnabledOnlyByTheirSetting() throws IOException {
+		assertThat(SettingsReader.read(write(VALID + SESSIONS)).sessions().orElseThrow().learnedLimits()).isFalse();
+		String set = SESSIONS + "learned_limits = true\n";
+		assertThat(SettingsReader.read(write(VALID + set)).sessions().orElseThrow().learnedLimits()).isTrue();
+	}
+
 	@Test
 	void rejectsMissingFile() {
 		Path file = this.folder.resolve("absent.toml");
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConcurrencyLimit.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/session/ConcurrencyLimit.java
@@ -23,8 +23,8 @@
 	private static final int LOWEST_RANK = 2;
 
 	/**
-	 * Multiple of the usual time above which a window is slow. Medians of 16 exponential
-	 * times exceed it in about one of 20 windows without any cause.
+	 * Multiple of the usual time above which a window is slow. Of the medians of 16
+	 * exponential times, 10% exceed it without any cause, and 1% twice in succession.
 	 */
 	private static final double SLOW = 2;
 
