--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -90,6 +90,12 @@
 	/** A member did not accept the session of a statement, which was not sent. */
 	SESSION_ALIGNMENT_FAILED(3314, Level.INFO,
 			"connection not aligned with session: request=%s database=%s member=%s error=%s attempt=%s"),
+	/** Operations of a client account were rejected by its rate limit. */
+	QUOTA_REJECTED(3320, Level.INFO, "operations rejected by rate limit: account=%s reason=%s count=%s"),
+	/** The control leader does not answer requests for tokens. */
+	QUOTA_LEADER_LOST(3321, Level.WARNING, "rate limits without control leader: cause=%s"),
+	/** The control leader answers requests for tokens again. */
+	QUOTA_LEADER_REGAINED(3322, Level.INFO, "rate limits under control leader again: gap_ms=%s"),
 	/** This control daemon became leader. */
 	CONTROL_LEADER(4001, Level.INFO, "control leadership started: daemon=%s term=%s"),
 	/** This control daemon stopped being leader. */
--- a/magnolialead-api/src/main/java/org/magnolialead/api/message/MessageKind.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/message/MessageKind.java
@@ -38,7 +38,11 @@
 	/** Answer to a forwarded statement. */
 	FORWARD_STATEMENT_ANSWER(16, ForwardStatementAnswer.class),
 	/** Rollback of a transaction whose statements were forwarded. */
-	ROLL_BACK_FORWARDED(17, RollBackForwarded.class);
+	ROLL_BACK_FORWARDED(17, RollBackForwarded.class),
+	/** Request for tokens of client accounts. */
+	QUOTA_REQUEST(18, QuotaRequest.class),
+	/** Answer to a request for tokens. */
+	QUOTA_ANSWER(19, QuotaAnswer.class);
 
 	private final int code;
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -22,6 +22,7 @@
 import org.magnolialead.api.message.InitializeAnswer;
 import org.magnolialead.api.message.InitializeRequest;
 import org.magnolialead.api.message.LedgerKeysQuery;
+import org.magnolialead.api.message.QuotaRequest;
 import org.magnolialead.api.message.SubmitCommandRequest;
 import org.magnolialead.api.message.ViewAnswer;
 import org.magnolialead.api.message.ViewQuery;
@@ -161,6 +162,9 @@
 		if (message instanceof HeartbeatRequest heartbeat) {
 			return this.controller.heartbeat(heartbeat).thenApply((answer) -> answer);
 		}
+		if (message instanceof QuotaRequest quota) {
+			return CompletableFuture.completedFuture(this.controller.grantTokens(quota));
+		}
 		if (message instanceof SubmitCommandRequest submit) {
 			return this.controller.submit(submit).thenApply((answer) -> answer);
 		}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/SessionDaemon.java
@@ -88,6 +88,7 @@
 		this.sessions = new SessionService(settings.name(), settings.availabilityZone(), this.adapter.loop(), clock,
 				System::currentTimeMillis, this.adapter.dialer(), new PeerForwardingLink(this.forwardingClient),
 				settings.sessions().orElseThrow().limits());
+		this.sessions.requestTokensFrom(link);
 		this.promotions = new PromotionController(settings.name(), incarnation, this.sessions,
 				this.entryServices.lease(), link, this.adapter.promotions());
 		this.entryServices.view().addListener(this.sessions::viewChanged);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -38,6 +38,9 @@
 import org.magnolialead.api.message.HeartbeatAnswer;
 import org.magnolialead.api.message.HeartbeatRequest;
 import org.magnolialead.api.message.OwnedGroupReport;
+import org.magnolialead.api.message.QuotaAnswer;
+import org.magnolialead.api.message.QuotaGrant;
+import org.magnolialead.api.message.QuotaRequest;
 import org.magnolialead.api.message.SubmitCommandAnswer;
 import org.magnolialead.api.message.SubmitCommandRequest;
 import org.magnolialead.api.message.ViewAnswer;
@@ -277,6 +280,22 @@
 		}
 	}
 
+	/**
+	 * Grants tokens of client accounts to an entry daemon.
+	 * @param request the request
+	 * @return the answer; contains grants only if this member still has authority after
+	 * they were computed
+	 */
+	public QuotaAnswer grantTokens(QuotaRequest request) {
+		Leadership current = currentLeadership();
+		if (current == null || !current.isReady()) {
+			return QuotaAnswer.notLeader(leaderAddress());
+		}
+		List<QuotaGrant> grants = current.grantTokens(request, this.machine.state(), this.clock.nanoseconds());
+		return hasAuthority(current) ? new QuotaAnswer(leaderAddress(), true, grants)
+				: QuotaAnswer.notLeader(leaderAddress());
+	}
+
 	/**
 	 * Submits a command of an entry daemon or an operator.
 	 * @param request the command
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/Leadership.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/Leadership.java
@@ -7,14 +7,18 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
+import org.magnolialead.api.AccountTable;
 import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.command.ControlCommand.ForgetDaemon;
 import org.magnolialead.api.message.HeartbeatRequest;
 import org.magnolialead.api.message.OwnedGroupReport;
+import org.magnolialead.api.message.QuotaGrant;
+import org.magnolialead.api.message.QuotaRequest;
 import org.magnolialead.engine.control.ControlState;
 import org.magnolialead.engine.control.LeaseTable;
 import org.magnolialead.engine.control.LeaseTiming;
 import org.magnolialead.engine.control.OwnershipPlanner;
+import org.magnolialead.engine.quota.QuotaAllocator;
 
 /**
  * In-memory state of the leader during one leadership. Safe for concurrent use.
@@ -29,6 +33,8 @@
 
 	private final OwnershipPlanner planner;
 
+	private final QuotaAllocator quotas;
+
 	private final CompletableFuture<LedgerClock> ready;
 
 	private final Set<ControlCommand> commandsInProgress = new HashSet<>();
@@ -42,6 +48,7 @@
 		this.since = since;
 		this.leases = new LeaseTable(timing, since);
 		this.planner = new OwnershipPlanner(since);
+		this.quotas = new QuotaAllocator(since);
 		this.ready = ready;
 		this.forgetRequestsDueAt = since;
 	}
@@ -70,7 +77,13 @@
 		}
 	}
 
+	synchronized List<QuotaGrant> grantTokens(QuotaRequest request, ControlState state, long now) {
+		AccountTable accounts = state.configuration().routes().accounts();
+		return this.quotas.allocate(request, accounts, state.daemons().size(), now);
+	}
+
 	synchronized boolean grant(HeartbeatRequest request, long now) {
+		this.quotas.heard(request.daemon(), request.incarnation(), now);
 		return this.leases.grant(request.daemon(), request.incarnation(), request.viewVersion(), now);
 	}
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/entry/ControlLink.java
@@ -21,9 +21,13 @@
 import org.magnolialead.api.message.HeartbeatAnswer;
 import org.magnolialead.api.message.HeartbeatRequest;
 import org.magnolialead.api.message.OwnedGroupReport;
+import org.magnolialead.api.message.QuotaAnswer;
+import org.magnolialead.api.message.QuotaDemand;
+import org.magnolialead.api.message.QuotaRequest;
 import org.magnolialead.api.message.SubmitCommandAnswer;
 import org.magnolialead.api.message.SubmitCommandRequest;
 import org.magnolialead.daemon.filter.DaemonLease;
+import org.magnolialead.daemon.quota.QuotaLink;
 import org.magnolialead.transport.peer.PeerClient;
 import org.magnolialead.transport.peer.ViewChangePacker;
 
@@ -31,7 +35,7 @@
  * Connection of an entry daemon to the control leader. Renews the lease, keeps the fleet
  * view up to date and submits commands.
  */
-public final class ControlLink implements CommandSubmitter {
+public final class ControlLink implements CommandSubmitter, QuotaLink {
 
 	private static final System.Logger LOGGER = System.getLogger(ControlLink.class.getName());
 
@@ -130,6 +134,24 @@
 		return this.client.request(currentAddress(), query, deadline);
 	}
 
+	// A request that times out does not count against the leader: its timeout is shorter
+	// than that of a heartbeat, which decides where to look for the leader.
+	@Override
+	public CompletableFuture<QuotaAnswer> requestTokens(List<QuotaDemand> demands, long deadline) {
+		String address = currentAddress();
+		QuotaRequest request = new QuotaRequest(this.identity.daemon(), this.identity.incarnation(), demands);
+		return this.client.request(address, request, deadline).thenApply((answer) -> {
+			if (!(answer instanceof QuotaAnswer quota)) {
+				throw new MagnolialeadException(ErrorCode.UNREACHABLE, Step.CONTROL, address,
+						"the control daemon does not grant tokens");
+			}
+			if (!quota.leader()) {
+				followLeaderHint(address, quota.leaderAddress());
+			}
+			return quota;
+		});
+	}
+
 	// After a failure a scheduled retry replaces the regular heartbeat.
 	private void heartbeatUnlessRetrying() {
 		if (this.failedHeartbeats == 0) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/ClientSession.java
@@ -9,6 +9,7 @@
 
 import org.magnolialead.api.KeyDigest;
 import org.magnolialead.api.LogPosition;
+import org.magnolialead.api.RateLimit;
 import org.magnolialead.api.Route;
 import org.magnolialead.api.message.ForwardStatementRequest;
 import org.magnolialead.api.message.ForwardStatementRequest.Action;
@@ -17,7 +18,9 @@
 import org.magnolialead.api.session.SessionState;
 import org.magnolialead.api.session.StatementError;
 import org.magnolialead.api.session.StatementReply;
+import org.magnolialead.daemon.quota.QuotaService;
 import org.magnolialead.engine.account.AccountAccess;
+import org.magnolialead.engine.quota.QuotaDecision;
 import org.magnolialead.engine.session.PreparedStatement;
 import org.magnolialead.engine.session.ReadPlan;
 import org.magnolialead.engine.session.SessionRefusal;
@@ -68,6 +71,8 @@
 
 	private SingleStatement singleStatement;
 
+	private QuotaService.Operation operation;
+
 	private ClientStatement currentStatement;
 
 	private Future<?> idleTimer;
@@ -248,9 +253,11 @@
 			return;
 		}
 		boolean readOnly = statement.verb() == ClientStatement.Verb.BEGIN_READ;
-		this.transaction = new RoutedTransaction(this, readOnly, statement.receivedAt());
-		this.state = SessionState.TRANSACTION;
-		answerDone();
+		startWithinLimit(statement, () -> {
+			this.transaction = new RoutedTransaction(this, readOnly, statement.receivedAt());
+			this.state = SessionState.TRANSACTION;
+			answerDone();
+		});
 	}
 
 	private void rollBack() {
@@ -284,8 +291,37 @@
 			return;
 		}
 		if (findRoute()) {
-			this.singleStatement = new RoutedStatement(this, statement, prepared, writes, deadline(statement));
-			this.singleStatement.start();
+			startWithinLimit(statement, () -> {
+				this.singleStatement = new RoutedStatement(this, statement, prepared, writes, deadline(statement));
+				this.singleStatement.start();
+			});
+		}
+	}
+
+	// Starts an operation once it has a token, if the account has a rate limit.
+	private void startWithinLimit(ClientStatement statement, Runnable start) {
+		RateLimit limit = this.service.routes().limit(this.account).orElse(null);
+		if (limit == null) {
+			start.run();
+			return;
+		}
+		QuotaService.Operation taking = this.service.quotas()
+			.take(this.account, limit, deadline(statement), (decision) -> startIfAdmitted(decision, start));
+		if (taking.decision() == QuotaDecision.WAITING) {
+			this.operation = taking;
+		}
+		else {
+			startIfAdmitted(taking.decision(), start);
+		}
+	}
+
+	private void startIfAdmitted(QuotaDecision decision, Runnable start) {
+		this.operation = null;
+		if (decision == QuotaDecision.ADMITTED) {
+			start.run();
+		}
+		else {
+			refuse(StatementError.OVERLOADED, "rate limit of the client account: " + decision);
 		}
 	}
 
@@ -448,6 +484,9 @@
 		if (this.singleStatement != null) {
 			this.singleStatement.cancel();
 		}
+		if (this.operation != null) {
+			this.operation.cancel();
+		}
 	}
 
 	/**
@@ -468,7 +507,10 @@
 			return null;
 		}
 		boolean inTransaction = this.transaction != null;
-		StatementStage reached = inTransaction ? this.transaction.stage() : this.singleStatement.stage();
+		StatementStage reached = StatementStage.WAITING;
+		if (this.operation == null) {
+			reached = inTransaction ? this.transaction.stage() : this.singleStatement.stage();
+		}
 		boolean ends = !inTransaction || this.currentStatement.verb() == ClientStatement.Verb.COMMIT;
 		StatementReply reply = StatementReply.failed(reached.errorAfterLoss(), "the session is closed",
 				ends ? SessionState.IDLE : SessionState.FAILED_TRANSACTION);
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -20,6 +20,8 @@
 import org.magnolialead.api.Route;
 import org.magnolialead.api.RouteTable;
 import org.magnolialead.api.session.StatementError;
+import org.magnolialead.daemon.quota.QuotaLink;
+import org.magnolialead.daemon.quota.QuotaService;
 import org.magnolialead.engine.account.AccountAccess;
 import org.magnolialead.engine.session.SessionLimits;
 import org.magnolialead.engine.session.SessionMemory;
@@ -60,6 +62,8 @@
 
 	private final SessionMetrics metrics = new SessionMetrics();
 
+	private QuotaService quotas;
+
 	private Future<?> nextTick;
 
 	private boolean atRest;
@@ -105,6 +109,17 @@
 		this.wallClock = wallClock;
 		this.statementLog = new StatementLog(this.context);
 		this.suspensionDetector = new SuspensionDetector(clock.nanoseconds(), wallClock.getAsLong());
+		requestTokensFrom(QuotaLink.NONE);
+	}
+
+	/**
+	 * Sets the link over which tokens of client accounts with a rate limit are requested.
+	 * Must be called before {@link #start()}.
+	 * @param link the link; without one, operations of such accounts are rejected
+	 */
+	public void requestTokensFrom(QuotaLink link) {
+		this.quotas = new QuotaService(this.context.loop(), this.context.clock(), this.wallClock, link,
+				this.metrics.registry());
 	}
 
 	/**
@@ -129,6 +144,7 @@
 		this.context.forwarder().update(view);
 		if (!Objects.equals(before.accounts(), this.routes.accounts())) {
 			this.accountAccess = new AccountAccess(this.routes.accounts());
+			this.quotas.accountsChanged(this.routes.accounts());
 			List.copyOf(this.sessions).forEach(ClientSession::endIfAccessRevoked);
 		}
 		if (isServing()) {
@@ -183,6 +199,10 @@
 		return this.accountAccess.account(key, route);
 	}
 
+	QuotaService quotas() {
+		return this.quotas;
+	}
+
 	/**
 	 * Runs a task once routes are known. Until then a daemon that has just started cannot
 	 * tell an unknown database from one whose route it has not received yet.
