--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/quota/QuotaService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/quota/QuotaService.java
@@ -44,7 +44,7 @@
 
 	private final LongSupplier wallClock;
 
-	private final QuotaLink link;
+	private QuotaLink link = QuotaLink.NONE;
 
 	private final QuotaMetrics metrics;
 
@@ -63,20 +63,18 @@
 	private long leaderLostAt;
 
 	/**
-	 * Creates a service.
+	 * Creates a service without a link to the control leader.
 	 * @param loop serial executor
 	 * @param clock clock for all deadlines
 	 * @param wallClock wall clock in milliseconds, read only to detect a suspension of
 	 * the VM
-	 * @param link sends requests to the control leader
 	 * @param registry receives the metrics
 	 */
-	public QuotaService(ScheduledExecutorService loop, MonotonicClock clock, LongSupplier wallClock, QuotaLink link,
+	public QuotaService(ScheduledExecutorService loop, MonotonicClock clock, LongSupplier wallClock,
 			MetricRegistry registry) {
 		this.loop = loop;
 		this.clock = clock;
 		this.wallClock = wallClock;
-		this.link = link;
 		this.metrics = new QuotaMetrics(registry);
 		long now = clock.nanoseconds();
 		this.quota = new DaemonQuota<>(now, Operation::decided);
@@ -84,6 +82,14 @@
 		this.rejectionLog = new RejectionLog(now);
 	}
 
+	/**
+	 * Sets the link to the control leader.
+	 * @param controlLink sends requests to the control leader
+	 */
+	public void setLink(QuotaLink controlLink) {
+		this.link = controlLink;
+	}
+
 	/**
 	 * Takes a token.
 	 * @param account name of the account
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/SessionService.java
@@ -62,7 +62,7 @@
 
 	private final SessionMetrics metrics = new SessionMetrics();
 
-	private QuotaService quotas;
+	private final QuotaService quotas;
 
 	private Future<?> nextTick;
 
@@ -109,7 +109,7 @@
 		this.wallClock = wallClock;
 		this.statementLog = new StatementLog(this.context);
 		this.suspensionDetector = new SuspensionDetector(clock.nanoseconds(), wallClock.getAsLong());
-		requestTokensFrom(QuotaLink.NONE);
+		this.quotas = new QuotaService(loop, clock, wallClock, this.metrics.registry());
 	}
 
 	/**
@@ -118,8 +118,7 @@
 	 * @param link the link; without one, operations of such accounts are rejected
 	 */
 	public void requestTokensFrom(QuotaLink link) {
-		this.quotas = new QuotaService(this.context.loop(), this.context.clock(), this.wallClock, link,
-				this.metrics.registry());
+		this.quotas.setLink(link);
 	}
 
 	/**
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/AccountQuota.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/AccountQuota.java
@@ -27,6 +27,13 @@
 	 */
 	private static final long REPORT_NANOSECONDS = 1_000_000_000L;
 
+	/**
+	 * Number of tokens that a daemon may accumulate without the leader, if that is more
+	 * than those of 1 s. With a capacity of 1, a daemon with one operation every 500 ms
+	 * would use about half of the tokens that it may grant itself.
+	 */
+	private static final double MINIMUM_SELF_GRANTED_CAPACITY = 2;
+
 	/** Period whose expected demand is requested ahead. */
 	private static final double EXPECTED_SECONDS = 0.25;
 
@@ -59,11 +66,14 @@
 
 	private long selfGrantedAt;
 
+	private long answeredAt;
+
 	private int held;
 
 	AccountQuota(String account, long now) {
 		this.account = account;
 		this.demandUpdatedAt = now;
+		this.answeredAt = now;
 	}
 
 	String account() {
@@ -149,6 +159,7 @@
 	 */
 	void granted(int tokens, long sentAt, long now) {
 		this.history.add(tokens, now);
+		this.answeredAt = now;
 		if (tokens > 0) {
 			this.batches.add(new Batch(sentAt, tokens));
 			this.held += tokens;
@@ -210,7 +221,8 @@
 		double rate = this.history.perSecond(requestedAt) * SELF_GRANTED_PART;
 		this.selfGrantedPerSecond = (this.limit != null) ? Math.min(rate, this.limit.operationsPerSecond()) : rate;
 		this.selfGrantedLevel = 0;
-		this.selfGrantedAt = requestedAt;
+		// The account has got no tokens since the last answer.
+		this.selfGrantedAt = this.answeredAt;
 		this.refused = false;
 	}
 
@@ -219,27 +231,10 @@
 		this.selfGrantedLevel = 0;
 	}
 
-	/**
-	 * Returns the time until an operation gets a token that this daemon grants itself.
-	 * @param ahead number of operations that wait before it
-	 * @param now current time of the monotonic clock in nanoseconds
-	 * @return the time in nanoseconds, {@link Double#POSITIVE_INFINITY} if it grants
-	 * itself none
-	 */
-	double selfGrantedWait(int ahead, long now) {
-		refillSelfGranted(now);
-		if (this.selfGrantedPerSecond <= 0) {
-			return Double.POSITIVE_INFINITY;
-		}
-		return Math.max(0, ahead + 1 - this.selfGrantedLevel) / this.selfGrantedPerSecond
-				* TokenBucket.NANOSECONDS_PER_SECOND;
-	}
-
 	private void refillSelfGranted(long now) {
 		if (this.selfGrantedPerSecond > 0 && now - this.selfGrantedAt > 0) {
 			double seconds = (now - this.selfGrantedAt) / TokenBucket.NANOSECONDS_PER_SECOND;
-			double capacity = Math.max(1,
-					this.selfGrantedPerSecond * VALIDITY_NANOSECONDS / TokenBucket.NANOSECONDS_PER_SECOND);
+			double capacity = Math.max(MINIMUM_SELF_GRANTED_CAPACITY, this.selfGrantedPerSecond);
 			this.selfGrantedLevel = Math.min(capacity, this.selfGrantedLevel + this.selfGrantedPerSecond * seconds);
 			this.selfGrantedAt = now;
 		}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/DaemonQuota.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/DaemonQuota.java
@@ -108,12 +108,6 @@
 			return QuotaDecision.EMPTY;
 		}
 		this.demanding.add(entry);
-		if (this.selfGranting) {
-			double wait = quota.selfGrantedWait(entry.waitingCount, now);
-			if (Double.isFinite(wait) && wait > waitUntil - now) {
-				return QuotaDecision.NO_ANSWER;
-			}
-		}
 		if (waitUntil - now <= 0) {
 			return QuotaDecision.NO_ANSWER;
 		}
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/quota/SimulatedQuotas.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/quota/SimulatedQuotas.java
@@ -48,7 +48,6 @@
 
 	private boolean leaderUp = true;
 
-	/** Fault that {@link QuotaSimulationTests} shows to be found. */
 	private double lostAnswers;
 
 	private final BitSet unreachable = new BitSet();
@@ -122,8 +121,7 @@
 		long delay = (long) (-Math.log(1 - this.random.nextDouble()) / perSecond * SECOND);
 		at(this.now + Math.min(delay, 100 * MILLISECOND), () -> {
 			if (delay <= 100 * MILLISECOND) {
-				load.offered.add(this.now);
-				pick().arrived(load);
+				offer(load);
 			}
 			arrive(load);
 		});
@@ -132,11 +130,16 @@
 	/** Offers operations at once, spread over the daemons. */
 	void burst(Load load, int operations) {
 		for (int count = 0; count < operations; count++) {
-			load.offered.add(this.now);
-			pick().arrived(load);
+			offer(load);
 		}
 	}
 
+	private void offer(Load load) {
+		Daemon daemon = pick();
+		load.offered.add(new Offer(daemon.index, this.now));
+		daemon.arrived(load);
+	}
+
 	private Daemon pick() {
 		double last = this.cumulativeShare[this.cumulativeShare.length - 1];
 		int index = Arrays.binarySearch(this.cumulativeShare, this.random.nextDouble() * last);
@@ -161,6 +164,9 @@
 		return MILLISECOND + (long) (this.random.nextDouble() * 4 * MILLISECOND);
 	}
 
+	private record Offer(int daemon, long time) {
+	}
+
 	private record Event(long time, int tie, Runnable action) implements Comparable<Event> {
 
 		@Override
@@ -178,7 +184,7 @@
 
 		private final String name;
 
-		private final List<Long> offered = new ArrayList<>();
+		private final List<Offer> offered = new ArrayList<>();
 
 		private final List<Long> admitted = new ArrayList<>();
 
@@ -201,14 +207,28 @@
 			return this.name;
 		}
 
-		List<Long> offered() {
-			return this.offered;
+		List<Long> offeredTimes() {
+			return this.offered.stream().map(Offer::time).toList();
+		}
+
+		/** Returns what daemons with a static share of the limit would admit. */
+		List<Long> admittedInShares(int daemonCount) {
+			RateLimit share = new RateLimit(this.limit.operationsPerSecond() / daemonCount,
+					Math.max(1, this.limit.burst() / daemonCount));
+			Map<Integer, List<Long>> byDaemon = new TreeMap<>();
+			this.offered
+				.forEach((offer) -> byDaemon.computeIfAbsent(offer.daemon, (key) -> new ArrayList<>()).add(offer.time));
+			return byDaemon.values().stream().flatMap((times) -> ideal(times, share).stream()).sorted().toList();
 		}
 
 		int admitted() {
 			return this.admitted.size();
 		}
 
+		long admittedSince(long from) {
+			return this.admitted.stream().filter((time) -> time >= from).count();
+		}
+
 		int rejected() {
 			return this.rejected;
 		}
@@ -244,18 +264,17 @@
 		return excess;
 	}
 
-	/** Returns how many operations one ideal bucket of the whole fleet admits. */
-	static int ideal(List<Long> times, RateLimit limit, double part) {
-		double level = limit.burst() * part;
+	/** Returns the operations that one bucket without delays admits. */
+	static List<Long> ideal(List<Long> times, RateLimit limit) {
+		double level = limit.burst();
 		long before = 0;
-		int admitted = 0;
+		List<Long> admitted = new ArrayList<>();
 		for (long time : times) {
-			level = Math.min(limit.burst() * part,
-					level + (time - before) * limit.operationsPerSecond() * part / SECOND);
+			level = Math.min(limit.burst(), level + (time - before) * limit.operationsPerSecond() / SECOND);
 			before = time;
 			if (level >= 1) {
 				level--;
-				admitted++;
+				admitted.add(time);
 			}
 		}
 		return admitted;
--- a/magnolialead-transport/src/test/java/org/magnolialead/transport/peer/PeerCodecTests.java
+++ b/magnolialead-transport/src/test/java/org/magnolialead/transport/peer/PeerCodecTests.java
@@ -19,6 +19,10 @@
 import org.magnolialead.api.message.ControlIdentity;
 import org.magnolialead.api.message.ExecuteRequest;
 import org.magnolialead.api.message.HeartbeatAnswer;
+import org.magnolialead.api.message.QuotaAnswer;
+import org.magnolialead.api.message.QuotaDemand;
+import org.magnolialead.api.message.QuotaGrant;
+import org.magnolialead.api.message.QuotaRequest;
 import org.magnolialead.api.message.SubmitCommandAnswer;
 import org.magnolialead.api.message.SubmitCommandRequest;
 import org.magnolialead.api.message.ViewAnswer;
@@ -42,6 +46,8 @@
 				new SubmitCommandRequest(new ControlCommand.AnnounceMember(member)),
 				new SubmitCommandAnswer(CommandResult.accepted(7), null, "a:1"),
 				new ViewAnswer("c", true, "", 1, 2, 3, List.of("c"), FleetView.EMPTY, Map.of("d", 4L)),
+				new QuotaRequest("d", "i", List.of(new QuotaDemand("a", 1, 2, 3))),
+				new QuotaAnswer("a:1", true, List.of(new QuotaGrant("a", 1, 20))), QuotaAnswer.notLeader(""),
 				new ConsensusMessage.VoteRequest(new ControlIdentity("n", "i", "a:1"), "c", 3, true, 2, 9));
 		for (Object message : messages) {
 			PeerFrame frame = decode(this.codec.encode(5, message));
