--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlControllerTests.java
@@ -1,16 +1,21 @@
 package org.magnolialead.daemon.control;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.magnolialead.api.AccountTable;
+import org.magnolialead.api.ClientAccount;
 import org.magnolialead.api.ErrorCode;
 import org.magnolialead.api.FleetView;
 import org.magnolialead.api.GroupView;
 import org.magnolialead.api.MemberDescription;
+import org.magnolialead.api.RateLimit;
+import org.magnolialead.api.RouteTable;
 import org.magnolialead.api.command.ControlCommand;
 import org.magnolialead.api.command.ControlCommand.AnnounceMember;
 import org.magnolialead.api.command.ControlCommand.BeginRequest;
@@ -20,6 +25,10 @@
 import org.magnolialead.api.message.HeartbeatAnswer;
 import org.magnolialead.api.message.HeartbeatRequest;
 import org.magnolialead.api.message.OwnedGroupReport;
+import org.magnolialead.api.message.QuotaAnswer;
+import org.magnolialead.api.message.QuotaDemand;
+import org.magnolialead.api.message.QuotaGrant;
+import org.magnolialead.api.message.QuotaRequest;
 import org.magnolialead.api.message.SubmitCommandAnswer;
 import org.magnolialead.api.message.SubmitCommandRequest;
 
@@ -232,6 +241,27 @@
 		}
 	}
 
+	/**
+	 * Guards against tokens from a member that is not the leader, or whose state lacks
+	 * the commands of earlier leaders.
+	 */
+	@Test
+	void onlyAReadyLeaderGrantsTokens() {
+		QuotaRequest request = new QuotaRequest("d1", "i1", List.of(new QuotaDemand("a", 1, 0, 0)));
+		RouteTable table = new RouteTable(1, Map.of(), Map.of(), Map.of(), 1,
+				new AccountTable(Map.of("a", new ClientAccount("a", List.of(), new RateLimit(10, 100)))), "");
+		this.log.submit(new ControlCommand.ReplaceRoutes(table));
+		TestChecks.checkEqual(List.of(new QuotaGrant("a", 1, 0)), this.controller.grantTokens(request).grants(),
+				"granted");
+		this.log.loseLeadership();
+		TestChecks.checkEqual(QuotaAnswer.notLeader("c1:1"), this.controller.grantTokens(request), "no authority");
+		this.log.holdCommits();
+		this.log.becomeLeader(this.now);
+		TestChecks.checkEqual(QuotaAnswer.notLeader("c1:1"), this.controller.grantTokens(request), "not ready");
+		this.log.commitPending();
+		TestChecks.check(this.controller.grantTokens(request).leader(), "ready");
+	}
+
 	private HeartbeatAnswer heartbeat(String daemon, String incarnation, long viewVersion,
 			List<OwnedGroupReport> reports, List<MemberDescription> announcements) {
 		return this.controller.heartbeat(request(daemon, incarnation, viewVersion, reports, announcements)).join();
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/quota/QuotaSimulationTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/quota/QuotaSimulationTests.java
@@ -178,7 +178,7 @@
 		Load load = this.fleet.account("lowered", 200, 1_000, 100);
 		this.fleet.run(10);
 		this.fleet.limit("lowered", 20, 10);
-		long from = this.fleet.now() + AccountQuota.VALIDITY_NANOSECONDS;
+		long from = this.fleet.now() + 500 * SimulatedQuotas.MILLISECOND;
 		load.offer(800);
 		this.fleet.run(10);
 		assertThat(load.excess(from)).isZero();
--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/quota/SimulatedQuotas.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/quota/SimulatedQuotas.java
@@ -164,6 +164,39 @@
 		return MILLISECOND + (long) (this.random.nextDouble() * 4 * MILLISECOND);
 	}
 
+	static double excess(List<Long> times, RateLimit limit) {
+		double permitted = (limit.operationsPerSecond() * 5 + limit.burst()) * 1.1 + 20;
+		int start = 0;
+		double excess = 0;
+		for (int end = 0; end < times.size(); end++) {
+			while (times.get(end) - times.get(start) > 5 * SECOND) {
+				start++;
+			}
+			excess = Math.max(excess, end - start + 1 - permitted);
+		}
+		return excess;
+	}
+
+	/** Returns the operations that one bucket without delays admits. */
+	static List<Long> ideal(List<Long> times, RateLimit limit) {
+		double level = limit.burst();
+		long before = 0;
+		List<Long> admitted = new ArrayList<>();
+		for (long time : times) {
+			level = Math.min(limit.burst(), level + (time - before) * limit.operationsPerSecond() / SECOND);
+			before = time;
+			if (level >= 1) {
+				level--;
+				admitted.add(time);
+			}
+		}
+		return admitted;
+	}
+
+	long now() {
+		return this.now;
+	}
+
 	private record Offer(int daemon, long time) {
 	}
 
@@ -251,39 +284,6 @@
 
 	}
 
-	static double excess(List<Long> times, RateLimit limit) {
-		double permitted = (limit.operationsPerSecond() * 5 + limit.burst()) * 1.1 + 20;
-		int start = 0;
-		double excess = 0;
-		for (int end = 0; end < times.size(); end++) {
-			while (times.get(end) - times.get(start) > 5 * SECOND) {
-				start++;
-			}
-			excess = Math.max(excess, end - start + 1 - permitted);
-		}
-		return excess;
-	}
-
-	/** Returns the operations that one bucket without delays admits. */
-	static List<Long> ideal(List<Long> times, RateLimit limit) {
-		double level = limit.burst();
-		long before = 0;
-		List<Long> admitted = new ArrayList<>();
-		for (long time : times) {
-			level = Math.min(limit.burst(), level + (time - before) * limit.operationsPerSecond() / SECOND);
-			before = time;
-			if (level >= 1) {
-				level--;
-				admitted.add(time);
-			}
-		}
-		return admitted;
-	}
-
-	long now() {
-		return this.now;
-	}
-
 	private final class Daemon {
 
 		private final int index;
