--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -187,9 +187,8 @@
 		return primary().map((pool) -> !pool.hasConnection()).orElse(true);
 	}
 
-	// Requests that find no connection wait for one: how long they will wait is not
-	// known,
-	// and refusing them at once uses up the retries of their clients.
+	// How long requests wait for the first connection is not known, and refusing them at
+	// once would use up the retries of their clients.
 	private boolean isExpectedWaitTooLong(ConnectionRequest request) {
 		long remaining = request.deadline() - now();
 		if (request.account().isEmpty()) {
@@ -208,7 +207,8 @@
 
 	private boolean isTooLate(ConnectionRequest request, long now) {
 		return !request.account().isEmpty() && QueueAdmission
-			.isTooLate(learnedServiceNanoseconds(request, Work.STATEMENT, 0), request.deadline() - now);
+			.isTooLate(learnedServiceNanoseconds(request, Work.STATEMENT, 0), request.deadline() - now)
+				&& !lacksConnection(request);
 	}
 
 	private long learnedServiceNanoseconds(ConnectionRequest request, Work work, long unknown) {
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/RequestQueueTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/RequestQueueTests.java
@@ -20,6 +20,7 @@
 import org.magnolialead.daemon.session.ClientStatement.Verb;
 import org.magnolialead.engine.queue.QueueRefusal;
 import org.magnolialead.engine.queue.ServiceTimes.Work;
+import org.magnolialead.engine.session.ReadPlan;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -173,6 +174,27 @@
 		assertThat(refused(QueueRefusal.UNAVAILABLE_MEMBER)).isEqualTo(30);
 	}
 
+	/**
+	 * Guards against the same for a forwarded request, which arrives with less time than
+	 * a statement of its route is expected to take.
+	 */
+	@Test
+	void forwardedRequestWithoutAConnectionToThePrimaryWaits() {
+		router().serviceTimes().record("primary", Work.STATEMENT, 400 * MILLISECOND);
+		this.group.member("a").connectionLimitReached(true);
+		this.loop.advance(200);
+		List<QueueRefusal> refusals = new ArrayList<>();
+		long now = this.loop.nanoseconds();
+		Route route = new Route("primary", FakeGroup.NAME, FreshnessRule.LATEST, 0, 0, TIMEOUT_MILLISECONDS);
+		router().submit(new ConnectionRequest(route, "large", Work.STATEMENT, ReadPlan.PRIMARY, Map.of(),
+				now + 300 * MILLISECOND, now + 120 * MILLISECOND, now + 180 * MILLISECOND, null, (connection) -> {
+				}, refusals::add));
+		this.loop.advance(100);
+		assertThat(refusals).isEmpty();
+		this.loop.advance(50);
+		assertThat(refusals).containsExactly(QueueRefusal.UNAVAILABLE_MEMBER);
+	}
+
 	/**
 	 * Guards against a connection that is used for a statement whose answer would come
 	 * after the deadline. Nothing of the statement may be sent.
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/queue/FairQueue.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/queue/FairQueue.java
@@ -117,10 +117,18 @@
 		return entries;
 	}
 
+	/**
+	 * Returns the number of waiting requests.
+	 * @return the number
+	 */
 	public int size() {
 		return this.size;
 	}
 
+	/**
+	 * Tells whether no request waits.
+	 * @return {@code true} if the queue is empty
+	 */
 	public boolean isEmpty() {
 		return this.size == 0;
 	}
@@ -259,6 +267,10 @@
 			this.sequenceNumber = sequenceNumber;
 		}
 
+		/**
+		 * Returns the request.
+		 * @return the request as it was added
+		 */
 		public T request() {
 			return this.request;
 		}
