--- a/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ConcurrencyLimitTests.java
+++ b/magnolialead-engine/src/test/java/org/magnolialead/engine/session/ConcurrencyLimitTests.java
@@ -38,7 +38,10 @@
 	void fewAnswersDoNotChangeTheDefault() {
 		answer(32, 4, 20);
 		int before = this.limit.value(this.now);
-		answer(15, 4, 2_000);
+		for (int index = 0; index < 15; index++) {
+			this.now += 300 * MILLISECOND;
+			answer(1, 4, 2_000);
+		}
 		assertThat(this.limit.value(this.now)).isEqualTo(before);
 	}
 
@@ -67,6 +70,41 @@
 		assertThat(this.limit.value(this.now)).isGreaterThanOrEqualTo(before);
 	}
 
+	/**
+	 * Guards against a burst that counts as several windows because it has many answers.
+	 */
+	@Test
+	void manyAnswersInAShortTimeAreOneWindow() {
+		answer(64, 4, 20);
+		int before = this.limit.value(this.now);
+		for (int index = 0; index < 200; index++) {
+			this.limit.started(8, this.now);
+			this.limit.answered(1, 300 * MILLISECOND, this.now + index * MILLISECOND);
+		}
+		assertThat(this.limit.value(this.now)).isGreaterThanOrEqualTo(before);
+	}
+
+	/**
+	 * Guards against one long-running statement after which reads avoid its member.
+	 */
+	@Test
+	void singleLongStatementChangesTheSmoothedTimeLittle() {
+		answer(64, 4, 20);
+		answer(1, 4, 2_000);
+		assertThat(this.limit.smoothedNanoseconds()).isLessThan(40 * MILLISECOND);
+	}
+
+	/**
+	 * Guards against a limit that stays at one for a member that is slower for good.
+	 */
+	@Test
+	void lastingSlownessBecomesUsual() {
+		answer(64, 4, 20);
+		answer(100, 4, 200);
+		answer(3_200, 4, 200);
+		assertThat(this.limit.value(this.now)).isGreaterThanOrEqualTo(ConcurrencyLimit.DEFAULT_LIMIT);
+	}
+
 	/**
 	 * Guards against long-running statements, of a share or of a priority of their own,
 	 * that count as a slow member.
