--- a/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/process/ProcessHarness.java
+++ b/magnolialead-test-support/src/main/java/org/magnolialead/testsupport/process/ProcessHarness.java
@@ -14,6 +14,8 @@
 
 	private final List<String> javaOptions;
 
+	private final int maximumDescriptors;
+
 	private final List<ManagedProcess> processes = new ArrayList<>();
 
 	/**
@@ -22,8 +24,20 @@
 	 * @param javaOptions options of each Java process, such as {@code -Xmx64m}
 	 */
 	public ProcessHarness(Path logFolder, List<String> javaOptions) {
+		this(logFolder, javaOptions, 0);
+	}
+
+	/**
+	 * Creates a harness whose processes have a limit of open descriptors.
+	 * @param logFolder existing folder for the log files of the processes
+	 * @param javaOptions options of each Java process, such as {@code -Xmx64m}
+	 * @param maximumDescriptors maximum number of open descriptors of a process, or 0 for
+	 * the limit of the current process
+	 */
+	public ProcessHarness(Path logFolder, List<String> javaOptions, int maximumDescriptors) {
 		this.logFolder = Objects.requireNonNull(logFolder, "logFolder must not be null");
 		this.javaOptions = List.copyOf(javaOptions);
+		this.maximumDescriptors = maximumDescriptors;
 	}
 
 	/**
@@ -35,6 +49,9 @@
 	 */
 	public synchronized ManagedProcess start(String name, String mainClass, List<String> arguments) {
 		List<String> command = new ArrayList<>();
+		if (this.maximumDescriptors > 0) {
+			command.addAll(List.of("sh", "-c", "ulimit -n " + this.maximumDescriptors + " && exec \"$0\" \"$@\""));
+		}
 		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
 		command.addAll(this.javaOptions);
 		command.add("-cp");
