--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -90,6 +90,9 @@
 	/** A member did not accept the session of a statement, which was not sent. */
 	SESSION_ALIGNMENT_FAILED(3314, Level.INFO,
 			"connection not aligned with session: request=%s database=%s member=%s error=%s attempt=%s"),
+	/** A client has reached a limit of what it can make this daemon hold. */
+	CLIENT_LIMIT_REACHED(3315, Level.WARNING,
+			"client limit reached: limit=%s peer=%s held_bytes=%s connections=%s dropped_lines=%s"),
 	/** This control daemon became leader. */
 	CONTROL_LEADER(4001, Level.INFO, "control leadership started: daemon=%s term=%s"),
 	/** This control daemon stopped being leader. */
@@ -134,6 +137,9 @@
 	HTTP_HANDLER_FAILED(6003, Level.ERROR, "HTTP request could not be handled"),
 	/** An accepted HTTP connection could not be set up. */
 	HTTP_CONNECTION_FAILED(6004, Level.WARNING, "HTTP connection could not be set up: peer=%s"),
+	/** HTTP callers have reached a limit of what they can make this daemon hold. */
+	HTTP_LIMIT_REACHED(6005, Level.WARNING,
+			"HTTP limit reached: limit=%s peer=%s body_bytes=%s connections=%s dropped_lines=%s"),
 	/** An internal invariant was violated. */
 	INVARIANT_VIOLATED(9001, Level.ERROR, "invariant violated: %s");
 
--- a/magnolialead-api/src/main/java/org/magnolialead/api/session/StatementError.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/session/StatementError.java
@@ -34,6 +34,11 @@
 	/** No database of that name exists. */
 	UNKNOWN_DATABASE,
 	/** The connection to the member was lost before the answer arrived. */
-	CONNECTION_LOST
+	CONNECTION_LOST,
+	/**
+	 * The statement ran, and its rows were dropped because they exceed a limit of this
+	 * daemon. Clients get another error, which depends on the statement.
+	 */
+	RESULT_TOO_LARGE
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Listeners.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/Listeners.java
@@ -35,7 +35,8 @@
 		DaemonSettings.HttpSettings http = settings.http();
 		HttpServerSettings serverSettings = new HttpServerSettings(http.host(), http.port(), http.maximumBodyBytes(),
 				http.maximumHeaderBytes(), Duration.ofMillis(http.receiveTimeoutMilliseconds()),
-				Duration.ofMillis(http.idleTimeoutMilliseconds()), http.maximumConnections());
+				Duration.ofMillis(http.idleTimeoutMilliseconds()), http.maximumConnections(),
+				http.maximumTotalBodyBytes());
 		try {
 			return new HttpServer(serverSettings, handler, executor);
 		}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberStatement.java
@@ -270,6 +270,9 @@
 					retry(pool, reply);
 				}
 			}
+			case RESULT_TOO_LARGE ->
+				finish(StatementReply.failed(this.writes ? StatementError.UNKNOWN_OUTCOME : StatementError.FAILED,
+						reply.detail(), SessionState.IDLE));
 			default -> finish(reply.withState(SessionState.IDLE));
 		}
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -8,6 +8,7 @@
 
 import org.magnolialead.daemon.control.CommandLogSettings;
 import org.magnolialead.engine.consensus.FaultTolerance;
+import org.magnolialead.engine.session.ClientLimits;
 import org.magnolialead.engine.session.SessionLimits;
 
 /**
@@ -125,9 +126,27 @@
 	 * @param startAfter address of a process on the same VM that has to start first
 	 * because the whole fleet depends on it; empty if there is none
 	 * @param limits limits of what sessions keep
+	 * @param clients limits of what clients can make the daemon hold
 	 */
 	public record SessionSettings(String host, int port, String promotionAddress, long graceMilliseconds,
-			Optional<String> startAfter, SessionLimits limits) {
+			Optional<String> startAfter, SessionLimits limits, ClientLimits clients) {
+
+		/**
+		 * Creates settings with the default limits of clients.
+		 * @param host address to listen on
+		 * @param port port to listen on
+		 * @param promotionAddress address of the service that promotes database members
+		 * @param graceMilliseconds time in milliseconds between the termination signal
+		 * and the forced end of the process
+		 * @param startAfter address of a process on the same VM that has to start first
+		 * @param limits limits of what sessions keep
+		 */
+		public SessionSettings(String host, int port, String promotionAddress, long graceMilliseconds,
+				Optional<String> startAfter, SessionLimits limits) {
+			this(host, port, promotionAddress, graceMilliseconds, startAfter, limits,
+					ClientLimits.defaults(Runtime.getRuntime().maxMemory(), ProcessDescriptors.maximum()));
+		}
+
 	}
 
 	/**
@@ -160,8 +179,10 @@
 	 * @param idleTimeoutMilliseconds maximum time in milliseconds that a connection may
 	 * be idle
 	 * @param maximumConnections maximum number of open connections
+	 * @param maximumTotalBodyBytes maximum size in bytes of all request bodies together
 	 */
 	public record HttpSettings(String host, int port, int maximumBodyBytes, int maximumHeaderBytes,
-			long receiveTimeoutMilliseconds, long idleTimeoutMilliseconds, int maximumConnections) {
+			long receiveTimeoutMilliseconds, long idleTimeoutMilliseconds, int maximumConnections,
+			int maximumTotalBodyBytes) {
 	}
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
@@ -17,6 +17,7 @@
 import org.magnolialead.api.Step;
 import org.magnolialead.daemon.control.CommandLogSettings;
 import org.magnolialead.engine.consensus.FaultTolerance;
+import org.magnolialead.engine.session.ClientLimits;
 import org.magnolialead.engine.session.SessionLimits;
 
 /**
@@ -47,6 +48,10 @@
 
 	private static final int MAXIMUM_CONNECTIONS = 100_000;
 
+	private static final int HTTP_DESCRIPTORS_DIVISOR = 4;
+
+	private static final int TOTAL_BODY_HEAP_DIVISOR = 8;
+
 	private static final int DEFAULT_SNAPSHOT_ENTRIES = 20_000;
 
 	private static final int BYTES_PER_MEGABYTE = 1024 * 1024;
@@ -157,7 +162,12 @@
 						DEFAULT_RECEIVE_TIMEOUT_MILLISECONDS),
 				http.integer("idle_timeout_milliseconds", 10, MAXIMUM_TIMEOUT_MILLISECONDS,
 						DEFAULT_IDLE_TIMEOUT_MILLISECONDS),
-				http.integer("maximum_connections", 1, MAXIMUM_CONNECTIONS, DEFAULT_CONNECTIONS));
+				http.integer("maximum_connections", 1, MAXIMUM_CONNECTIONS, defaultHttpConnections()),
+				http.integer("maximum_total_body_bytes", 1, Integer.MAX_VALUE, defaultTotalBodyBytes()));
+		if (settings.maximumTotalBodyBytes() < settings.maximumBodyBytes()) {
+			throw http.invalid("maximum_total_body_bytes", String.valueOf(settings.maximumTotalBodyBytes()),
+					"at least maximum_body_bytes, %d".formatted(settings.maximumBodyBytes()));
+		}
 		if (settings.idleTimeoutMilliseconds() < settings.receiveTimeoutMilliseconds()) {
 			throw http.invalid("idle_timeout_milliseconds", String.valueOf(settings.idleTimeoutMilliseconds()),
 					"at least receive_timeout_milliseconds, %d".formatted(settings.receiveTimeoutMilliseconds()));
@@ -166,6 +176,17 @@
 		return settings;
 	}
 
+	// The rest of the descriptors is left for clients, members, daemons and files.
+	private static int defaultHttpConnections() {
+		return Math.max(1, Math.min(DEFAULT_CONNECTIONS, ProcessDescriptors.maximum() / HTTP_DESCRIPTORS_DIVISOR));
+	}
+
+	// A body exists up to three times while it is received and parsed.
+	private static int defaultTotalBodyBytes() {
+		return (int) Math.max(MAXIMUM_BODY_BYTES,
+				Math.min(Integer.MAX_VALUE, Runtime.getRuntime().maxMemory() / TOTAL_BODY_HEAP_DIVISOR));
+	}
+
 	private static Map<String, String> controlMembers(SettingsSection members, SettingsSection control) {
 		Map<String, String> addresses = members.stringsByKey();
 		if (addresses.isEmpty()) {
@@ -201,10 +222,11 @@
 		Optional<String> startAfter = sessions.optionalString("start_after");
 		startAfter.ifPresent((other) -> checkAddress(sessions, "start_after", other));
 		SessionLimits limits = sessionLimits(sessions);
+		ClientLimits clients = clientLimits(sessions);
 		sessions.rejectUnknownKeys();
 		int colon = address.lastIndexOf(':');
 		return Optional.of(new DaemonSettings.SessionSettings(address.substring(0, colon),
-				Integer.parseInt(address.substring(colon + 1)), promotionAddress, grace, startAfter, limits));
+				Integer.parseInt(address.substring(colon + 1)), promotionAddress, grace, startAfter, limits, clients));
 	}
 
 	private static SessionLimits sessionLimits(SettingsSection sessions) {
@@ -228,6 +250,23 @@
 				(long) total * BYTES_PER_MEGABYTE);
 	}
 
+	private static ClientLimits clientLimits(SettingsSection sessions) {
+		long heapBytes = Runtime.getRuntime().maxMemory();
+		ClientLimits defaults = ClientLimits.defaults(heapBytes, ProcessDescriptors.maximum());
+		int heapMegabytes = (int) Math.max(1, Math.min(Integer.MAX_VALUE, heapBytes / BYTES_PER_MEGABYTE));
+		int defaultMegabytes = (int) Math.max(1, defaults.memoryBytes() / BYTES_PER_MEGABYTE);
+		return new ClientLimits(
+				sessions.integer("maximum_connections", 1, MAXIMUM_CONNECTIONS,
+						Math.min(MAXIMUM_CONNECTIONS, defaults.connections())),
+				sessions.integer("connect_timeout_milliseconds", 10, MAXIMUM_TIMEOUT_MILLISECONDS,
+						defaults.connectTimeoutMilliseconds()),
+				sessions.integer("line_timeout_milliseconds", 10, MAXIMUM_TIMEOUT_MILLISECONDS,
+						defaults.lineTimeoutMilliseconds()),
+				sessions.integer("maximum_result_bytes", 1, Integer.MAX_VALUE, defaults.resultBytes()),
+				(long) BYTES_PER_MEGABYTE
+						* sessions.integer("maximum_client_megabytes", 1, heapMegabytes, defaultMegabytes));
+	}
+
 	private static void checkAddress(SettingsSection section, String key, String address) {
 		if (!isAddress(address)) {
 			throw section.invalid(key, "\"" + address + "\"", "an IP address and a port, such as \"10.0.0.1:7001\"");
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/capacity/EntryCapacity.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/capacity/EntryCapacity.java
@@ -111,8 +111,8 @@
 	private static DaemonSettings settings(String name, int controlPort) {
 		return new DaemonSettings(Path.of("none"), name, DaemonRole.ENTRY, "hanoi-1",
 				new DaemonSettings.PeerSettings("10.1.2.3", 7101), Map.of("c1", "127.0.0.1:" + controlPort),
-				new DaemonSettings.HttpSettings("127.0.0.1", 1, 1, 1, 1, 1, 1), Optional.empty(), Optional.empty(), 1,
-				1);
+				new DaemonSettings.HttpSettings("127.0.0.1", 1, 1, 1, 1, 1, 1, 1), Optional.empty(), Optional.empty(),
+				1, 1);
 	}
 
 	private static void measurePolling(int groups, long waitMilliseconds) {
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/settings/SettingsReaderTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/settings/SettingsReaderTests.java
@@ -99,6 +99,11 @@
 			maximum_variable_bytes = 2000000000 | key "sessions.maximum_total_megabytes"
 			maximum_total_megabytes = 1048576  | key "sessions.maximum_total_megabytes": found 1048576
 			maximum_total_megabytes = 0        | key "sessions.maximum_total_megabytes": found 0
+			maximum_connections = 0            | key "sessions.maximum_connections": found 0
+			connect_timeout_milliseconds = 9   | key "sessions.connect_timeout_milliseconds": found 9
+			line_timeout_milliseconds = 0      | key "sessions.line_timeout_milliseconds": found 0
+			maximum_result_bytes = 0           | key "sessions.maximum_result_bytes": found 0
+			maximum_client_megabytes = 1048576 | key "sessions.maximum_client_megabytes": found 1048576
 			""")
 	void rejectsInvalidLimitOfSessions(String limit, String expected) throws IOException {
 		Path file = write(VALID + SESSIONS + limit + "\n");
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpConnection.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpConnection.java
@@ -43,7 +43,7 @@
 /**
  * Connection of an {@link HttpServer}. Does not read from the socket while a request is
  * in progress, so at most the requests of one read are queued. All fields are accessed
- * only by the event loop.
+ * only by the event loop, except the volatile ones, which other event loops read.
  */
 final class HttpConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -60,8 +60,19 @@
 
 	private final RequestDecoder decoder;
 
+	private final long number;
+
 	private ChannelHandlerContext context;
 
+	/** Whether a complete request was received. */
+	private volatile boolean requestReceived;
+
+	/** Size of the body that is being received. */
+	private volatile int receivedBodyBytes;
+
+	/** Size of the bodies of requests that are queued or handled. */
+	private int queuedBodyBytes;
+
 	private Queue<PendingRequest> queuedRequests = new ArrayDeque<>(1);
 
 	private HttpRequest currentRequest;
@@ -81,6 +92,63 @@
 	HttpConnection(HttpServer server, RequestDecoder decoder) {
 		this.server = server;
 		this.decoder = decoder;
+		this.number = server.nextConnectionNumber();
+	}
+
+	/**
+	 * Returns the number of the connection. May be called by any thread.
+	 * @return a number that is greater than those of earlier connections
+	 */
+	long number() {
+		return this.number;
+	}
+
+	/**
+	 * Tells whether the connection may be closed for a new one. May be called by any
+	 * thread.
+	 * @return {@code true} until a complete request was received
+	 */
+	boolean isReplaceable() {
+		return !this.requestReceived;
+	}
+
+	/**
+	 * Closes the connection for a new one. May be called by any thread.
+	 */
+	void replace() {
+		// Not chosen again until it is closed.
+		this.requestReceived = true;
+		this.context.close();
+	}
+
+	/**
+	 * Returns the size of the body that is being received. May be called by any thread.
+	 * @return the size in bytes
+	 */
+	int receivedBodyBytes() {
+		return this.receivedBodyBytes;
+	}
+
+	/**
+	 * Refuses the request whose body is being received. May be called by any thread.
+	 */
+	void refuseBody() {
+		this.context.executor().execute(() -> {
+			if (this.currentRequest != null && this.body != null) {
+				rejectAfterQueued(ErrorCode.OVERLOADED, "too many large requests are in progress");
+			}
+		});
+	}
+
+	private void dropReceivedBody() {
+		this.body = null;
+		this.server.bodyReleased(this.receivedBodyBytes);
+		this.receivedBodyBytes = 0;
+	}
+
+	private void releaseQueuedBodies() {
+		this.server.bodyReleased(this.queuedBodyBytes);
+		this.queuedBodyBytes = 0;
 	}
 
 	@Override
@@ -102,6 +170,8 @@
 	public void channelInactive(ChannelHandlerContext handlerContext) {
 		this.phase = Phase.CLOSING;
 		this.queuedRequests.clear();
+		dropReceivedBody();
+		releaseQueuedBodies();
 		if (this.timer != null) {
 			this.timer.cancel(false);
 		}
@@ -176,8 +246,6 @@
 		ByteBuf bytes = content.content();
 		int receivedBytes = (this.body != null) ? this.body.size() : 0;
 		if (receivedBytes + bytes.readableBytes() > this.server.settings().maximumBodyBytes()) {
-			this.currentRequest = null;
-			this.body = null;
 			rejectAfterQueued(ErrorCode.REQUEST_TOO_LARGE, bodyLimitMessage());
 			return;
 		}
@@ -196,6 +264,8 @@
 		byte[] chunk = new byte[bytes.readableBytes()];
 		bytes.readBytes(chunk);
 		this.body.writeBytes(chunk);
+		this.receivedBodyBytes += chunk.length;
+		this.server.bodyReceived(this, chunk.length);
 	}
 
 	private void finishRequest() {
@@ -203,6 +273,9 @@
 		byte[] received = (this.body != null) ? this.body.toByteArray() : NO_BODY;
 		this.currentRequest = null;
 		this.body = null;
+		this.queuedBodyBytes += this.receivedBodyBytes;
+		this.receivedBodyBytes = 0;
+		this.requestReceived = true;
 		this.receiving = false;
 		HttpServerRequest serverRequest;
 		try {
@@ -237,7 +310,7 @@
 		return values;
 	}
 
-	private String remoteAddress() {
+	String remoteAddress() {
 		SocketAddress remote = this.context.channel().remoteAddress();
 		if (remote instanceof InetSocketAddress internet) {
 			return internet.getAddress().getHostAddress() + ":" + internet.getPort();
@@ -251,6 +324,7 @@
 		}
 		PendingRequest next = this.queuedRequests.poll();
 		if (next == null) {
+			releaseQueuedBodies();
 			resumeReading();
 			return;
 		}
@@ -320,7 +394,7 @@
 	 */
 	private void rejectAfterQueued(ErrorCode code, String message) {
 		this.currentRequest = null;
-		this.body = null;
+		dropReceivedBody();
 		HttpServerResponse rejection = HttpErrors.response(code, Step.RECEIVE, remoteAddress(), message,
 				code.outcome());
 		this.queuedRequests.add(new PendingRequest(null, false, rejection));
--- a/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServer.java
+++ b/magnolialead-transport/src/main/java/org/magnolialead/transport/http/HttpServer.java
@@ -3,19 +3,24 @@
 import java.lang.System.Logger;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import org.magnolialead.api.MonotonicClock;
 import org.magnolialead.api.log.LogEvent;
+import org.magnolialead.api.log.LogRateLimiter;
 import org.magnolialead.transport.netty.NettySupport;
 
 /**
@@ -28,10 +33,18 @@
 
 	private static final int MAXIMUM_EVENT_LOOP_THREADS = 4;
 
+	private static final int LINES_PER_SECOND = 10;
+
 	private static final Duration DEFAULT_DRAIN_GRACE_PERIOD = Duration.ofSeconds(1);
 
 	private final Set<HttpConnection> connections = ConcurrentHashMap.newKeySet();
 
+	private final AtomicLong connectionNumbers = new AtomicLong();
+
+	private final AtomicLong bodyBytes = new AtomicLong();
+
+	private final LogRateLimiter logLimiter = new LogRateLimiter(LINES_PER_SECOND, MonotonicClock.SYSTEM.nanoseconds());
+
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
 
 	private final EventLoopGroup eventLoops = NettySupport.eventLoops("http-server",
@@ -139,14 +152,57 @@
 	}
 
 	/**
-	 * Adds an open connection, even if the connection limit is exceeded. A rejected
-	 * connection stays open until its response is sent.
+	 * Adds an open connection, even if the connection limit is exceeded. Then the oldest
+	 * connection that has not sent a complete request is closed. A rejected connection
+	 * stays open until its response is sent.
 	 * @param connection the connection
 	 * @return {@code false} if the limit is exceeded and the connection must be rejected
 	 */
 	boolean register(HttpConnection connection) {
 		this.connections.add(connection);
-		return this.connections.size() <= this.settings.maximumConnections();
+		if (this.connections.size() <= this.settings.maximumConnections()) {
+			return true;
+		}
+		Optional<HttpConnection> replaceable = this.connections.stream()
+			.filter((other) -> other != connection && other.isReplaceable())
+			.min(Comparator.comparingLong(HttpConnection::number));
+		limitReached("connections", replaceable.orElse(connection));
+		replaceable.ifPresent(HttpConnection::replace);
+		return replaceable.isPresent();
+	}
+
+	long nextConnectionNumber() {
+		return this.connectionNumbers.incrementAndGet();
+	}
+
+	/**
+	 * Counts a part of a request body. Beyond the limit of all bodies, the connection
+	 * whose body is largest has to refuse its request.
+	 * @param connection connection that received the part
+	 * @param bytes size in bytes
+	 */
+	void bodyReceived(HttpConnection connection, int bytes) {
+		if (this.bodyBytes.addAndGet(bytes) <= this.settings.maximumTotalBodyBytes()) {
+			return;
+		}
+		HttpConnection largest = this.connections.stream()
+			.max(Comparator.comparingInt(HttpConnection::receivedBodyBytes))
+			.orElse(connection);
+		limitReached("bodies", largest);
+		largest.refuseBody();
+	}
+
+	void bodyReleased(int bytes) {
+		this.bodyBytes.addAndGet(-bytes);
+	}
+
+	private void limitReached(String limit, HttpConnection connection) {
+		synchronized (this.logLimiter) {
+			if (this.logLimiter.tryAcquire(MonotonicClock.SYSTEM.nanoseconds())) {
+				LogEvent.HTTP_LIMIT_REACHED.log(LOGGER, limit, connection.remoteAddress(), this.bodyBytes.get(),
+						this.connections.size(), this.logLimiter.takeDroppedLines());
+			}
+		}
 	}
 
 	void unregister(HttpConnection connection) {
