--- a/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
+++ b/magnolialead-api/src/main/java/org/magnolialead/api/log/LogEvent.java
@@ -96,6 +96,9 @@
 	/** A member did not accept the session of a statement, which was not sent. */
 	SESSION_ALIGNMENT_FAILED(3314, Level.INFO,
 			"connection not aligned with session: request=%s database=%s member=%s error=%s attempt=%s"),
+	/** A client has reached a limit of what it can make this daemon hold. */
+	CLIENT_LIMIT_REACHED(3315, Level.WARNING,
+			"client limit reached: limit=%s peer=%s held_bytes=%s connections=%s dropped_lines=%s"),
 	/** Operations of a client account were rejected by its rate limit. */
 	QUOTA_REJECTED(3320, Level.INFO, "operations rejected by rate limit: account=%s reason=%s count=%s"),
 	/** The control leader does not answer requests for tokens. */
@@ -146,6 +149,9 @@
 	HTTP_HANDLER_FAILED(6003, Level.ERROR, "HTTP request could not be handled"),
 	/** An accepted HTTP connection could not be set up. */
 	HTTP_CONNECTION_FAILED(6004, Level.WARNING, "HTTP connection could not be set up: peer=%s"),
+	/** HTTP callers have reached a limit of what they can make this daemon hold. */
+	HTTP_LIMIT_REACHED(6005, Level.WARNING,
+			"HTTP limit reached: limit=%s peer=%s body_bytes=%s connections=%s dropped_lines=%s"),
 	/** An internal invariant was violated. */
 	INVARIANT_VIOLATED(9001, Level.ERROR, "invariant violated: %s");
 
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -8,6 +8,7 @@
 
 import org.magnolialead.daemon.control.CommandLogSettings;
 import org.magnolialead.engine.consensus.FaultTolerance;
+import org.magnolialead.engine.session.ClientLimits;
 import org.magnolialead.engine.session.SessionLimits;
 
 /**
@@ -125,13 +126,15 @@
 	 * @param startAfter address of a process on the same VM that has to start first
 	 * because the whole fleet depends on it; empty if there is none
 	 * @param limits limits of what sessions keep
+	 * @param clients limits of what clients can make the daemon hold
 	 * @param learnedLimits whether reads follow the learned limits of members
 	 */
 	public record SessionSettings(String host, int port, String promotionAddress, long graceMilliseconds,
-			Optional<String> startAfter, SessionLimits limits, boolean learnedLimits) {
+			Optional<String> startAfter, SessionLimits limits, ClientLimits clients, boolean learnedLimits) {
 
 		/**
-		 * Creates settings with which reads do not follow the learned limits of members.
+		 * Creates settings with the default limits of clients, with which reads do not
+		 * follow the learned limits of members.
 		 * @param host address to listen on
 		 * @param port port to listen on
 		 * @param promotionAddress address of the service that promotes database members
@@ -142,7 +145,8 @@
 		 */
 		public SessionSettings(String host, int port, String promotionAddress, long graceMilliseconds,
 				Optional<String> startAfter, SessionLimits limits) {
-			this(host, port, promotionAddress, graceMilliseconds, startAfter, limits, false);
+			this(host, port, promotionAddress, graceMilliseconds, startAfter, limits,
+					ClientLimits.defaults(Runtime.getRuntime().maxMemory(), ProcessDescriptors.maximum()), false);
 		}
 
 	}
@@ -177,8 +181,10 @@
 	 * @param idleTimeoutMilliseconds maximum time in milliseconds that a connection may
 	 * be idle
 	 * @param maximumConnections maximum number of open connections
+	 * @param maximumTotalBodyBytes maximum size in bytes of all request bodies together
 	 */
 	public record HttpSettings(String host, int port, int maximumBodyBytes, int maximumHeaderBytes,
-			long receiveTimeoutMilliseconds, long idleTimeoutMilliseconds, int maximumConnections) {
+			long receiveTimeoutMilliseconds, long idleTimeoutMilliseconds, int maximumConnections,
+			int maximumTotalBodyBytes) {
 	}
 }
