--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/GroupRouter.java
@@ -249,12 +249,12 @@
 	}
 
 	private boolean mayServe(MemberPool pool, ConnectionRequest request) {
-		boolean isPrimary = pool == primary().orElse(null);
-		if (!request.plan().onReplica()) {
-			return isPrimary && pool.permits(request);
-		}
-		return !isPrimary && pool.isUsable() && pool != request.avoided() && !pool.isBehind(now())
-				&& pool.permits(request);
+		boolean eligible = request.plan().onReplica() ? isReplicaFor(request, pool) : pool == primary().orElse(null);
+		return eligible && pool.permits(request);
+	}
+
+	private boolean isReplicaFor(ConnectionRequest request, MemberPool pool) {
+		return pool != primary().orElse(null) && pool.isUsable() && pool != request.avoided() && !pool.isBehind(now());
 	}
 
 	private void grantWaitingRequests() {
@@ -322,9 +322,10 @@
 	// A connection costs a member more than the read, so only one is opened.
 	private void dialForRead(ConnectionRequest request) {
 		int ahead = countUnserved(request);
-		List<MemberPool> replicas = this.pools.values().stream().filter((pool) -> mayServe(pool, request)).toList();
-		replicas.stream().filter(MemberPool::isUnreachable).forEach((pool) -> pool.dialForProbe(request.account()));
-		ConnectionSelection.replicaToDial(replicas, request.account(), ahead)
+		List<MemberPool> replicas = this.pools.values().stream().filter((pool) -> isReplicaFor(request, pool)).toList();
+		List<MemberPool> permitting = replicas.stream().filter((pool) -> pool.permits(request)).toList();
+		permitting.stream().filter(MemberPool::isUnreachable).forEach((pool) -> pool.dialForProbe(request.account()));
+		ConnectionSelection.replicaToDial(permitting, request.account(), ahead)
 			.ifPresent((pool) -> pool.dialForWaiting(request.account(), ahead));
 		MemberPool primary = primary().orElse(null);
 		boolean primaryNeeded = primary != null && primary.isUsable() && primary.permits(request)
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/session/MemberPool.java
@@ -457,10 +457,9 @@
 	void closeIdleAdditional() {
 		long now = now();
 		while (this.connections.size() > this.limits.permanent()) {
-			Optional<PooledConnection> idle = ConnectionSelection
-				.leastRecentlyUsed(this.connections,
-						(connection) -> now - connection.releasedAt() > ADDITIONAL_IDLE_TIMEOUT_NANOSECONDS)
-				.stream()
+			Optional<PooledConnection> idle = this.connections.stream()
+				.filter((connection) -> connection.isFree()
+						&& now - connection.releasedAt() > ADDITIONAL_IDLE_TIMEOUT_NANOSECONDS)
 				.findFirst();
 			if (idle.isEmpty()) {
 				return;
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/AccountConnectionTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/AccountConnectionTests.java
@@ -203,7 +203,19 @@
 				.stream()
 				.filter((name) -> this.group.member(name).openAccounts().contains("account-1"))
 				.count();
-			assertThat(replicas).isLessThanOrEqualTo(1);
+			assertThat(replicas).isOne();
+		}
+
+		/**
+		 * Guards against reads that take the connections of writes while the queues of
+		 * the replicas are full.
+		 */
+		@Test
+		void readOpensNoConnectionToThePrimaryWhileReplicasAreOverloaded() {
+			this.group.member("b").refuseStatements(100);
+			this.group.member("c").refuseStatements(100);
+			client("bounded", "account-1").send(Verb.READ, "account-1", "", 400);
+			assertThat(this.group.member("a").openAccounts()).doesNotContain("account-1");
 		}
 
 		/**
