--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlControllerTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/control/ControlControllerTests.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -262,6 +263,27 @@
 		TestChecks.check(this.controller.grantTokens(request).leader(), "ready");
 	}
 
+	/**
+	 * Guards against tokens from a leader that lost its authority while it computed the
+	 * answer.
+	 */
+	@Test
+	void leaderThatLosesAuthorityMeanwhileGrantsNothing() {
+		QuotaRequest request = new QuotaRequest("d1", "i1", List.of());
+		AtomicBoolean losing = new AtomicBoolean();
+		try (ControlController losingController = new ControlController(ControlSettings.defaults("c1"), this.log,
+				this.machine, () -> {
+					if (losing.get()) {
+						this.log.loseLeadership();
+					}
+					return this.now;
+				}, () -> this.wallClock)) {
+			TestChecks.check(losingController.grantTokens(request).leader(), "leader");
+			losing.set(true);
+			TestChecks.checkEqual(QuotaAnswer.notLeader("c1:1"), losingController.grantTokens(request), "lost");
+		}
+	}
+
 	private HeartbeatAnswer heartbeat(String daemon, String incarnation, long viewVersion,
 			List<OwnedGroupReport> reports, List<MemberDescription> announcements) {
 		return this.controller.heartbeat(request(daemon, incarnation, viewVersion, reports, announcements)).join();
--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/QuotaSessionTests.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/session/QuotaSessionTests.java
@@ -153,8 +153,7 @@
 	}
 
 	/**
-	 * Guards against a token and a member connection for a client that has disconnected,
-	 * and against a timer that goes on for it.
+	 * Guards against a token and a member connection for a client that has disconnected.
 	 */
 	@Test
 	void disconnectedClientTakesNoToken() {
