--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/AccountQuota.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/AccountQuota.java
@@ -18,9 +18,6 @@
 	 */
 	static final long SELF_GRANTING_NANOSECONDS = 10_000_000_000L;
 
-	/** Part of the earlier rate that a daemon grants itself. */
-	static final double SELF_GRANTED_PART = 0.8;
-
 	/**
 	 * Time after the request for which unused tokens are reported. The leader remembers
 	 * grants for 2 s.
@@ -56,6 +53,8 @@
 
 	private RateLimit limit;
 
+	private double fleetPerSecond;
+
 	private boolean refused;
 
 	private long refusedUntil;
@@ -154,10 +153,12 @@
 	/**
 	 * Adds granted tokens.
 	 * @param tokens the number
+	 * @param fleetRate tokens per second granted to all daemons, 0 if not known
 	 * @param sentAt time at which they were requested
 	 * @param now current time of the monotonic clock in nanoseconds
 	 */
-	void granted(int tokens, long sentAt, long now) {
+	void granted(int tokens, double fleetRate, long sentAt, long now) {
+		this.fleetPerSecond = fleetRate;
 		this.history.add(tokens, now);
 		this.answeredAt = now;
 		if (tokens > 0) {
@@ -218,8 +219,8 @@
 	 * @param requestedAt time of the first request without an answer
 	 */
 	void startSelfGranting(long requestedAt) {
-		double rate = this.history.perSecond(requestedAt) * SELF_GRANTED_PART;
-		this.selfGrantedPerSecond = (this.limit != null) ? Math.min(rate, this.limit.operationsPerSecond()) : rate;
+		this.selfGrantedPerSecond = SelfGrantedRate.perSecond(this.limit, this.history.perSecond(requestedAt),
+				this.fleetPerSecond);
 		this.selfGrantedLevel = 0;
 		// The account has got no tokens since the last answer.
 		this.selfGrantedAt = this.answeredAt;
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/DaemonQuota.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/DaemonQuota.java
@@ -198,7 +198,7 @@
 		if (entry == null) {
 			return;
 		}
-		entry.quota.granted(grant.granted(), this.sentAt, now);
+		entry.quota.granted(grant.granted(), grant.fleetPerSecond(), this.sentAt, now);
 		if (entry.quota.isHolding()) {
 			this.holding.add(entry);
 		}
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/QuotaAllocator.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/QuotaAllocator.java
@@ -132,7 +132,8 @@
 		}
 		daemon.granted.computeIfAbsent(demand.account(), (name) -> new GrantHistory())
 			.add(granted - demand.unused(), now);
-		return new QuotaGrant(demand.account(), granted, retryAfter);
+		account.granted.add(granted - demand.unused(), now);
+		return new QuotaGrant(demand.account(), granted, retryAfter, account.granted.perSecond(now));
 	}
 
 	private AccountState open(RateLimit limit, long now) {
@@ -152,14 +153,15 @@
 		for (DaemonState daemon : this.daemons.values()) {
 			GrantHistory history = daemon.granted.get(name);
 			if (history != null && now - daemon.heardAt > SILENCE_NANOSECONDS) {
-				withheld += history.perSecond(daemon.heardAt) * AccountQuota.SELF_GRANTED_PART;
+				withheld += SelfGrantedRate.perSecond(limit, history.perSecond(daemon.heardAt),
+						account.granted.perSecond(now));
 			}
 		}
 		// What the predecessor granted to daemons that have not found this leader yet is
 		// not known; equal shares of the limit are assumed.
 		int unheard = this.registered - this.daemons.size();
 		if (unheard > 0 && now - this.since < AccountQuota.SELF_GRANTING_NANOSECONDS) {
-			withheld += limit.operationsPerSecond() * AccountQuota.SELF_GRANTED_PART * unheard / this.registered;
+			withheld += limit.operationsPerSecond() * SelfGrantedRate.PART * unheard / this.registered;
 		}
 		account.bucket.withhold(withheld, now);
 	}
@@ -168,6 +170,9 @@
 
 		private final TokenBucket bucket;
 
+		/** Tokens granted to all daemons. */
+		private final GrantHistory granted = new GrantHistory();
+
 		private long withholdingDueAt;
 
 		AccountState(TokenBucket bucket, long now) {
