--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/ControlDaemon.java
@@ -98,8 +98,8 @@
 		this.log = new DefaultCommandLog(logSettings(tolerance), machine, this.peerClient::send, this.clock,
 				new SecureRandom(), launchedAt);
 		this.ledgerKeys = new LedgerKeys(this.log, machine);
-		this.controller = new ControlController(ControlSettings.defaults(settings.name()), this.log, machine,
-				this.clock, WallClock.SYSTEM);
+		this.controller = new ControlController(controlSettings(settings), this.log, machine, this.clock,
+				WallClock.SYSTEM);
 		this.timer = Executors.newSingleThreadScheduledExecutor(DaemonThreads.named("control-timer"));
 		ControlOperations operations = new ControlOperations(this.controller, this.log, machine, this.peerClient,
 				this.clock, this.timer, requiredVoters(settings, tolerance));
@@ -108,6 +108,13 @@
 				new ControlHttpHandler(this.controller, this.log, this.metrics));
 	}
 
+	private static ControlSettings controlSettings(DaemonSettings settings) {
+		ControlSettings defaults = ControlSettings.defaults(settings.name());
+		return settings.seeds()
+			.map((seeds) -> defaults.withRateLimitTolerance(seeds.rateLimitTolerance()))
+			.orElse(defaults);
+	}
+
 	private CommandLogSettings logSettings(FaultTolerance tolerance) {
 		Path dataFolder = this.settings.dataFolder().or(() -> this.temporaryFolder).orElseThrow();
 		List<String> seeds = this.settings.seeds().isPresent() ? this.settings.controlAddresses() : List.of();
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlController.java
@@ -426,7 +426,7 @@
 		if (!reusable) {
 			CompletableFuture<LedgerClock> ready = submitToLog(NO_OP_COMMAND).thenApply(
 					(result) -> new LedgerClock(this.machine.state().ledger().time(), this.wallClock, this.clock));
-			this.leadership = new Leadership(term, since, this.settings.leaseTiming(), ready);
+			this.leadership = new Leadership(term, since, this.settings, ready);
 		}
 		return this.leadership;
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/ControlSettings.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 
 import org.magnolialead.engine.control.LeaseTiming;
+import org.magnolialead.engine.quota.RateLimitTolerance;
 
 /**
  * Settings of the control role.
@@ -12,9 +13,11 @@
  * @param requestRetentionMilliseconds time in milliseconds for which a non-repeatable
  * request is recorded; a request that is sent again later counts as new
  * @param tickMilliseconds interval in milliseconds between checks for due commands
+ * @param rateLimitTolerance operations that are permitted beyond the rate limits of
+ * client accounts
  */
 public record ControlSettings(String name, LeaseTiming leaseTiming, long requestRetentionMilliseconds,
-		long tickMilliseconds) {
+		long tickMilliseconds, RateLimitTolerance rateLimitTolerance) {
 
 	private static final long ONE_DAY_MILLISECONDS = 86_400_000;
 
@@ -23,6 +26,7 @@
 	public ControlSettings {
 		Objects.requireNonNull(name, "name must not be null");
 		Objects.requireNonNull(leaseTiming, "leaseTiming must not be null");
+		Objects.requireNonNull(rateLimitTolerance, "rateLimitTolerance must not be null");
 		if (requestRetentionMilliseconds < 1 || tickMilliseconds < 1) {
 			throw new IllegalArgumentException(
 					"requestRetentionMilliseconds and tickMilliseconds must be positive, found %d and %d"
@@ -36,7 +40,18 @@
 	 * @return the settings
 	 */
 	public static ControlSettings defaults(String name) {
-		return new ControlSettings(name, LeaseTiming.DEFAULT, ONE_DAY_MILLISECONDS, DEFAULT_TICK_MILLISECONDS);
+		return new ControlSettings(name, LeaseTiming.DEFAULT, ONE_DAY_MILLISECONDS, DEFAULT_TICK_MILLISECONDS,
+				RateLimitTolerance.NONE);
+	}
+
+	/**
+	 * Returns these settings with another tolerance of rate limits.
+	 * @param tolerance operations that are permitted beyond the limits
+	 * @return the settings
+	 */
+	public ControlSettings withRateLimitTolerance(RateLimitTolerance tolerance) {
+		return new ControlSettings(this.name, this.leaseTiming, this.requestRetentionMilliseconds,
+				this.tickMilliseconds, tolerance);
 	}
 
 }
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/Leadership.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/control/Leadership.java
@@ -16,7 +16,6 @@
 import org.magnolialead.api.message.QuotaRequest;
 import org.magnolialead.engine.control.ControlState;
 import org.magnolialead.engine.control.LeaseTable;
-import org.magnolialead.engine.control.LeaseTiming;
 import org.magnolialead.engine.control.OwnershipPlanner;
 import org.magnolialead.engine.quota.QuotaAllocator;
 
@@ -43,12 +42,12 @@
 
 	private long forgetRequestsDueAt;
 
-	Leadership(long term, long since, LeaseTiming timing, CompletableFuture<LedgerClock> ready) {
+	Leadership(long term, long since, ControlSettings settings, CompletableFuture<LedgerClock> ready) {
 		this.term = term;
 		this.since = since;
-		this.leases = new LeaseTable(timing, since);
+		this.leases = new LeaseTable(settings.leaseTiming(), since);
 		this.planner = new OwnershipPlanner(since);
-		this.quotas = new QuotaAllocator(since);
+		this.quotas = new QuotaAllocator(since, settings.rateLimitTolerance());
 		this.ready = ready;
 		this.forgetRequestsDueAt = since;
 	}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/DaemonSettings.java
@@ -8,6 +8,7 @@
 
 import org.magnolialead.daemon.control.CommandLogSettings;
 import org.magnolialead.engine.consensus.FaultTolerance;
+import org.magnolialead.engine.quota.RateLimitTolerance;
 import org.magnolialead.engine.session.ClientLimits;
 import org.magnolialead.engine.session.SessionLimits;
 
@@ -91,13 +92,16 @@
 	 * @param peerPort port for the peer protocol, the same for all control daemons
 	 * @param firstStart whether the fleet starts for the first time, with empty disks
 	 * @param faultTolerance number of control daemons that may lose their disks at once
+	 * @param rateLimitTolerance operations that are permitted beyond the rate limits of
+	 * client accounts
 	 */
-	public record SeedSettings(List<String> addresses, int peerPort, boolean firstStart,
-			FaultTolerance faultTolerance) {
+	public record SeedSettings(List<String> addresses, int peerPort, boolean firstStart, FaultTolerance faultTolerance,
+			RateLimitTolerance rateLimitTolerance) {
 
 		public SeedSettings {
 			addresses = List.copyOf(addresses);
 			Objects.requireNonNull(faultTolerance, "faultTolerance must not be null");
+			Objects.requireNonNull(rateLimitTolerance, "rateLimitTolerance must not be null");
 			if (addresses.isEmpty()) {
 				throw new IllegalArgumentException("addresses must not be empty");
 			}
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsReader.java
@@ -17,6 +17,7 @@
 import org.magnolialead.api.Step;
 import org.magnolialead.daemon.control.CommandLogSettings;
 import org.magnolialead.engine.consensus.FaultTolerance;
+import org.magnolialead.engine.quota.RateLimitTolerance;
 import org.magnolialead.engine.session.ClientLimits;
 import org.magnolialead.engine.session.SessionLimits;
 
@@ -65,6 +66,11 @@
 
 	private static final int MINIMUM_ELECTION_TIMEOUT_MILLISECONDS = 100;
 
+	private static final int MAXIMUM_RATE_LIMIT_WINDOW_SECONDS = 3_600;
+
+	/** Maximum number of operations beyond a rate limit. */
+	private static final int MAXIMUM_RATE_LIMIT_SLACK = 1_000_000;
+
 	private static final int MAXIMUM_TOLERATED_LOSSES = 100;
 
 	private static final int MAXIMUM_GRACE_SECONDS = 3_600;
@@ -207,7 +213,16 @@
 		boolean firstStart = control.booleanValue("first_start", false);
 		int losses = control.integer("tolerated_losses", 0, MAXIMUM_TOLERATED_LOSSES, 1);
 		FaultTolerance tolerance = new FaultTolerance(Math.max(1, losses));
-		return Optional.of(new DaemonSettings.SeedSettings(addresses, peerPort, firstStart, tolerance));
+		return Optional.of(new DaemonSettings.SeedSettings(addresses, peerPort, firstStart, tolerance,
+				rateLimitTolerance(control)));
+	}
+
+	private static RateLimitTolerance rateLimitTolerance(SettingsSection control) {
+		int windowSeconds = control.integer("rate_limit_window_seconds", 1, MAXIMUM_RATE_LIMIT_WINDOW_SECONDS,
+				RateLimitTolerance.NONE.windowSeconds());
+		double excess = control.number("rate_limit_excess", 0, 1, RateLimitTolerance.NONE.excess());
+		int slack = control.integer("rate_limit_slack", 0, MAXIMUM_RATE_LIMIT_SLACK, RateLimitTolerance.NONE.slack());
+		return new RateLimitTolerance(windowSeconds, excess, slack);
 	}
 
 	private static Optional<DaemonSettings.SessionSettings> sessions(SettingsSection sessions) {
--- a/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsSection.java
+++ b/magnolialead-daemon/src/main/java/org/magnolialead/daemon/settings/SettingsSection.java
@@ -76,6 +76,17 @@
 		return (node != null) ? checkedInteger(key, node, minimum, maximum) : defaultValue;
 	}
 
+	double number(String key, double minimum, double maximum, double defaultValue) {
+		JsonNode node = node(key);
+		if (node == null) {
+			return defaultValue;
+		}
+		if (!node.isNumber() || node.doubleValue() < minimum || node.doubleValue() > maximum) {
+			throw invalid(key, node.toString(), "a number from %s to %s".formatted(minimum, maximum));
+		}
+		return node.doubleValue();
+	}
+
 	boolean booleanValue(String key, boolean defaultValue) {
 		JsonNode node = node(key);
 		if (node != null && !node.isBoolean()) {
--- a/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/QuotaAllocator.java
+++ b/magnolialead-engine/src/main/java/org/magnolialead/engine/quota/QuotaAllocator.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 
 import org.magnolialead.api.AccountTable;
 import org.magnolialead.api.ClientAccount;
@@ -46,6 +47,8 @@
 
 	private final long since;
 
+	private final RateLimitTolerance tolerance;
+
 	private final Map<String, AccountState> accounts = new HashMap<>();
 
 	private final Map<String, DaemonState> daemons = new HashMap<>();
@@ -57,9 +60,11 @@
 	/**
 	 * Creates an allocator for a leader that has just gained authority.
 	 * @param since start of the leadership on the monotonic clock in nanoseconds
+	 * @param tolerance operations that are permitted beyond the limits
 	 */
-	public QuotaAllocator(long since) {
+	public QuotaAllocator(long since, RateLimitTolerance tolerance) {
 		this.since = since;
+		this.tolerance = Objects.requireNonNull(tolerance, "tolerance must not be null");
 	}
 
 	/**
@@ -107,7 +112,7 @@
 
 	private RateLimit limit(String account) {
 		ClientAccount known = (this.table != null) ? this.table.accounts().get(account) : null;
-		return (known != null) ? known.limit() : null;
+		return (known != null && known.limit() != null) ? this.tolerance.applyTo(known.limit()) : null;
 	}
 
 	private QuotaGrant grant(DaemonState daemon, QuotaDemand demand, long now) {
