--- a/magnolialead-daemon/src/test/java/org/magnolialead/daemon/ExitingDaemonMain.java
+++ b/magnolialead-daemon/src/test/java/org/magnolialead/daemon/ExitingDaemonMain.java
@@ -1,8 +1,8 @@
 package org.magnolialead.daemon;
 
 import java.nio.file.Path;
-import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.IntStream;
 
 /**
  * Starts a daemon and ends the process with a status once the daemon runs.
@@ -29,10 +29,18 @@
 		MagnolialeadMain.exit(Integer.parseInt(arguments[1]));
 	}
 
-	// A running daemon waits for the end of the process.
+	// A running daemon waits for the end of the process. Its start creates latches too,
+	// so
+	// only the wait of the main class itself counts.
 	private static boolean runs(Thread launcher) {
-		return Arrays.stream(launcher.getStackTrace())
-			.anyMatch((frame) -> frame.getClassName().equals(CountDownLatch.class.getName()));
+		StackTraceElement[] trace = launcher.getStackTrace();
+		return IntStream.range(1, trace.length)
+			.anyMatch((index) -> trace[index].getClassName().equals(MagnolialeadMain.class.getName())
+					&& isAwait(trace[index - 1]));
+	}
+
+	private static boolean isAwait(StackTraceElement frame) {
+		return frame.getClassName().equals(CountDownLatch.class.getName()) && frame.getMethodName().equals("await");
 	}
 
 }
