Review: show that a repeated answer lets a statement run with foreign values

Cause: a success without a proof is trusted while the member is not known to repeat replies, so the second answer to one SET stands for the next one, which has failed.

--- a/review/processes/src/Database.java
+++ b/review/processes/src/Database.java
@@ -50,6 +50,12 @@
 
 	volatile int promotionMilliseconds = 300;
 
+	/**
+	 * Whether members send, once on each connection, the answer to a SET a second time,
+	 * late, and fail the next SET there.
+	 */
+	volatile boolean stutters;
+
 	/** Whether the platform answers no call. */
 	volatile boolean platformSilent;
 
@@ -393,6 +399,13 @@
 
 		private final Map<String, String> prepared = new HashMap<>();
 
+		private final Map<String, String> values = new java.util.TreeMap<>();
+
+		/** Answer to the last SET, as sent, or {@code null}. */
+		private String lastSetReady;
+
+		private boolean stuttered;
+
 		private Map<String, String> writes = new LinkedHashMap<>();
 
 		private String state = "I";
@@ -455,8 +468,9 @@
 					this.state = "I";
 					answer("DONE -");
 				}
-				case "SET" -> answer("DONE -");
+				case "SET" -> set(rest);
 				case "RESET" -> {
+					this.values.clear();
 					this.prepared.clear();
 					answer("DONE -");
 				}
@@ -475,6 +489,23 @@
 			}
 		}
 
+		private void set(String rest) throws IOException {
+			String ready = "READY " + this.state + " " + last(this.member).position();
+			boolean stutter = Database.this.stutters && ready.equals(this.lastSetReady)
+					&& !this.stuttered;
+			if (stutter) {
+				this.stuttered = true;
+				Database.this.recorder.add("%s sends \"DONE -, %s\" a second time and fails SET %s", this.member.id, ready,
+						rest);
+				this.wire.send("DONE -", ready, "ERR FAILED not set", ready);
+				return;
+			}
+			String[] parts = rest.split(" ", 2);
+			this.values.put(parts[0], parts[1]);
+			this.lastSetReady = ready;
+			answer("DONE -");
+		}
+
 		private void begin(String rest) throws IOException {
 			if (!rest.equals("READ") && !leads()) {
 				answer("ERR READONLY " + this.member.id);
@@ -528,10 +559,10 @@
 				answer("ERR READONLY " + this.member.id);
 				return;
 			}
+			String mac = "m" + Long.toHexString(Database.this.macs.incrementAndGet());
 			if (!id.equals("-")) {
-				ran(id, verb);
+				ran(id, verb, mac);
 			}
-			String mac = "m" + Long.toHexString(Database.this.macs.incrementAndGet());
 			switch (verb) {
 				case "READ" -> answer("ROW " + value(this.member, arguments.split(" ")[0]), "DONE " + mac);
 				case "WRITE" -> write(arguments, mac);
@@ -544,13 +575,13 @@
 			}
 		}
 
-		private void ran(String id, String verb) {
+		private void ran(String id, String verb, String mac) {
 			long since = this.member.drainingAckedAt;
 			if (since != 0) {
 				Database.this.recorder.add("%s runs %s %s %.3f s after its acknowledged drain", this.member.id, id, verb,
 						(System.nanoTime() - since) / 1e9);
 			}
-			Database.this.runs.add(new Run(this.member, id, System.nanoTime()));
+			Database.this.runs.add(new Run(this.member, id, System.nanoTime(), Map.copyOf(this.values), mac));
 		}
 
 		private void write(String arguments, String mac) throws IOException {
@@ -569,7 +600,7 @@
 
 	final java.util.Queue<Run> runs = new java.util.concurrent.ConcurrentLinkedQueue<>();
 
-	record Run(Member member, String id, long at) {
+	record Run(Member member, String id, long at, Map<String, String> values, String mac) {
 	}
 
 }
