Review: show that a cut answer that is sent twice is joined with its first rows

Cause: the rows of an answer that was cut between two rows and those of its second copy become one result. No change of the product.

--- a/review/processes/src/Database.java
+++ b/review/processes/src/Database.java
@@ -56,6 +56,12 @@
 	 */
 	volatile boolean stutters;
 
+	/**
+	 * Whether members cut the answer to the first read on each connection off after its
+	 * first row, and send it a second time, whole.
+	 */
+	volatile boolean cuts;
+
 	/** Whether the platform answers no call. */
 	volatile boolean platformSilent;
 
@@ -406,6 +412,8 @@
 
 		private boolean stuttered;
 
+		private boolean cut;
+
 		private Map<String, String> writes = new LinkedHashMap<>();
 
 		private String state = "I";
@@ -564,7 +572,7 @@
 				ran(id, verb, mac);
 			}
 			switch (verb) {
-				case "READ" -> answer("ROW " + value(this.member, arguments.split(" ")[0]), "DONE " + mac);
+				case "READ" -> read(arguments.split(" ")[0], mac);
 				case "WRITE" -> write(arguments, mac);
 				default -> {
 					boolean kept = this.writes.isEmpty() || commit(this.member, this.writes);
@@ -584,6 +592,18 @@
 			Database.this.runs.add(new Run(this.member, id, System.nanoTime(), Map.copyOf(this.values), mac));
 		}
 
+		private void read(String item, String mac) throws IOException {
+			String first = "ROW " + value(this.member, item);
+			if (Database.this.cuts && !this.cut) {
+				this.cut = true;
+				this.wire.send(first);
+				Database.this.recorder.add("%s cuts the answer %s off after \"%s\" and sends it a second time", this.member.id,
+						mac, first);
+				sleep(20);
+			}
+			answer(first, "ROW last row of " + item, "DONE " + mac);
+		}
+
 		private void write(String arguments, String mac) throws IOException {
 			String[] parts = arguments.split(" ", 2);
 			String data = (parts.length > 1) ? parts[1] : "";
