--- a/review/processes/src/LeavingPrimary.java
+++ b/review/processes/src/LeavingPrimary.java
@@ -39,7 +39,7 @@
 			try {
 				status = run(Path.of(arguments[0]), recorder, trouble);
 			}
-			catch (IOException | RuntimeException ex) {
+			catch (Exception | Error ex) {
 				recorder.add("could not run: %s", ex);
 			}
 			recorder.add("exit %d", status);
