--- a/review/processes/src/CutAnswer.java
+++ b/review/processes/src/CutAnswer.java
@@ -68,7 +68,8 @@
 		}
 		Database.sleep(3_000);
 		database.cuts = trouble;
-		Database.sleep(8_000);
+		Database.sleep(6_000);
+		database.cuts = false;
 		finished = true;
 		Database.sleep(1_500);
 		recorder.add("%d reads done, %d of them with other rows than the member sent", done.get(), wrong.get());
--- a/review/processes/src/Database.java
+++ b/review/processes/src/Database.java
@@ -57,8 +57,8 @@
 	volatile boolean stutters;
 
 	/**
-	 * Whether members cut the answer to the first read on each connection off after its
-	 * first row, and send it a second time, whole.
+	 * Whether member i-2 cuts the answer to the first read on each connection off after its
+	 * first row, and sends it a second time, whole.
 	 */
 	volatile boolean cuts;
 
@@ -594,7 +594,7 @@
 
 		private void read(String item, String mac) throws IOException {
 			String first = "ROW " + value(this.member, item);
-			if (Database.this.cuts && !this.cut) {
+			if (Database.this.cuts && !this.cut && this.member.id.equals("i-2")) {
 				this.cut = true;
 				this.wire.send(first);
 				Database.this.recorder.add("%s cuts the answer %s off after \"%s\" and sends it a second time", this.member.id,
--- a/review/processes/src/RepeatedSetting.java
+++ b/review/processes/src/RepeatedSetting.java
@@ -78,7 +78,8 @@
 		}
 		Database.sleep(3_000);
 		database.stutters = trouble;
-		Database.sleep(12_000);
+		Database.sleep(6_000);
+		database.stutters = false;
 		finished = true;
 		Database.sleep(1_000);
 		List<Database.Run> wrong = database.runs.stream()
